--- /dev/null
+++ b/kingcuppond/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: where callers and other daemons reach this daemon."""
--- /dev/null
+++ b/kingcuppond/entry/intake.py
@@ -0,0 +1,184 @@
+"""Reading a caller's request into a call.
+
+Everything a caller writes is checked here, before anything is sent on: a request that is refused
+here was certainly not run.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Final
+
+import attrs
+from aiohttp import web
+from expression import Error, Ok, Result
+from yarl import URL
+
+from kingcuppond.configuration.objects import MAX_ANSWER_MS, ClassOfWork
+from kingcuppond.configuration.replica import Configuration
+from kingcuppond.harmful.suspects import fingerprint
+from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.routing.call import (
+    BODY_MEMORY_BYTES,
+    DEFAULT_RETRY_BUDGET,
+    MAX_DEPTH,
+    Body,
+    Call,
+)
+from kingcuppond.routing.headers import (
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    KEY_HEADER,
+    OWN_REQUEST_HEADERS,
+    RETRY_BUDGET_HEADER,
+    end_to_end,
+)
+
+MAX_KEY_LENGTH: Final = 255
+HALF_OPEN_SECONDS: Final = 30.0
+CONTINUE_LINE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@attrs.frozen
+class Request:
+    """A call together with what only its entry needs.
+
+    :param key: the caller's ``Idempotency-Key``, or empty
+    :param started: monotonic time of its arrival
+    """
+
+    call: Call
+    class_of_work: ClassOfWork
+    key: str
+    started: float
+
+
+async def read_request(
+    request: web.BaseRequest,
+    configuration: Configuration,
+    now: Callable[[], float],
+    next_id: Callable[[], str],
+) -> Result[Request, Failure]:
+    """Check a caller's request and read the first part of its body."""
+    started = now()
+    found = _find_class(request, configuration)
+    if found.is_error():
+        return Error(found.error)
+    class_of_work = found.ok
+    key = _read_key(request)
+    deadline_ms = _read_number(
+        request, DEADLINE_HEADER, class_of_work.answer_within_ms, 1, MAX_ANSWER_MS
+    )
+    depth = _read_number(request, DEPTH_HEADER, 0, 0, MAX_DEPTH - 1)
+    budget = _read_number(
+        request, RETRY_BUDGET_HEADER, DEFAULT_RETRY_BUDGET, 0, DEFAULT_RETRY_BUDGET
+    )
+    for checked in (key, deadline_ms, depth, budget):
+        if checked.is_error():
+            return Error(checked.error)
+    deadline = started + deadline_ms.ok / 1000
+    body = await _read_body(request, deadline - now())
+    if body.is_error():
+        return Error(body.error)
+    call = Call(
+        id=next_id(),
+        class_name=class_of_work.name,
+        service=class_of_work.service,
+        method=request.method,
+        target=request.raw_path,
+        headers=_pass_on(request),
+        body=body.ok,
+        deadline=deadline,
+        depth=depth.ok + 1,
+        retry_budget=budget.ok,
+        at_most_once=class_of_work.at_most_once,
+        fingerprint=fingerprint(request.method, request.raw_path, body.ok.first),
+    )
+    return Ok(Request(call, class_of_work, key.ok, started))
+
+
+def read_relayed_body(request: web.BaseRequest) -> Body:
+    """Return the body of a call from another daemon: it streams, and starts when it is wanted."""
+    if not request.body_exists:
+        return Body()
+    return Body(b"", _stream(request), request.content_length)
+
+
+def _pass_on(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    connection = request.headers.get("Connection", "")
+    return end_to_end(request.headers.items(), connection, OWN_REQUEST_HEADERS)
+
+
+def _find_class(
+    request: web.BaseRequest, configuration: Configuration
+) -> Result[ClassOfWork, Failure]:
+    if not request.raw_path.startswith("/"):
+        return Error(NotRun(Reason.BAD_REQUEST, "the request's target must be a path"))
+    path = URL(request.raw_path.partition("?")[0], encoded=True).path
+    # A server may resolve such segments and so see another path than the class was chosen by.
+    if any(segment in (".", "..") for segment in path.split("/")):
+        return Error(NotRun(Reason.BAD_REQUEST, "the path must not hold '.' or '..' segments"))
+    if not configuration.is_ready:
+        return Error(NotRun(Reason.NOT_READY, "this daemon has not heard the configuration yet"))
+    class_of_work = configuration.match(request.method, path)
+    if class_of_work is None:
+        return Error(NotRun(Reason.NO_CLASS, f"no class of work has {request.method} {path}"))
+    return Ok(class_of_work)
+
+
+def _read_key(request: web.BaseRequest) -> Result[str, Failure]:
+    values = request.headers.getall(KEY_HEADER, [])
+    if not values:
+        return Ok("")
+    if len(values) > 1:
+        return Error(NotRun(Reason.BAD_REQUEST, f"{KEY_HEADER} stands more than once"))
+    key = values[0]
+    if not 1 <= len(key) <= MAX_KEY_LENGTH or not key.isascii() or not key.isprintable():
+        detail = f"{KEY_HEADER} must be 1 to {MAX_KEY_LENGTH} printable ASCII characters"
+        return Error(NotRun(Reason.BAD_REQUEST, detail))
+    return Ok(key)
+
+
+def _read_number(
+    request: web.BaseRequest, name: str, default: int, low: int, high: int
+) -> Result[int, Failure]:
+    text = request.headers.get(name)
+    if text is None:
+        return Ok(default)
+    if not (text.isascii() and text.isdecimal() and len(text) < 10 and low <= int(text) <= high):
+        detail = f"{name} must be a whole number from {low} to {high}"
+        return Error(NotRun(Reason.BAD_REQUEST, detail))
+    return Ok(int(text))
+
+
+async def _read_body(request: web.BaseRequest, seconds: float) -> Result[Body, Failure]:
+    """Read the body as far as it is held in memory."""
+    if not request.body_exists:
+        return Ok(Body(length=0))
+    stream = _stream(request)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(seconds):
+            async for chunk in stream:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > BODY_MEMORY_BYTES:
+                    return Ok(Body(b"".join(parts), stream, request.content_length))
+    except TimeoutError:
+        return Error(NotRun(Reason.DEADLINE, "the request's body did not arrive in time"))
+    except (web.RequestPayloadError, OSError) as exc:
+        return Error(NotRun(Reason.BAD_REQUEST, f"the request's body broke off: {exc}"))
+    return Ok(Body(b"".join(parts), None, size))
+
+
+async def _stream(request: web.BaseRequest) -> AsyncIterator[bytes]:
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(CONTINUE_LINE)
+        # What was written so far is not part of the answer.
+        request.writer.output_size = 0
+    while True:
+        async with asyncio.timeout(HALF_OPEN_SECONDS):
+            chunk = await request.content.readany()
+        if not chunk:
+            return
+        yield chunk
--- /dev/null
+++ b/kingcuppond/events/catalogue.py
@@ -0,0 +1,64 @@
+"""The registry of all events that kingcuppond logs.
+
+Each event has a number that never changes its meaning, a level, and a template.  docs/EVENTS.md
+lists them, and a test keeps the two equal.  Numbers are grouped: 1xx process, 2xx membership, 3xx
+configuration, 4xx gate, 5xx calls, 6xx claims, 7xx store, 8xx peers.
+"""
+
+from typing import Final
+
+import attrs
+
+
+@attrs.frozen
+class Event:
+    """One kind of event.
+
+    :param number: the stable number
+    :param level: ``debug``, ``info``, ``warning`` or ``error``
+    :param template: text with ``{field}`` places
+    """
+
+    number: int
+    level: str
+    template: str
+
+
+DAEMON_STARTED: Final = Event(101, "info", "daemon {vm} started in {data_centre}")
+DAEMON_LEAVING: Final = Event(102, "info", "daemon {vm} is leaving: {in_flight} calls in progress")
+DAEMON_STOPPED: Final = Event(103, "info", "daemon {vm} stopped")
+TASK_FAILED: Final = Event(104, "error", "task {task} failed and starts again: {error}")
+MEMBER_JOINED: Final = Event(201, "info", "member {member} of {data_centre} is known")
+MEMBER_CHANGED: Final = Event(202, "info", "member {member} is {state}")
+MEMBER_SUSPECTED: Final = Event(203, "warning", "member {member} does not answer")
+MEMBER_DEAD: Final = Event(204, "warning", "member {member} is held for dead")
+MEMBER_REFUTED: Final = Event(205, "info", "this daemon was suspected and says it lives")
+ISOLATED: Final = Event(206, "warning", "neither the store nor most members are heard")
+REJOINED: Final = Event(207, "info", "the store or most members are heard again")
+MEMBER_FORGOTTEN: Final = Event(208, "info", "member {member} was dead for long and is forgotten")
+CONFIGURATION_CHANGED: Final = Event(301, "info", "{name} is in force at version {version}")
+CONFIGURATION_REFUSED: Final = Event(302, "error", "{name} version {version} is unusable: {error}")
+SERVER_ANNOUNCED: Final = Event(401, "info", "server {address} announced itself as {state}")
+SERVER_SILENT: Final = Event(402, "warning", "server {address} no longer announces itself")
+SERVER_COLD: Final = Event(403, "warning", "server {address} is taken for cold: {why}")
+SERVER_DRAINING: Final = Event(404, "info", "server {address} is draining")
+GATE_REFUSED: Final = Event(405, "debug", "gate refused call {call}: {reason}")
+CALL_ANSWERED: Final = Event(501, "debug", "call {call} answered {status} by {member}")
+CALL_NOT_RUN: Final = Event(502, "info", "call {call} not run: {reason}")
+CALL_UNKNOWN: Final = Event(503, "warning", "call {call} has an unknown outcome: {reason}")
+CALL_RETRIED: Final = Event(504, "debug", "call {call} goes to another server: {reason}")
+CALL_HEDGED: Final = Event(505, "debug", "call {call} is hedged at {member}")
+REQUEST_SUSPECTED: Final = Event(506, "warning", "request {fingerprint} ran as {server} went away")
+REQUEST_HELD: Final = Event(507, "error", "request {fingerprint} is held: it took down {server}")
+REQUEST_CLEARED: Final = Event(508, "info", "request {fingerprint} was answered and is cleared")
+CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
+CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
+CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
+CLAIM_RELOADED: Final = Event(604, "info", "claims of shard {shard} read again: {why}")
+STORE_DOWN: Final = Event(701, "warning", "store does not answer: {error}")
+STORE_BACK: Final = Event(702, "info", "store answers again")
+WATCH_LOST: Final = Event(703, "warning", "watch is silent or lost: {error}")
+WATCHING: Final = Event(704, "info", "this daemon watches the store for its data centre")
+PEER_REFUSED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
+
+ALL: Final = {event.number: event for event in list(globals().values()) if isinstance(event, Event)}
--- /dev/null
+++ b/kingcuppond/harmful/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that take servers down: suspicion, trial and hold."""
--- /dev/null
+++ b/kingcuppond/membership/directory.py
@@ -0,0 +1,178 @@
+"""The directory: every member heard of, and which of them are held for dead.
+
+There is no list of servers anywhere.  A daemon tells of itself and of its server; what it tells
+spreads as rumours and is merged here by version.  A member that its contacts can't reach is
+suspected; if it does not refute this in time by a newer version, it is held for dead and gets no
+work.  A dead member is remembered, so that it is found again when a partition heals.
+"""
+
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import attrs
+
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+from kingcuppond.membership.messages import Member, ServerState, Suspicion
+
+DEAD_AFTER_SECONDS: Final = 2.0
+FORGET_AFTER_SECONDS: Final = 3600.0
+
+
+@attrs.define
+class _Suspected:
+    version: tuple[int, int]
+    since: float
+    is_dead: bool = False
+
+
+@attrs.define
+class Directory:
+    """The members of the fleet as this daemon sees them.
+
+    :param me: this daemon's own member, always the newest version
+    """
+
+    me: Member
+    clock: Clock
+    journal: Journal
+    members_by_vm: dict[str, Member] = attrs.field(factory=dict)
+    members_by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
+    digest: int = 0
+    generation: int = 0
+    on_own_change: list[Callable[[Member], None]] = attrs.field(factory=list)
+    _suspected_by_vm: dict[str, _Suspected] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._put(self.me)
+
+    def merge(self, member: Member) -> bool:
+        """Take what a member said of itself, if it is newer.
+
+        :return: whether it was news
+        """
+        if member.vm == self.me.vm:
+            if member.version > self.me.version:
+                self._outlive(member)
+            return False
+        known = self.members_by_vm.get(member.vm)
+        if known is not None and known.version >= member.version:
+            return False
+        self._suspected_by_vm.pop(member.vm, None)
+        self._put(member)
+        if known is None:
+            self.journal.record(
+                catalogue.MEMBER_JOINED, member=member.vm, data_centre=member.data_centre
+            )
+        elif (known.state, known.is_leaving) != (member.state, member.is_leaving):
+            state = "leaving" if member.is_leaving else member.state.value
+            self.journal.record(catalogue.MEMBER_CHANGED, member=member.vm, state=state)
+        return True
+
+    def update_me(self, state: ServerState | None = None, is_leaving: bool | None = None) -> Member:
+        """Tell something new of this daemon."""
+        self.me = attrs.evolve(
+            self.me,
+            seq=self.me.seq + 1,
+            state=self.me.state if state is None else state,
+            is_leaving=self.me.is_leaving if is_leaving is None else is_leaving,
+        )
+        self._put(self.me)
+        for call in self.on_own_change:
+            call(self.me)
+        return self.me
+
+    def suspect(self, suspicion: Suspicion) -> bool:
+        """Take a suspicion, or refute it if it concerns this daemon.
+
+        :return: whether it was news
+        """
+        version = (suspicion.incarnation, suspicion.seq)
+        if suspicion.vm == self.me.vm:
+            if version >= self.me.version:
+                self.journal.record(catalogue.MEMBER_REFUTED)
+                self.update_me()
+            return False
+        known = self.members_by_vm.get(suspicion.vm)
+        if known is None or version < known.version or suspicion.vm in self._suspected_by_vm:
+            return False
+        self._suspected_by_vm[suspicion.vm] = _Suspected(version, self.clock.monotonic())
+        self.journal.record(catalogue.MEMBER_SUSPECTED, member=suspicion.vm)
+        return True
+
+    def bury(self) -> list[Member]:
+        """Hold for dead whoever did not refute in time, and forget the long dead.
+
+        :return: members that were forgotten now
+        """
+        now = self.clock.monotonic()
+        forgotten = []
+        for vm, suspected in list(self._suspected_by_vm.items()):
+            if not suspected.is_dead and now - suspected.since > DEAD_AFTER_SECONDS:
+                suspected.is_dead = True
+                self.generation += 1
+                self.journal.record(catalogue.MEMBER_DEAD, member=vm)
+            elif suspected.is_dead and now - suspected.since > FORGET_AFTER_SECONDS:
+                forgotten.append(self._forget(vm))
+        return forgotten
+
+    def clear(self, vm: str) -> None:
+        """End a suspicion of this daemon's own, after the member answered it."""
+        suspected = self._suspected_by_vm.get(vm)
+        if suspected is not None and not suspected.is_dead:
+            del self._suspected_by_vm[vm]
+
+    def is_suspected(self, vm: str) -> bool:
+        """Tell whether a member is suspected or held for dead."""
+        return vm in self._suspected_by_vm
+
+    def is_dead(self, vm: str) -> bool:
+        """Tell whether a member is held for dead."""
+        suspected = self._suspected_by_vm.get(vm)
+        return suspected is not None and suspected.is_dead
+
+    def living(self) -> list[Member]:
+        """Return all members that are not held for dead, this daemon included."""
+        return [member for vm, member in self.members_by_vm.items() if not self.is_dead(vm)]
+
+    def dead(self) -> list[Member]:
+        """Return the members that are held for dead."""
+        return [member for vm, member in self.members_by_vm.items() if self.is_dead(vm)]
+
+    def suspicions(self) -> Iterable[Suspicion]:
+        """Return all suspicions, so that a member that hears them can refute."""
+        for vm, suspected in self._suspected_by_vm.items():
+            incarnation, seq = suspected.version
+            yield Suspicion(vm, incarnation, seq)
+
+    def _outlive(self, member: Member) -> None:
+        # An earlier process of this VM, or one with a faster wall clock, told of itself.
+        self.me = attrs.evolve(
+            self.me, incarnation=max(self.me.incarnation, member.incarnation + 1), seq=0
+        )
+        self.update_me()
+
+    def _put(self, member: Member) -> None:
+        known = self.members_by_vm.get(member.vm)
+        if known is not None:
+            self.digest ^= _hash(known)
+            self.members_by_service[known.service].pop(member.vm, None)
+        self.members_by_vm[member.vm] = member
+        self.members_by_service.setdefault(member.service, {})[member.vm] = member
+        self.digest ^= _hash(member)
+        self.generation += 1
+
+    def _forget(self, vm: str) -> Member:
+        member = self.members_by_vm.pop(vm)
+        del self._suspected_by_vm[vm]
+        self.members_by_service[member.service].pop(vm, None)
+        self.digest ^= _hash(member)
+        self.generation += 1
+        self.journal.record(catalogue.MEMBER_FORGOTTEN, member=vm)
+        return member
+
+
+def _hash(member: Member) -> int:
+    return zlib.crc32(f"{member.vm} {member.incarnation} {member.seq}".encode())
--- /dev/null
+++ b/kingcuppond/membership/gossip.py
@@ -0,0 +1,242 @@
+"""Gossip: keeps contact with a few members and passes on what is news.
+
+One task a contact pings it.  A contact that misses two pings in a row is suspected, and the
+suspicion spreads.  News (members, configuration, notes on harmful requests) are sent to all
+contacts as soon as they are heard, each only once by each daemon, so they cross the fleet in a few
+hops.  A ping carries a digest of all soft state; if it differs for long, the two ends exchange all
+that they know.  So rumours that were lost, a restart, or a healed partition leave nobody behind.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final
+
+from kingcuppond.clock import Clock
+from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.events.journal import Journal
+from kingcuppond.harmful.suspects import SuspectTable
+from kingcuppond.membership.contacts import choose_contacts, ping_interval
+from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.messages import (
+    Member,
+    Ping,
+    Pong,
+    Rumours,
+    Suspicion,
+    SyncAsk,
+    SyncReply,
+)
+from kingcuppond.peers.transport import PeerTransport
+
+PING_TIMEOUT_SECONDS: Final = 0.5
+MISSED_PINGS: Final = 2
+SYNC_TIMEOUT_SECONDS: Final = 2.0
+SYNC_AFTER_DIFFERENT_PINGS: Final = 3
+REVIVE_SECONDS: Final = 2.0
+HOUSEKEEPING_SECONDS: Final = 0.1
+HEARD_SECONDS: Final = 2.0
+
+
+class Gossip:
+    """A daemon's side of the gossip.
+
+    :param rng: spreads the pings over time
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        configuration: Configuration,
+        suspects: SuspectTable,
+        transport: PeerTransport,
+        clock: Clock,
+        journal: Journal,
+        rng: Random,
+    ) -> None:
+        self.directory = directory
+        self.heard_at_by_vm: dict[str, float] = {}
+        self._configuration = configuration
+        self._suspects = suspects
+        self._transport = transport
+        self._clock = clock
+        self._journal = journal
+        self._rng = rng
+        self._contacts: dict[str, Member] = {}
+        self._pingers_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._generation = -1
+        transport.handlers_by_type[Ping] = self._on_ping
+        transport.handlers_by_type[Rumours] = self._on_rumours
+        transport.handlers_by_type[SyncAsk] = self._on_sync
+        directory.on_own_change.append(lambda me: self.spread(Rumours(members=(me,))))
+        suspects.on_note.append(lambda note: self.spread(Rumours(notes=(note,))))
+
+    def tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the loops that run as long as the daemon."""
+        return [self._keep_house, self._revive_dead]
+
+    def stop(self) -> None:
+        """End all pings."""
+        for task in self._pingers_by_vm.values():
+            task.cancel()
+        self._pingers_by_vm.clear()
+
+    def spread(self, news: Rumours, except_vm: str = "") -> None:
+        """Send news to all contacts."""
+        if not news:
+            return
+        for vm, member in self._contacts.items():
+            if vm != except_vm:
+                self._transport.tell(member.peer_address, news)
+
+    def spread_objects(self, objects: list[VersionedObject]) -> None:
+        """Merge objects of the store into the configuration and spread what was news."""
+        self.spread(Rumours(objects=tuple(self._configuration.merge(objects))))
+
+    async def join(self, addresses: list[str]) -> bool:
+        """Make this daemon known to a few others and learn what they know.
+
+        :param addresses: peer addresses to ask, all at once
+        :return: whether any answered
+        """
+        asks = [self._sync(address) for address in addresses]
+        return any(await asyncio.gather(*asks))
+
+    def hears_majority(self) -> bool:
+        """Tell whether the data centres heard lately hold more than half of all members.
+
+        A data centre counts if any member in it was heard; the daemon's own one counts only if
+        another member of it was heard, or there is none.  Dead members count on the far side: a
+        daemon that is cut off must not take the shrinking of its own view for a shrinking of the
+        fleet.
+        """
+        oldest = self._clock.monotonic() - HEARD_SECONDS
+        me = self.directory.me
+        members_by_data_centre: dict[str, int] = {}
+        heard = set()
+        for vm, member in self.directory.members_by_vm.items():
+            count = members_by_data_centre.get(member.data_centre, 0)
+            members_by_data_centre[member.data_centre] = count + 1
+            if vm != me.vm and self.heard_at_by_vm.get(vm, oldest) > oldest:
+                heard.add(member.data_centre)
+        if members_by_data_centre[me.data_centre] == 1:
+            heard.add(me.data_centre)
+        weight = sum(members_by_data_centre[name] for name in heard)
+        return weight * 2 > len(self.directory.members_by_vm)
+
+    def _digest(self) -> int:
+        return self.directory.digest ^ self._configuration.digest ^ self._suspects.digest
+
+    async def _on_ping(self, sender: str, ping: Ping) -> Pong:
+        self._hear(sender)
+        return Pong(self._digest())
+
+    async def _on_rumours(self, sender: str, rumours: Rumours) -> None:
+        self._hear(sender)
+        self.spread(self._merge(rumours), except_vm=sender)
+
+    async def _on_sync(self, sender: str, ask: SyncAsk) -> SyncReply:
+        self._hear(sender)
+        news = self._news_for(ask.known)
+        self.spread(self._merge(ask.known), except_vm=sender)
+        return SyncReply(news)
+
+    def _hear(self, vm: str) -> None:
+        self.heard_at_by_vm[vm] = self._clock.monotonic()
+
+    def _merge(self, rumours: Rumours) -> Rumours:
+        self._configuration.is_ready |= bool(rumours.objects)
+        return Rumours(
+            members=tuple(m for m in rumours.members if self.directory.merge(m)),
+            objects=tuple(self._configuration.merge(rumours.objects)),
+            suspicions=tuple(s for s in rumours.suspicions if self.directory.suspect(s)),
+            notes=tuple(n for n in rumours.notes if self._suspects.merge(n)),
+        )
+
+    def _everything(self) -> Rumours:
+        return Rumours(
+            members=tuple(self.directory.members_by_vm.values()),
+            objects=tuple(self._configuration.objects_by_name.values()),
+            suspicions=tuple(self.directory.suspicions()),
+            notes=tuple(self._suspects.notes()),
+        )
+
+    def _news_for(self, known: Rumours) -> Rumours:
+        members = {m.vm: m.version for m in known.members}
+        objects = {o.name: o.version for o in known.objects}
+        notes = {n.fingerprint: n.stamp for n in known.notes}
+        mine = self._everything()
+        return Rumours(
+            members=tuple(m for m in mine.members if members.get(m.vm, (0, 0)) < m.version),
+            objects=tuple(o for o in mine.objects if objects.get(o.name, 0) < o.version),
+            suspicions=mine.suspicions,
+            notes=tuple(n for n in mine.notes if notes.get(n.fingerprint, 0) < n.stamp),
+        )
+
+    async def _sync(self, address: str) -> bool:
+        ask = SyncAsk(self._everything())
+        reply = await self._transport.ask(address, ask, SyncReply, SYNC_TIMEOUT_SECONDS)
+        if reply.is_error():
+            return False
+        self._configuration.is_ready = True
+        self.spread(self._merge(reply.ok.news))
+        return True
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self.directory.bury()
+            self._suspects.expire()
+            if self._generation != self.directory.generation:
+                self._generation = self.directory.generation
+                self._choose_contacts()
+
+    def _choose_contacts(self) -> None:
+        self._contacts = choose_contacts(self.directory.me, self.directory.living())
+        for vm in list(self._pingers_by_vm):
+            if vm not in self._contacts:
+                self._pingers_by_vm.pop(vm).cancel()
+        for vm in self._contacts:
+            if vm not in self._pingers_by_vm:
+                self._pingers_by_vm[vm] = asyncio.create_task(self._ping_contact(vm))
+
+    async def _ping_contact(self, vm: str) -> None:
+        missed = 0
+        different = 0
+        while True:
+            interval = ping_interval(len(self._contacts))
+            await asyncio.sleep(interval * self._rng.uniform(0.8, 1.2))
+            member = self.directory.members_by_vm.get(vm)
+            if member is None:
+                return
+            ping = Ping(self._digest())
+            address = member.peer_address
+            reply = await self._transport.ask(address, ping, Pong, PING_TIMEOUT_SECONDS)
+            if reply.is_error():
+                missed += 1
+                self._miss(member, missed)
+                continue
+            missed = 0
+            self._hear(vm)
+            self.directory.clear(vm)
+            different = different + 1 if reply.ok.digest != self._digest() else 0
+            if different >= SYNC_AFTER_DIFFERENT_PINGS:
+                different = 0
+                await self._sync(address)
+
+    def _miss(self, member: Member, missed: int) -> None:
+        if missed < MISSED_PINGS:
+            return
+        # The connection may be at fault and not the member: the next ping uses a new one.
+        self._transport.disconnect(member.peer_address)
+        suspicion = Suspicion(member.vm, member.incarnation, member.seq)
+        if self.directory.suspect(suspicion):
+            self.spread(Rumours(suspicions=(suspicion,)))
+
+    async def _revive_dead(self) -> None:
+        while True:
+            await asyncio.sleep(REVIVE_SECONDS * self._rng.uniform(0.5, 1.5))
+            dead = self.directory.dead()
+            if dead:
+                # The sync tells the member of the suspicion, and its refutation revives it.
+                await self._sync(self._rng.choice(dead).peer_address)
--- /dev/null
+++ b/kingcuppond/membership/registration.py
@@ -0,0 +1,110 @@
+"""How daemons find each other at first: one object for each daemon in the store.
+
+A daemon writes its object once when it starts, and deletes it when it stops as planned.  It is no
+heartbeat: whether a daemon lives, its contacts tell.  Watchers read the listing now and then, so
+that two groups of daemons that never heard of each other become one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.gossip import Gossip
+from kingcuppond.membership.messages import Member
+from kingcuppond.store.client import ABSENT, Store, StoreError
+
+KIND: Final = "daemon"
+ASKED_AT_JOIN: Final = 8
+FIRST_BACKOFF_SECONDS: Final = 0.2
+MAX_BACKOFF_SECONDS: Final = 5.0
+REVIEW_SECONDS: Final = 10.0
+
+
+class Registration:
+    """A daemon's object in the store, and its way into the fleet.
+
+    :param is_watching: tells whether this daemon watches the store for its data centre
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        directory: Directory,
+        gossip: Gossip,
+        clock: Clock,
+        journal: Journal,
+        rng: Random,
+        is_watching: Callable[[], bool],
+    ) -> None:
+        self.is_registered = False
+        self._store = store
+        self._directory = directory
+        self._gossip = gossip
+        self._clock = clock
+        self._journal = journal
+        self._rng = rng
+        self._is_watching = is_watching
+
+    async def run(self) -> None:
+        """Register and join, with backoff and jitter, then review the listing now and then."""
+        backoff = FIRST_BACKOFF_SECONDS
+        while not self.is_registered:
+            registered = await self._register()
+            if registered.is_ok():
+                self.is_registered = True
+                break
+            self._journal.record(catalogue.STORE_DOWN, error=registered.error.message)
+            await asyncio.sleep(backoff * self._rng.uniform(0.5, 1.0))
+            backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+        await self._meet_unknown()
+        while True:
+            await asyncio.sleep(REVIEW_SECONDS * self._rng.uniform(0.5, 1.5))
+            if self._is_watching() or len(self._directory.members_by_vm) == 1:
+                await self._meet_unknown()
+
+    async def withdraw(self) -> None:
+        """Delete this daemon's object, if the store answers."""
+        found = await self._store.get(KIND, self._directory.me.vm)
+        if found.is_ok() and found.ok is not None:
+            await self._store.delete(KIND, self._directory.me.vm, found.ok.version)
+
+    async def _register(self) -> Result[None, StoreError]:
+        # A lost answer is no harm: the next try reads the object and finds it written.
+        me = self._directory.me
+        body = msgspec.json.encode(me)
+        found = await self._store.get(KIND, me.vm)
+        if found.is_error():
+            return Error(found.error)
+        if found.ok is not None and found.ok.body == body:
+            return Ok(None)
+        expected = ABSENT if found.ok is None else found.ok.version
+        return (await self._store.put(KIND, me.vm, body, expected)).map(lambda _: None)
+
+    async def _meet_unknown(self) -> None:
+        """Ask a few of the registered daemons that the directory does not know."""
+        listed = await self._store.list(KIND)
+        if listed.is_error():
+            return
+        known = self._directory.members_by_vm
+        unknown = [item.name for item in listed.ok.items if item.name not in known]
+        chosen = self._rng.sample(unknown, min(ASKED_AT_JOIN, len(unknown)))
+        addresses = []
+        for name in chosen:
+            read = await self._store.get(KIND, name)
+            if read.is_error() or read.ok is None:
+                continue
+            try:
+                member = msgspec.json.decode(read.ok.body, type=Member)
+            except msgspec.MsgspecError:
+                continue
+            addresses.append(member.peer_address)
+        if addresses:
+            await self._gossip.join(addresses)
--- /dev/null
+++ b/kingcuppond/operators/changes.py
@@ -0,0 +1,104 @@
+"""Changing configuration: conditional updates, told apart by their outcome.
+
+Of two operators who change the same object at the same moment, one is told that the other was
+first. When the store's answer to a write is lost, the object is read back; it is never written
+again, since a second write could undo what another operator did in between.
+"""
+
+import asyncio
+from typing import Final
+
+import attrs
+from expression import Error, Ok, Result
+
+from kingcuppond.configuration.objects import KIND
+from kingcuppond.store.client import ABSENT, Store, StoreError
+
+READ_BACK_TRIES: Final = 5
+READ_BACK_SECONDS: Final = 0.3
+EXIT_CONFLICT: Final = 1
+EXIT_UNREACHABLE: Final = 3
+EXIT_UNKNOWN: Final = 4
+
+
+@attrs.frozen
+class ChangeError:
+    """A change was not made, or may not have been.
+
+    :param exit_code: what the command ends with
+    """
+
+    message: str
+    exit_code: int
+
+
+@attrs.frozen
+class Changed:
+    """A change that is accepted: from here on it is in force and does not revert.
+
+    :param version: the store's version of the change
+    :param is_new: false if the object was as wanted already
+    """
+
+    version: int
+    is_new: bool = True
+
+
+async def change(
+    store: Store, name: str, body: bytes | None, expected: int | None = None
+) -> Result[Changed, ChangeError]:
+    """Write or remove an object of configuration.
+
+    :param body: the new content, or ``None`` to remove it
+    :param expected: the version that the operator has seen, or ``None`` for the present one
+    """
+    read = await store.get(KIND, name)
+    if read.is_error():
+        return Error(_from_store(read.error))
+    found = read.ok
+    version = ABSENT if found is None else found.version
+    if expected is not None and expected != version:
+        return Error(_conflict(name, version))
+    if found is None and body is None:
+        return Error(ChangeError(f"there is no {name}", EXIT_CONFLICT))
+    if found is not None and found.body == body:
+        return Ok(Changed(version, is_new=False))
+    if body is None:
+        written = await store.delete(KIND, name, version)
+    else:
+        written = await store.put(KIND, name, body, version)
+    if written.is_ok():
+        return Ok(Changed(written.ok))
+    if written.error.is_unknown:
+        return await _read_back(store, name, body, version)
+    if written.error.is_conflict:
+        return Error(_conflict(name, version))
+    return Error(_from_store(written.error))
+
+
+async def _read_back(
+    store: Store, name: str, body: bytes | None, version: int
+) -> Result[Changed, ChangeError]:
+    for _ in range(READ_BACK_TRIES):
+        await asyncio.sleep(READ_BACK_SECONDS)
+        read = await store.get(KIND, name)
+        if read.is_error():
+            continue
+        now = ABSENT if read.ok is None else read.ok.version
+        if now == version:
+            # The write may still be on its way, so this is no proof that it was not made.
+            continue
+        if (None if read.ok is None else read.ok.body) == body:
+            return Ok(Changed(now))
+        return Error(_conflict(name, now))
+    detail = f"the platform's answer was lost, and it is unknown whether {name} was changed"
+    return Error(ChangeError(f"{detail}; look again before you repeat it", EXIT_UNKNOWN))
+
+
+def _conflict(name: str, version: int) -> ChangeError:
+    message = f"{name} was changed by someone else (now version {version}); nothing was written"
+    return ChangeError(message, EXIT_CONFLICT)
+
+
+def _from_store(error: StoreError) -> ChangeError:
+    return ChangeError(f"platform: {error.message}; nothing was written", EXIT_UNREACHABLE)
--- /dev/null
+++ b/kingcuppond/operators/reading.py
@@ -0,0 +1,95 @@
+"""Reading what all daemons show, starting from nothing but the platform's address.
+
+One daemon is found through the store; it names the others.  So the reads of the store do not grow
+with the fleet.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final, Generic, TypeVar
+
+import aiohttp
+import attrs
+import msgspec
+from expression import Error, Ok, Result
+
+from kingcuppond.membership.messages import Member
+from kingcuppond.membership.registration import KIND
+from kingcuppond.operators.messages import DaemonStatus
+from kingcuppond.store.client import Store
+
+ASKED_FIRST: Final = 8
+READ_SECONDS: Final = 2.0
+AT_ONCE: Final = 50
+
+T = TypeVar("T")
+Progress = Callable[[int, int], None]
+
+
+@attrs.frozen
+class ReadError:
+    """Nothing could be read."""
+
+    message: str
+
+
+@attrs.frozen
+class FleetPages(Generic[T]):
+    """The pages of all daemons that answered, and the VMs of those that did not."""
+
+    pages: list[T]
+    silent: list[str]
+
+
+async def find_members(store: Store, rng: Random) -> Result[list[Member], ReadError]:
+    """Return the members of the fleet, as one of its daemons names them."""
+    listed = await store.list(KIND)
+    if listed.is_error():
+        return Error(ReadError(f"platform: {listed.error.message}"))
+    names = [item.name for item in listed.ok.items]
+    for name in rng.sample(names, min(ASKED_FIRST, len(names))):
+        read = await store.get(KIND, name)
+        if read.is_error() or read.ok is None:
+            continue
+        member = msgspec.json.decode(read.ok.body, type=Member)
+        async with aiohttp.ClientSession() as session:
+            status = await _read(session, member, "/v1/status", DaemonStatus)
+        if status is not None:
+            return Ok([known.member for known in status.members])
+    return Error(ReadError("no daemon that the platform names answers"))
+
+
+async def read_fleet(
+    members: list[Member], path: str, type_: type[T], progress: Progress
+) -> FleetPages[T]:
+    """Read one page of each daemon, many at a time."""
+    pages: list[T] = []
+    silent: list[str] = []
+    slots = asyncio.Semaphore(AT_ONCE)
+
+    async def read_one(session: aiohttp.ClientSession, member: Member) -> None:
+        async with slots:
+            page = await _read(session, member, path, type_)
+        if page is None:
+            silent.append(member.vm)
+        else:
+            pages.append(page)
+        progress(len(pages) + len(silent), len(members))
+
+    async with aiohttp.ClientSession() as session:
+        await asyncio.gather(*(read_one(session, member) for member in members))
+    return FleetPages(pages, sorted(silent))
+
+
+async def _read(
+    session: aiohttp.ClientSession, member: Member, path: str, type_: type[T]
+) -> T | None:
+    timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
+    url = f"http://{member.metrics_address}{path}"
+    try:
+        async with session.get(url, timeout=timeout) as answer:
+            body = await answer.read()
+        return msgspec.json.decode(body, type=type_)
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+        return None
--- /dev/null
+++ b/kingcuppond/outcomes.py
@@ -0,0 +1,127 @@
+"""The three ways in which a call can end, and how a caller is told.
+
+``Answered``: a server's whole answer.  ``NotRun``: no server has run the call and none will.
+``Unknown``: it may have run.  The three are types and not flags, so that code which may send a call
+again (``NotRun`` only, or a repeatable call) cannot mix them up.
+
+Answers that kingcuppond makes itself are problem details (RFC 9457) with ``Kingcuppond-Outcome``.
+"""
+
+from enum import StrEnum
+from typing import Final
+
+import attrs
+import msgspec
+
+OUTCOME_HEADER: Final = "Kingcuppond-Outcome"
+PROBLEM_TYPE: Final = "application/problem+json"
+RETRY_AFTER_SECONDS: Final = 1
+
+
+class Outcome(StrEnum):
+    """The values of ``Kingcuppond-Outcome``."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Why a call has no answer.  The value is stable: callers and tests may compare it."""
+
+    NO_CLASS = "no-class"
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    FORBIDDEN = "forbidden"
+    NOT_READY = "not-ready"
+    NO_SERVER = "no-server"
+    FULL = "full"
+    LEAVING = "leaving"
+    OUT_OF_SERVICE = "data-centre-out"
+    ISOLATED = "isolated"
+    SHED = "shed-by-server"
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    STORE_DOWN = "claim-unavailable"
+    CONTENT_DIFFERS = "key-with-other-content"
+    KEY_RUNNING = "key-running"
+    KEY_RAN = "key-ran"
+    HARMFUL = "held-as-harmful"
+    CONNECTION_LOST = "connection-lost"
+    CANCELLED = "cancelled"
+    DOUBLED = "doubled"
+
+
+STATUS_BY_REASON: Final = {
+    Reason.NO_CLASS: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.FORBIDDEN: 403,
+    Reason.CONTENT_DIFFERS: 409,
+    Reason.KEY_RUNNING: 409,
+    Reason.KEY_RAN: 409,
+    Reason.HARMFUL: 422,
+}
+
+
+@attrs.frozen
+class NotRun:
+    """No server has run the call, and this attempt never will."""
+
+    reason: Reason
+    detail: str
+
+    @property
+    def status(self) -> int:
+        """The HTTP status for the caller."""
+        return STATUS_BY_REASON.get(self.reason, 503)
+
+
+@attrs.frozen
+class Unknown:
+    """The call may have run: its bytes may have reached a server, and no whole answer came."""
+
+    reason: Reason
+    detail: str
+
+    @property
+    def status(self) -> int:
+        """The HTTP status for the caller."""
+        return STATUS_BY_REASON.get(self.reason, 504)
+
+
+Failure = NotRun | Unknown
+
+
+@attrs.frozen
+class Problem:
+    """The body of an answer that kingcuppond makes itself (RFC 9457)."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+
+
+def outcome_of(failure: Failure) -> Outcome:
+    """Return the header value for a failure."""
+    return Outcome.NOT_RUN if isinstance(failure, NotRun) else Outcome.UNKNOWN
+
+
+def problem_body(failure: Failure) -> bytes:
+    """Encode the problem details of a failure."""
+    problem = Problem(
+        type=f"urn:kingcuppond:{failure.reason.value}",
+        title=failure.reason.value.replace("-", " "),
+        status=failure.status,
+        detail=failure.detail,
+    )
+    return msgspec.json.encode(problem)
+
+
+def problem_headers(failure: Failure) -> dict[str, str]:
+    """Return the headers of the answer for a failure."""
+    headers = {"Content-Type": PROBLEM_TYPE, OUTCOME_HEADER: outcome_of(failure).value}
+    if failure.status == 503:
+        headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+    return headers
--- /dev/null
+++ b/kingcuppond/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between daemons."""
--- /dev/null
+++ b/kingcuppond/peers/registry.py
@@ -0,0 +1,22 @@
+"""The registry of all control messages between daemons.
+
+A tag never changes its meaning.  A daemon that meets a tag it does not know drops the message, so
+that two versions can run side by side.
+"""
+
+from typing import Final
+
+from kingcuppond.claims.messages import ClaimAsk, ClaimReply, RecallAsk, RecallReply
+from kingcuppond.membership.messages import Ping, Pong, Rumours, SyncAsk, SyncReply
+
+TYPES_BY_TAG: Final[dict[str, type]] = {
+    "ping": Ping,
+    "pong": Pong,
+    "rumours": Rumours,
+    "sync-ask": SyncAsk,
+    "sync-reply": SyncReply,
+    "claim-ask": ClaimAsk,
+    "claim-reply": ClaimReply,
+    "recall-ask": RecallAsk,
+    "recall-reply": RecallReply,
+}
--- /dev/null
+++ b/kingcuppond/peers/transport.py
@@ -0,0 +1,293 @@
+"""Control messages between daemons, over ZeroMQ.
+
+Each daemon binds one ROUTER socket and opens a DEALER socket to each peer that it has something to
+say to; sockets that were idle for a while are closed, so their number follows the contacts and not
+the fleet.  A message is two frames: a header, then a body whose type the header's tag names.
+
+Only daemons that hold the fleet's key can speak here.  The key is the secret half of a CURVE key
+pair that all daemons share: a connection is refused unless the other end proves that it has it.
+
+A ``tell`` may be lost; an ``ask`` has a deadline.  Nothing here repeats a message.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeVar
+
+import attrs
+import msgspec
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+import zmq.utils.z85
+from expression import Error, Ok, Result
+
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+
+PROTOCOL_VERSION: Final = 1
+HEARTBEAT_MS: Final = 2000
+HEARTBEAT_TIMEOUT_MS: Final = 4000
+IDLE_SECONDS: Final = 30.0
+SEND_QUEUE_MESSAGES: Final = 1000
+MAX_MESSAGE_BYTES: Final = 4_000_000
+ZAP_DOMAIN: Final = "kingcuppond"
+
+Handler = Callable[[str, Any], Awaitable[Any]]
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Header:
+    """What goes before each message.
+
+    :param version: version of the protocol
+    :param tag: names the type of the body in the registry
+    :param id: number that joins an answer to its question; 0 wants no answer
+    :param sender: name of the sending VM
+    :param stamp: the sender's hybrid logical clock
+    """
+
+    version: int
+    tag: str
+    id: int
+    sender: str
+    stamp: int
+
+
+@attrs.frozen
+class PeerError:
+    """A peer could not be asked."""
+
+    message: str
+
+
+@attrs.define
+class _Connection:
+    socket: zmq.asyncio.Socket
+    reader: asyncio.Task[None]
+    last_used: float
+
+
+@attrs.define
+class FleetKeys:
+    """The CURVE key pair that all daemons of a fleet share."""
+
+    public: bytes
+    secret: bytes
+
+
+def derive_keys(fleet_key: bytes) -> FleetKeys:
+    """Make the CURVE key pair from the 32 bytes of the fleet's key."""
+    secret = zmq.utils.z85.encode(fleet_key)
+    return FleetKeys(zmq.curve_public(secret), secret)
+
+
+class PeerTransport:
+    """Sends and receives control messages.
+
+    :param vm: name of this VM
+    :param address: where to listen
+    :param types_by_tag: the registry of messages
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        address: str,
+        keys: FleetKeys,
+        types_by_tag: dict[str, type],
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        self.handlers_by_type: dict[type, Handler] = {}
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self._vm = vm
+        self._address = address
+        self._keys = keys
+        self._types_by_tag = types_by_tag
+        self._tags_by_type = {type_: tag for tag, type_ in types_by_tag.items()}
+        self._clock = clock
+        self._journal = journal
+        self._context = zmq.asyncio.Context()
+        self._connections_by_address: dict[str, _Connection] = {}
+        self._futures_by_id: dict[int, asyncio.Future[Any]] = {}
+        self._last_id = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+
+    async def start(self) -> None:
+        """Bind the socket and begin to serve.
+
+        :raises zmq.ZMQError: the address cannot be bound
+        """
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN, credentials_provider=self)
+        socket = self._context.socket(zmq.ROUTER)
+        self._configure(socket)
+        socket.curve_server = True
+        socket.zap_domain = ZAP_DOMAIN.encode()
+        socket.bind(f"tcp://{self._address}")
+        self._keep(self._serve(socket))
+        self._keep(self._close_idle())
+
+    def callback(self, _domain: str, key: bytes) -> bool:
+        """Tell the authenticator whether a client's public key is the fleet's."""
+        return key == self._keys.public
+
+    async def close(self) -> None:
+        """Close all sockets and end all tasks."""
+        for connection in self._connections_by_address.values():
+            connection.reader.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def tell(self, address: str, message: Any) -> None:
+        """Send a message that wants no answer; it may be lost."""
+        self._send(address, message, 0)
+
+    async def ask(
+        self, address: str, message: Any, reply_type: type[T], timeout: float
+    ) -> Result[T, PeerError]:
+        """Send a question and wait for its answer.
+
+        :param timeout: seconds to wait
+        :return: the answer, or why there is none; the peer may have acted on the question anyway
+        """
+        self._last_id += 1
+        number = self._last_id
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._futures_by_id[number] = future
+        try:
+            self._send(address, message, number)
+            async with asyncio.timeout(timeout):
+                reply = await future
+        except TimeoutError:
+            return Error(PeerError(f"{address} gave no answer"))
+        finally:
+            del self._futures_by_id[number]
+        if not isinstance(reply, reply_type):
+            return Error(PeerError(f"{address} answered with {type(reply).__name__}"))
+        return Ok(reply)
+
+    def _configure(self, socket: zmq.asyncio.Socket) -> None:
+        socket.linger = 0
+        socket.sndhwm = SEND_QUEUE_MESSAGES
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
+        socket.heartbeat_ivl = HEARTBEAT_MS
+        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        socket.curve_publickey = self._keys.public
+        socket.curve_secretkey = self._keys.secret
+
+    def _connect(self, address: str) -> _Connection:
+        socket = self._context.socket(zmq.DEALER)
+        self._configure(socket)
+        socket.curve_serverkey = self._keys.public
+        # A connection that was never made must not queue what is old by the time it is made.
+        socket.immediate = False
+        socket.connect(f"tcp://{address}")
+        reader = asyncio.create_task(self._read_answers(socket))
+        connection = _Connection(socket, reader, self._clock.monotonic())
+        self._connections_by_address[address] = connection
+        return connection
+
+    def _send(self, address: str, message: Any, number: int) -> None:
+        connection = self._connections_by_address.get(address) or self._connect(address)
+        connection.last_used = self._clock.monotonic()
+        self._send_frames(connection.socket, [], message, number)
+
+    def _send_frames(
+        self, socket: zmq.asyncio.Socket, prefix: list[bytes], message: Any, number: int
+    ) -> None:
+        tag = self._tags_by_type[type(message)]
+        header = Header(PROTOCOL_VERSION, tag, number, self._vm, self._clock.stamp())
+        frames = [msgspec.msgpack.encode(header), msgspec.msgpack.encode(message)]
+        self.messages_sent += 1
+        self.bytes_sent += sum(len(frame) for frame in frames)
+        sending = socket.send_multipart(prefix + frames, flags=zmq.DONTWAIT)
+        asyncio.ensure_future(sending).add_done_callback(_ignore_full_queue)
+
+    async def _serve(self, socket: zmq.asyncio.Socket) -> None:
+        try:
+            while True:
+                frames = await socket.recv_multipart()
+                self._keep(self._answer(socket, frames))
+        finally:
+            socket.close(linger=0)
+
+    async def _answer(self, socket: zmq.asyncio.Socket, frames: list[bytes]) -> None:
+        decoded = self._decode(frames[1:])
+        if decoded is None:
+            return
+        header, message = decoded
+        handler = self.handlers_by_type.get(type(message))
+        if handler is None:
+            return
+        reply = await handler(header.sender, message)
+        if reply is not None and header.id and not socket.closed:
+            self._send_frames(socket, frames[:1], reply, header.id)
+
+    async def _read_answers(self, socket: zmq.asyncio.Socket) -> None:
+        try:
+            while True:
+                decoded = self._decode(await socket.recv_multipart())
+                if decoded is None:
+                    continue
+                header, message = decoded
+                future = self._futures_by_id.get(header.id)
+                if future is not None and not future.done():
+                    future.set_result(message)
+        finally:
+            socket.close(linger=0)
+
+    def _decode(self, frames: list[bytes]) -> tuple[Header, Any] | None:
+        try:
+            head, body = frames
+            header = msgspec.msgpack.decode(head, type=Header)
+            if header.version != PROTOCOL_VERSION:
+                raise ValueError(f"protocol version {header.version} from {header.sender}")
+            message: Any = msgspec.msgpack.decode(body, type=self._types_by_tag[header.tag])
+        except (msgspec.MsgspecError, ValueError, KeyError, RecursionError) as exc:
+            self._journal.record(catalogue.PEER_REFUSED, error=repr(exc)[:200])
+            return None
+        self._clock.observe(header.stamp)
+        return header, message
+
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_SECONDS / 4)
+            oldest = self._clock.monotonic() - IDLE_SECONDS
+            for address, connection in list(self._connections_by_address.items()):
+                if connection.last_used < oldest:
+                    self.disconnect(address)
+
+    def disconnect(self, address: str) -> None:
+        """Close the connection to a peer; the next message opens a new one."""
+        connection = self._connections_by_address.pop(address, None)
+        if connection is not None:
+            connection.reader.cancel()
+
+    def _keep(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._journal.record(
+                catalogue.TASK_FAILED, task="peer message", error=repr(task.exception())
+            )
+
+
+def _ignore_full_queue(future: "asyncio.Future[Any]") -> None:
+    # A full queue drops the message: a tell may be lost, and an ask runs into its deadline.
+    if not future.cancelled():
+        future.exception()
--- /dev/null
+++ b/kingcuppond/program/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/kingcuppond/program/daemon_command.py
@@ -0,0 +1,82 @@
+"""``kingcuppond daemon`` and ``kingcuppond settings check``."""
+
+import asyncio
+import logging as standard_logging
+import signal
+from pathlib import Path
+from typing import Annotated, Final
+
+import typer
+from absl import logging
+
+from kingcuppond.program.output import EXIT_USAGE, fail
+from kingcuppond.settings.daemon import DaemonSettings, load
+
+LOG_LEVELS: Final = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+SettingsFile = Annotated[Path, typer.Option("--settings", help="Settings file of the daemon.")]
+
+
+def daemon(
+    settings: SettingsFile,
+    policy: Annotated[str, typer.Option(hidden=True)] = "least-expected",
+    hedging: Annotated[bool, typer.Option(hidden=True)] = True,
+) -> None:
+    """Run the daemon beside a server until it is told to stop.
+
+    SIGTERM stops it as planned: it takes no new work, lets all work in progress end, and exits.
+
+    Example: kingcuppond daemon --settings /etc/kingcuppond/daemon.json
+    """
+    loaded = load(settings)
+    if loaded.is_error():
+        raise fail(str(loaded.error), EXIT_USAGE)
+    checked, key = loaded.ok
+    logging.use_absl_handler()
+    # The service library logs each start and stop of its own; ours are numbered events.
+    standard_logging.getLogger("mode").setLevel(standard_logging.WARNING)
+    logging.set_verbosity(LOG_LEVELS[checked.log_level])
+    import uvloop
+
+    error = uvloop.run(_run(checked, key, policy, hedging))
+    if error:
+        raise fail(f"{settings}: {error}", EXIT_USAGE)
+
+
+def check(
+    file: Annotated[Path, typer.Argument(help="Settings file to check.")],
+) -> None:
+    """Check a settings file, and the fleet's key that it names.
+
+    Example: kingcuppond settings check /etc/kingcuppond/daemon.json
+    """
+    loaded = load(file)
+    if loaded.is_error():
+        raise fail(str(loaded.error), EXIT_USAGE)
+    print(f"{file}: good; daemon {loaded.ok[0].vm} in {loaded.ok[0].data_centre}")
+
+
+async def _run(settings: DaemonSettings, key: bytes, policy: str, is_hedging: bool) -> str:
+    from kingcuppond.daemon import Daemon
+
+    service = Daemon(settings, key, policy=policy, is_hedging=is_hedging)
+    bound = await service.bind()
+    if bound.is_error():
+        await service.on_stop()
+        return (
+            f"key {bound.error.key!r}: {bound.error.address} can't be used: {bound.error.message}"
+        )
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await service.start()
+    await stopping.wait()
+    await service.drain()
+    await service.stop()
+    return ""
--- /dev/null
+++ b/kingcuppond/routing/call.py
@@ -0,0 +1,109 @@
+"""A call on its way through kingcuppond, and the answer of a server on its way back.
+
+A body is held in memory up to a bound; what is longer streams.  Only a body that is held whole can
+be sent a second time.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from hashlib import blake2b
+from typing import Any, Final
+
+import attrs
+
+MAX_DEPTH: Final = 16
+DEFAULT_RETRY_BUDGET: Final = 3
+BODY_MEMORY_BYTES: Final = 65_536
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+
+@attrs.define
+class Body:
+    """The body of a call.
+
+    :param first: the bytes held in memory
+    :param rest: what streams after them, or ``None`` if ``first`` is the whole body
+    :param length: value of ``Content-Length``, or ``None`` if the caller did not say
+    """
+
+    first: bytes = b""
+    rest: AsyncIterator[bytes] | None = None
+    length: int | None = 0
+    is_taken: bool = False
+    _hash: Any = attrs.field(factory=lambda: blake2b(digest_size=16))
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the body can be sent again."""
+        return self.rest is None
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield the whole body once."""
+        self.is_taken = True
+        if self.first:
+            yield self.first
+        if self.rest is not None:
+            async for chunk in self.rest:
+                self._hash.update(chunk)
+                yield chunk
+
+    async def digest(self) -> str:
+        """Return the digest of all bytes after ``first``, reading what was not streamed yet."""
+        if not self.is_whole and not self.is_taken:
+            async for _ in self.stream():
+                pass
+        return str(self._hash.hexdigest())
+
+
+@attrs.frozen
+class Call:
+    """One attempt to run a request.
+
+    :param id: unique over the fleet and for all time: VM, incarnation and a number
+    :param target: path and query as the caller wrote them
+    :param headers: end-to-end headers, in order
+    :param deadline: reading of this process's monotonic clock
+    :param retry_budget: how many further attempts the call and its nested calls may make
+    :param is_on_trial: the request is suspected of taking servers down
+    """
+
+    id: str
+    class_name: str
+    service: str
+    method: str
+    target: str
+    headers: HeaderPairs
+    body: Body
+    deadline: float
+    depth: int
+    retry_budget: int
+    at_most_once: bool
+    fingerprint: str
+    is_on_trial: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the call may be sent again after an unknown outcome."""
+        return not self.at_most_once and self.body.is_whole
+
+
+async def _close_nothing() -> None:
+    return
+
+
+@attrs.define
+class Answer:
+    """A server's answer; its body is in ``whole``, or comes from ``chunks``.
+
+    :param close: ends the exchange; called exactly once, also after a failure
+    """
+
+    status: int
+    headers: HeaderPairs
+    whole: bytes | None = None
+    chunks: AsyncIterator[bytes] | None = None
+    close: Callable[[], Awaitable[None]] = _close_nothing
+
+
+class BrokenAnswerError(Exception):
+    """An answer broke off after its first bytes; what came must not pass for the whole."""
--- /dev/null
+++ b/kingcuppond/routing/choice.py
@@ -0,0 +1,97 @@
+"""Choosing a server for a call.
+
+Policies are plain functions from a few candidates to one, so that the bench can put baselines
+beside ours.  Ours draws a few candidates at random and takes the one with the least expected time;
+drawing keeps many daemons from running to the same server on the same news.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Final
+
+import attrs
+
+from kingcuppond.routing.view import ServerView
+
+DRAWN: Final = 3
+HOP_SECONDS: Final = 0.0008
+
+
+@attrs.frozen
+class Candidate:
+    """A server that could run the call.
+
+    :param vm: name of its VM
+    :param is_local: whether it stands beside this daemon, so that no second hop is needed
+    """
+
+    vm: str
+    view: ServerView
+    is_local: bool = False
+
+
+Policy = Callable[[Sequence[Candidate], float, Random], Candidate]
+
+
+def least_expected(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    """Draw a few and take the one with the least expected time, the local one always among them."""
+    drawn = list(candidates)
+    if len(drawn) > DRAWN:
+        drawn = rng.sample(drawn, DRAWN)
+        drawn.extend(c for c in candidates if c.is_local and c not in drawn)
+    rng.shuffle(drawn)
+    return min(drawn, key=lambda c: _expected(c, now))
+
+
+def random_choice(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    """Baseline: any."""
+    return rng.choice(candidates)
+
+
+def make_round_robin() -> Policy:
+    """Baseline: one after another."""
+    count = 0
+
+    def choose(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+        nonlocal count
+        count += 1
+        ordered = sorted(candidates, key=lambda c: c.vm)
+        return ordered[count % len(ordered)]
+
+    return choose
+
+
+def least_in_flight(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    """Baseline: the fewest calls of this daemon's own in flight."""
+    return min(candidates, key=lambda c: (c.view.in_flight, rng.random()))
+
+
+def least_reported(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    """Baseline: the least load by the last report, however old."""
+    return min(candidates, key=lambda c: (_reported(c), rng.random()))
+
+
+def power_of_two(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    """Baseline: the better of two by own calls in flight."""
+    drawn = rng.sample(list(candidates), min(2, len(candidates)))
+    return min(drawn, key=lambda c: c.view.in_flight)
+
+
+POLICY_FACTORIES_BY_NAME: Final[dict[str, Callable[[], Policy]]] = {
+    "least-expected": lambda: least_expected,
+    "random": lambda: random_choice,
+    "round-robin": make_round_robin,
+    "least-in-flight": lambda: least_in_flight,
+    "least-reported": lambda: least_reported,
+    "power-of-two": lambda: power_of_two,
+}
+
+
+def _expected(candidate: Candidate, now: float) -> float:
+    hop = 0.0 if candidate.is_local else HOP_SECONDS
+    return candidate.view.expected_seconds(now) + hop
+
+
+def _reported(candidate: Candidate) -> float:
+    report = candidate.view.report
+    return 0.0 if report is None else report.in_flight / report.limit
--- /dev/null
+++ b/kingcuppond/routing/exchange.py
@@ -0,0 +1,144 @@
+"""One HTTP exchange as a client: with a server, or with the daemon beside it.
+
+This is where a failure gets its name.  If the connection could not be made, no byte of the call
+left this VM: ``NotRun``.  After that, whatever breaks leaves the outcome ``Unknown``.  A short
+answer is read whole before anyone sees it, so an answer that breaks off is never passed on as a
+whole one; a long one streams, and breaks off for the caller too.
+"""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from expression import Error, Ok, Result
+from multidict import CIMultiDict
+from yarl import URL
+
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
+from kingcuppond.routing.call import Answer, Body, BrokenAnswerError
+from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
+
+CONNECT_SECONDS: Final = 0.5
+POOL_IDLE_SECONDS: Final = 15.0
+WHOLE_ANSWER_BYTES: Final = 65_536
+CHUNK_BYTES: Final = 65_536
+MAX_HEADER_BYTES: Final = 32_768
+SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+@attrs.frozen
+class Exchanged:
+    """The head of a peer's answer, and the answer itself."""
+
+    headers: Any
+    answer: Answer
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Make a session whose connections are reused and whose requests are sent once."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_SECONDS)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        skip_auto_headers=SKIPPED_AUTO_HEADERS,
+        max_field_size=MAX_HEADER_BYTES,
+        read_bufsize=CHUNK_BYTES,
+    )
+    # aiohttp sends GET, PUT and DELETE a second time by itself when a reused connection breaks.
+    # Whether a call may be sent again is decided by its class alone.
+    session._retry_connection = False
+    return session
+
+
+async def exchange(
+    session: aiohttp.ClientSession,
+    address: str,
+    method: str,
+    target: str,
+    headers: CIMultiDict[str],
+    body: Body,
+    deadline: float,
+    expect_continue: bool = False,
+) -> Result[Exchanged, Failure]:
+    """Send a request and receive the head of its answer.
+
+    :param address: IP number and port
+    :param deadline: reading of the monotonic clock after which the exchange is given up
+    :param expect_continue: let the other end refuse before the body is sent
+    """
+    if body.is_whole:
+        data: Any = body.first or None
+    else:
+        data = body.stream()
+    timer = asyncio.timeout_at(asyncio.get_running_loop().time() + deadline - time.monotonic())
+    response: aiohttp.ClientResponse | None = None
+    try:
+        async with timer:
+            response = await session.request(
+                method,
+                URL(f"http://{address}{target}", encoded=True),
+                headers=headers,
+                data=data,
+                allow_redirects=False,
+                expect100=expect_continue,
+            )
+            return Ok(await _receive(response, method, deadline))
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
+    except TimeoutError:
+        _abort(response)
+        return Error(Unknown(Reason.DEADLINE, f"{address} gave no whole answer in time"))
+    except (aiohttp.ClientError, BrokenAnswerError, OSError, ValueError) as exc:
+        _abort(response)
+        detail = f"{address}: {type(exc).__name__}"
+        return Error(Unknown(Reason.CONNECTION_LOST, detail))
+    except asyncio.CancelledError:
+        _abort(response)
+        raise
+
+
+async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Exchanged:
+    connection = response.headers.get("Connection", "")
+    headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
+    length = response.content_length
+    is_short = length is not None and length <= WHOLE_ANSWER_BYTES
+    if method == "HEAD" or is_short:
+        whole = await response.read()
+        if method != "HEAD" and response.status not in (204, 304) and len(whole) != length:
+            raise BrokenAnswerError("the answer is shorter than it said")
+        return Exchanged(response.headers, Answer(response.status, headers, whole))
+    answer = Answer(response.status, headers, chunks=_stream(response, deadline))
+    answer.close = lambda: _finish(response)
+    return Exchanged(response.headers, answer)
+
+
+async def _stream(response: aiohttp.ClientResponse, deadline: float) -> AsyncIterator[bytes]:
+    try:
+        while True:
+            left = deadline - time.monotonic()
+            chunk = await asyncio.wait_for(response.content.readany(), max(left, 0.001))
+            if not chunk:
+                return
+            yield chunk
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        _abort(response)
+        raise BrokenAnswerError(f"the answer broke off: {type(exc).__name__}") from exc
+
+
+async def _finish(response: aiohttp.ClientResponse) -> None:
+    # Closing a response whose answer was not read to its end closes the connection, so that it is
+    # never reused with an unread answer in it.
+    if response.content.at_eof():
+        response.release()
+    else:
+        response.close()
+
+
+def _abort(response: aiohttp.ClientResponse | None) -> None:
+    if response is not None:
+        response.close()
--- /dev/null
+++ b/kingcuppond/routing/headers.py
@@ -0,0 +1,58 @@
+"""The headers that kingcuppond reads, writes and keeps from passing on."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from multidict import CIMultiDict
+
+from kingcuppond.outcomes import OUTCOME_HEADER
+from kingcuppond.routing.call import HeaderPairs
+
+KEY_HEADER: Final = "Idempotency-Key"
+DEADLINE_HEADER: Final = "Kingcuppond-Deadline-Ms"
+DEPTH_HEADER: Final = "Kingcuppond-Depth"
+RETRY_BUDGET_HEADER: Final = "Kingcuppond-Retry-Budget"
+RELAY_HEADER: Final = "Kingcuppond-Relay"
+MAC_HEADER: Final = "Kingcuppond-Mac"
+GATE_HEADER: Final = "Kingcuppond-Gate"
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+OWN_REQUEST_HEADERS: Final = frozenset(
+    name.lower()
+    for name in (DEADLINE_HEADER, DEPTH_HEADER, RETRY_BUDGET_HEADER, RELAY_HEADER, MAC_HEADER)
+)
+OWN_ANSWER_HEADERS: Final = frozenset(name.lower() for name in (OUTCOME_HEADER, GATE_HEADER))
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]], connection: str, own: frozenset[str]
+) -> HeaderPairs:
+    """Keep the headers that go on to the other end.
+
+    :param connection: value of ``Connection``, which may name further hop-by-hop headers
+    :param own: lower-case names that only kingcuppond sets
+    """
+    named = {token.strip().lower() for token in connection.split(",")} if connection else set()
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in HOP_BY_HOP and lower not in own and lower not in named
+    )
+
+
+def to_multidict(headers: HeaderPairs) -> CIMultiDict[str]:
+    """Return headers in the form that the HTTP library takes."""
+    return CIMultiDict(headers)
--- /dev/null
+++ b/kingcuppond/routing/view.py
@@ -0,0 +1,118 @@
+"""What this daemon sees of a server beside another daemon.
+
+Every report of load is stale when it arrives.  So the view is made from what the daemon itself has
+in flight there, which is exact, from how its own calls went, and from what the gate wrote on its
+last answer, which is free.  A call that is still unanswered is evidence too: the age of the oldest
+one is a lower bound of the latency, and shows a straggler before any answer or report can.
+"""
+
+from typing import Final
+
+import attrs
+
+LATENCY_WEIGHT: Final = 0.2
+ERROR_WEIGHT: Final = 0.2
+REPORT_SECONDS: Final = 0.5
+FORGET_SECONDS: Final = 5.0
+PAUSE_SECONDS: Final = 0.010
+MAX_PAUSE_SECONDS: Final = 1.0
+DEFAULT_LATENCY_SECONDS: Final = 0.005
+
+
+@attrs.frozen
+class GateReport:
+    """What a gate writes on its answers.
+
+    :param in_flight: calls that run or wait there
+    :param limit: calls that may run at once
+    """
+
+    in_flight: int
+    limit: int
+
+    def encode(self) -> str:
+        """Return the header's value."""
+        return f"{self.in_flight}/{self.limit}"
+
+
+def parse_report(text: str) -> GateReport | None:
+    """Read a header's value; ``None`` if it is not a report."""
+    in_flight, _, limit = text.partition("/")
+    if not (in_flight.isdecimal() and limit.isdecimal()) or len(text) > 16:
+        return None
+    return GateReport(int(in_flight), max(1, int(limit)))
+
+
+@attrs.define
+class ServerView:
+    """The view of one server."""
+
+    latency: float = DEFAULT_LATENCY_SECONDS
+    error_rate: float = 0.0
+    report: GateReport | None = None
+    reported_at: float = 0.0
+    paused_until: float = 0.0
+    refusals: int = 0
+    last_used: float = 0.0
+    started_by_call: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def in_flight(self) -> int:
+        """How many calls this daemon has in flight there."""
+        return len(self.started_by_call)
+
+    def start(self, call_id: str, now: float) -> None:
+        """Note that a call goes there."""
+        self.started_by_call[call_id] = now
+        self.last_used = now
+
+    def end(self, call_id: str, now: float, is_good: bool) -> None:
+        """Note that a call ended there.
+
+        The latency of an error teaches nothing about speed: a server that fails fast is not a fast
+        one.
+        """
+        started = self.started_by_call.pop(call_id, now)
+        if is_good:
+            self.error_rate -= ERROR_WEIGHT * self.error_rate
+            self.latency += LATENCY_WEIGHT * (now - started - self.latency)
+            self.refusals = 0
+        else:
+            self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
+
+    def refuse(self, call_id: str, now: float) -> None:
+        """Note that the gate refused a call: leave it alone for a moment, longer each time."""
+        self.started_by_call.pop(call_id, None)
+        pause = min(PAUSE_SECONDS * 2**self.refusals, MAX_PAUSE_SECONDS)
+        self.refusals = min(self.refusals + 1, 10)
+        self.paused_until = now + pause
+
+    def hear(self, report: GateReport | None, now: float) -> None:
+        """Take what the gate wrote on an answer."""
+        if report is not None:
+            self.report = report
+            self.reported_at = now
+
+    def expected_seconds(self, now: float) -> float:
+        """Estimate how long one more call would take there."""
+        latency = self._current_latency(now)
+        limit = 1 if self.report is None else self.report.limit
+        others = self.in_flight
+        if self.report is not None and now - self.reported_at < REPORT_SECONDS:
+            others = max(others, self.report.in_flight)
+        errors = self._fading(self.error_rate, now)
+        return latency * (1 + others / limit) * (1 + 50 * errors)
+
+    def _current_latency(self, now: float) -> float:
+        fading = DEFAULT_LATENCY_SECONDS + self._fading(
+            max(0.0, self.latency - DEFAULT_LATENCY_SECONDS), now
+        )
+        if not self.started_by_call:
+            return min(self.latency, fading)
+        # Calls are kept in the order of their start, so the first one is the oldest.
+        oldest = now - next(iter(self.started_by_call.values()))
+        return max(self.latency, oldest)
+
+    def _fading(self, value: float, now: float) -> float:
+        idle = now - self.last_used
+        return value * max(0.0, 1.0 - idle / FORGET_SECONDS)
--- /dev/null
+++ b/kingcuppond/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon and files of operators: JSON with comments, checked before use."""
--- /dev/null
+++ b/kingcuppond/settings/checks.py
@@ -0,0 +1,60 @@
+"""Validators shared by the attrs classes that files and the store are read into.
+
+Each raises ``ValueError`` with the text ``key: what is allowed``, which the reader turns into an
+error that names the line.
+"""
+
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Any, Final
+
+NAME_PATTERN: Final = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+
+Validator = Callable[[Any, Any, Any], None]
+
+
+def check_name(_instance: Any, attribute: Any, value: str) -> None:
+    """Allow lower-case letters, digits, dot, dash and underscore, up to 63 in all."""
+    if not NAME_PATTERN.fullmatch(value):
+        raise ValueError(
+            f"{attribute.name}: {value!r} is not a name (1 to 63 of a-z, 0-9, '.', '_', '-')"
+        )
+
+
+def check_address(_instance: Any, attribute: Any, value: str) -> None:
+    """Allow an IP number with a port, such as ``10.0.0.1:8000`` or ``[::1]:8000``."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 1 <= int(port) <= 65535
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(f"{attribute.name}: {value!r} is not an IP number with a port")
+
+
+def in_range(low: int, high: int) -> Validator:
+    """Make a validator for whole numbers from ``low`` to ``high``."""
+
+    def check(_instance: Any, attribute: Any, value: int) -> None:
+        if not low <= value <= high:
+            raise ValueError(f"{attribute.name}: {value} is not in the range {low} to {high}")
+
+    return check
+
+
+def one_of(*allowed: str) -> Validator:
+    """Make a validator for one of a few words."""
+
+    def check(_instance: Any, attribute: Any, value: str) -> None:
+        if value not in allowed:
+            raise ValueError(f"{attribute.name}: {value!r} is not one of {', '.join(allowed)}")
+
+    return check
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split a checked address into host and port."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/kingcuppond/store/__init__.py
@@ -0,0 +1,1 @@
+"""The port to the platform's store."""
