At most once, leaving, harmful requests and outcomes, tested with real processes

Causes found by the failure tests, and mended: - Two members that changed in the same way kept equal digests, since CRC32 is linear and the changes cancelled out under exclusive or; anti-entropy then never ran and a lost rumour stayed lost (seen: a server never known as warm for 8 s). The limit now doubles per window of 32 answers whose median no longer improves. - A short burst at full gates was refused; a small bounded backlog now rides it out.

--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -7,7 +7,6 @@
 reason.
 """
 
-import zlib
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -21,6 +20,7 @@
     DataCentreState,
     decode,
 )
+from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 
@@ -131,4 +131,4 @@
 
 
 def _hash(item: VersionedObject) -> int:
-    return zlib.crc32(f"{item.name} {item.version}".encode())
+    return digest_of(item.name, item.version)
--- a/kingcuppond/entry/intake.py
+++ b/kingcuppond/entry/intake.py
@@ -163,7 +163,7 @@
                 parts.append(chunk)
                 size += len(chunk)
                 if size > BODY_MEMORY_BYTES:
-                    return Ok(Body(b"".join(parts), stream, request.content_length))
+                    return Ok(_split(b"".join(parts), stream, request.content_length))
     except TimeoutError:
         return Error(NotRun(Reason.DEADLINE, "the request's body did not arrive in time"))
     except (web.RequestPayloadError, OSError) as exc:
@@ -171,6 +171,16 @@
     return Ok(Body(b"".join(parts), None, size))
 
 
+def _split(start: bytes, rest: AsyncIterator[bytes], length: int | None) -> Body:
+    # What is held in memory must not depend on how the bytes arrived: its digest is compared.
+    async def stream() -> AsyncIterator[bytes]:
+        yield start[BODY_MEMORY_BYTES:]
+        async for chunk in rest:
+            yield chunk
+
+    return Body(start[:BODY_MEMORY_BYTES], stream(), length)
+
+
 async def _stream(request: web.BaseRequest) -> AsyncIterator[bytes]:
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_LINE)
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -7,6 +7,7 @@
 tries elsewhere.
 """
 
+import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Final
@@ -28,7 +29,7 @@
 from kingcuppond.membership.messages import ServerState
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure, NotRun, Outcome, Reason, Unknown
 from kingcuppond.routing.call import Answer, BrokenAnswerError, Call
-from kingcuppond.routing.exchange import exchange
+from kingcuppond.routing.exchange import exchange, is_gone
 from kingcuppond.routing.headers import (
     DEADLINE_HEADER,
     DEPTH_HEADER,
@@ -38,6 +39,7 @@
 
 SEEN_SECONDS: Final = 60.0
 MAX_SEEN: Final = 50_000
+NOTE_SPREAD_SECONDS: Final = 0.25
 
 
 @attrs.define
@@ -96,6 +98,7 @@
         if announcement.load.slots > 0:
             self.limit.set_slots(announcement.load.slots)
         new = ServerState(announcement.state)
+        self.limit.is_said_cold = new is ServerState.COLD
         if is_new or (new is ServerState.COLD and old is not ServerState.COLD):
             self.limit.reset()
         if new is old and not is_new:
@@ -136,8 +139,7 @@
             self.admission.leave(ticket)
             raise
         if got.is_error():
-            self._judge_failure(call, ticket, got.error)
-            self.admission.leave(ticket)
+            await self._judge_failure(call, ticket, got.error)
             return got
         answer = got.ok
         if answer.chunks is None:
@@ -181,7 +183,8 @@
                 async for chunk in source:
                     yield chunk
             except BrokenAnswerError as exc:
-                self._judge_failure(call, ticket, Unknown(Reason.CONNECTION_LOST, str(exc)))
+                lost = Unknown(Reason.CONNECTION_LOST, str(exc))
+                await self._judge_failure(call, ticket, lost)
                 raise
             self._judge_answer(call, ticket, answer, started)
 
@@ -201,18 +204,18 @@
         is_cold = self.limit.answered(call.class_name, seconds, ticket.was_full)
         self._note_cold(is_cold, "its answers became slow")
 
-    def _judge_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
-        if failure.reason is Reason.CONNECTION_LOST:
-            self._blame(call, ticket)
-        if failure.reason is Reason.SHED:
-            return
-        self._note_cold(self.limit.failed(), failure.reason.value)
-
-    def _blame(self, call: Call, ticket: Ticket) -> None:
+    async def _judge_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
+        is_alone = not self.admission.trials_in_flight
+        if failure.reason is not Reason.SHED:
+            self._note_cold(self.limit.failed(), failure.reason.value)
+        self.admission.leave(ticket)
         # While a call on trial is in flight, the others beside it are innocent.
-        if self.admission.trials_in_flight and not ticket.is_on_trial:
+        if failure.reason is not Reason.CONNECTION_LOST or not (ticket.is_on_trial or is_alone):
             return
-        self.suspects.blame(call.fingerprint, ticket.is_on_trial)
+        if await is_gone(self.address):
+            self.suspects.blame(call.fingerprint, ticket.is_on_trial)
+            # The caller may send it again at once: the news must be everywhere by then.
+            await asyncio.sleep(NOTE_SPREAD_SECONDS)
 
     def _note_cold(self, is_cold: bool, why: str) -> None:
         if is_cold:
--- a/kingcuppond/gate/limit.py
+++ b/kingcuppond/gate/limit.py
@@ -1,26 +1,29 @@
 """How many calls the server may run at once, learnt from evidence.
 
-A server that has just appeared, or says that it is cold, gets one call at a time.  The limit grows
-by one after a full round of answers at the present limit, as long as they are not much slower than
-the best known for their class; so it doubles no faster than the server proves that it can bear
-it.  It falls to one at once when several answers in a row are far slower than the best known or
-fail: a warm server can turn cold without a word.  What the server says of itself can lower the
-limit and never raise it above what was proved.
+A server that has just appeared gets one call at a time.  The limit doubles after a window of
+answers that used the present limit, unless the server is still warming up: its typical answer of
+this window is clearly faster than that of the window before, or it says itself that it is cold and
+the evidence is not yet long.  Several slow answers in a row halve the limit, several failures in a
+row set it back to one: a warm server can turn cold without a word.  What the server says of itself
+can lower the limit and never raise it above what was proved.
+
+Answers of different classes take different times, so each is measured against the first one of its
+class.
 """
 
+from statistics import median
 from typing import Final
 
 import attrs
 
 MAX_SLOTS: Final = 1024
 COLD_LIMIT: Final = 1
-GROWTH_RATIO: Final = 2.0
-COLD_RATIO: Final = 5.0
-COLD_MARGIN_SECONDS: Final = 0.020
+WINDOW_ANSWERS: Final = 32
+COLD_WINDOWS: Final = 4
+WARMING_RATIO: Final = 0.8
+SLOW_RATIO: Final = 5.0
+SLOW_MARGIN_SECONDS: Final = 0.050
 BAD_IN_A_ROW: Final = 4
-LATENCY_WEIGHT: Final = 0.2
-BEST_RISE_WEIGHT: Final = 0.01
-ERROR_WEIGHT: Final = 0.2
 MAX_CLASSES: Final = 1000
 
 
@@ -29,31 +32,29 @@
     """The limit of one server, and what it was learnt from.
 
     :param slots: how many calls the server says that it runs at once
+    :param is_said_cold: whether the server says that it is cold
     """
 
     slots: int = MAX_SLOTS
     limit: int = COLD_LIMIT
-    latency: float = 0.0
-    error_rate: float = 0.0
-    _best_by_class: dict[str, float] = attrs.field(factory=dict)
-    _good: int = 0
+    is_said_cold: bool = False
+    _first_by_class: dict[str, float] = attrs.field(factory=dict)
+    _typical_by_class: dict[str, float] = attrs.field(factory=dict)
+    _window: list[float] = attrs.field(factory=list)
+    _full: int = 0
+    _windows: int = 0
+    _median_before: float | None = None
     _bad: int = 0
 
-    @property
-    def is_cold(self) -> bool:
-        """Whether the limit is still below what the server says that it has."""
-        return self.limit < self.slots
-
-    def reset(self, why_slots: int | None = None) -> None:
-        """Start again from almost nothing.
-
-        :param why_slots: the number of slots that the server announced, if it did
-        """
-        if why_slots is not None:
-            self.slots = max(1, min(why_slots, MAX_SLOTS))
+    def reset(self) -> None:
+        """Start again from almost nothing."""
         self.limit = COLD_LIMIT
-        self._good = 0
+        self._windows = 0
         self._bad = 0
+        self._median_before = None
+        self._first_by_class.clear()
+        self._typical_by_class.clear()
+        self._start_window()
 
     def set_slots(self, slots: int) -> None:
         """Take the number of slots that the server announces."""
@@ -65,45 +66,54 @@
 
         :param seconds: from the moment the server got the call
         :param was_full: whether the limit was reached while the call ran
-        :return: whether the server is now taken for cold again
+        :return: whether the limit was lowered
         """
-        self.error_rate -= ERROR_WEIGHT * self.error_rate
-        self.latency += LATENCY_WEIGHT * (seconds - self.latency)
-        best = self._learn_best(class_name, seconds)
-        if seconds > COLD_RATIO * best + COLD_MARGIN_SECONDS:
-            return self._note_bad()
+        if len(self._first_by_class) >= MAX_CLASSES:
+            self.reset()
+        first = self._first_by_class.setdefault(class_name, seconds)
+        typical = self._typical_by_class.setdefault(class_name, seconds)
+        if seconds > SLOW_RATIO * typical + SLOW_MARGIN_SECONDS:
+            return self._note_bad(self.limit // 2)
+        self._typical_by_class[class_name] += (seconds - typical) / WINDOW_ANSWERS
         self._bad = 0
-        if was_full and seconds <= GROWTH_RATIO * best + COLD_MARGIN_SECONDS:
-            self._good += 1
-            if self._good >= self.limit and self.limit < self.slots:
-                self.limit += 1
-                self._good = 0
+        self._window.append(seconds / max(first, 1e-6))
+        self._full += was_full
+        if len(self._window) >= WINDOW_ANSWERS:
+            self._end_window()
         return False
 
     def failed(self) -> bool:
         """Take a failed call as evidence.
 
-        :return: whether the server is now taken for cold again
+        :return: whether the limit was lowered
         """
-        self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
-        return self._note_bad()
+        return self._note_bad(COLD_LIMIT)
 
-    def _note_bad(self) -> bool:
+    def _note_bad(self, lower: int) -> bool:
         self._bad += 1
         if self._bad < BAD_IN_A_ROW or self.limit == COLD_LIMIT:
             return False
-        self.reset()
+        if lower <= COLD_LIMIT:
+            self.reset()
+            return True
+        self.limit = lower
+        self._bad = 0
+        self._start_window()
         return True
 
-    def _learn_best(self, class_name: str, seconds: float) -> float:
-        best = self._best_by_class.get(class_name)
-        if best is None:
-            if len(self._best_by_class) >= MAX_CLASSES:
-                self._best_by_class.clear()
-            best = seconds
-        elif seconds < best:
-            best = (best + seconds) / 2
-        else:
-            best += BEST_RISE_WEIGHT * (min(seconds, COLD_RATIO * best) - best)
-        self._best_by_class[class_name] = best
-        return best
+    def _end_window(self) -> None:
+        """Decide after a window of good answers whether the server proved that it bears more."""
+        now = median(self._window)
+        before = self._median_before
+        self._median_before = now
+        self._windows += 1
+        is_steady = before is not None and now >= WARMING_RATIO * before
+        is_long = not self.is_said_cold or self._windows % COLD_WINDOWS == 0
+        was_used = self._full * 2 >= len(self._window)
+        if is_steady and is_long and was_used:
+            self.limit = min(self.limit * 2, self.slots)
+        self._start_window()
+
+    def _start_window(self) -> None:
+        self._window.clear()
+        self._full = 0
--- a/kingcuppond/harmful/suspects.py
+++ b/kingcuppond/harmful/suspects.py
@@ -10,7 +10,6 @@
 The case concerns the content of the request and not its key or sender.  Notes spread as rumours.
 """
 
-import zlib
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
 from typing import Final
@@ -18,6 +17,7 @@
 import attrs
 
 from kingcuppond.clock import COUNTER_BITS, Clock
+from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.harmful.messages import HarmNote, Level
@@ -145,4 +145,4 @@
 
 
 def _hash(note: HarmNote) -> int:
-    return zlib.crc32(f"{note.fingerprint} {note.stamp}".encode())
+    return digest_of(note.fingerprint, note.stamp)
--- a/kingcuppond/membership/directory.py
+++ b/kingcuppond/membership/directory.py
@@ -6,13 +6,13 @@
 work.  A dead member is remembered, so that it is found again when a partition heals.
 """
 
-import zlib
 from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
 
 from kingcuppond.clock import Clock
+from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.messages import Member, ServerState, Suspicion
@@ -175,4 +175,4 @@
 
 
 def _hash(member: Member) -> int:
-    return zlib.crc32(f"{member.vm} {member.incarnation} {member.seq}".encode())
+    return digest_of(member.vm, member.incarnation, member.seq)
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -199,6 +199,9 @@
         for vm in self._contacts:
             if vm not in self._pingers_by_vm:
                 self._pingers_by_vm[vm] = asyncio.create_task(self._ping_contact(vm))
+                # What this daemon said of itself before it had this contact, it has not heard.
+                news = Rumours(members=(self.directory.me,))
+                self._transport.tell(self._contacts[vm].peer_address, news)
 
     async def _ping_contact(self, vm: str) -> None:
         missed = 0
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -20,8 +20,10 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, BrokenAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
+from kingcuppond.settings.checks import split_address
 
 CONNECT_SECONDS: Final = 0.5
+ENDING_SECONDS: Final = 0.05
 POOL_IDLE_SECONDS: Final = 15.0
 WHOLE_ANSWER_BYTES: Final = 65_536
 CHUNK_BYTES: Final = 65_536
@@ -102,6 +104,24 @@
         raise
 
 
+async def is_gone(address: str) -> bool:
+    """Tell whether nothing listens at an address any more, by a connection of its own.
+
+    A connection that broke may have been at fault alone; this tells it from a process that ended.
+    A process that ends closes its sockets one after another, so the question is asked a moment
+    later.
+    """
+    await asyncio.sleep(ENDING_SECONDS)
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return True
+    writer.close()
+    return False
+
+
 async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Exchanged:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
--- a/kingcuppond/routing/headers.py
+++ b/kingcuppond/routing/headers.py
@@ -47,7 +47,7 @@
     """
     named = {token.strip().lower() for token in connection.split(",")} if connection else set()
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in headers
         if (lower := name.lower()) not in HOP_BY_HOP and lower not in own and lower not in named
     )
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -5,6 +5,11 @@
 with it and is split with the nested calls (so a call tree of depth d with budget b makes at most d
 * (1 + b) attempts along any chain), and one from the daemon's, which is a share of its calls.
 
+A refusal by a gate costs no server anything and takes nothing from these budgets; its bounds are
+the few gates that are asked in a round and, if all are full, a backlog that holds few calls, none
+of them for longer than half of its time.  So a short burst is ridden out, and a long overload is
+shed.
+
 A repeatable call that takes much longer than others of its class is hedged: it runs a second time
 at another server, and the first whole answer wins; the other attempt is cancelled.
 """
@@ -37,6 +42,18 @@
 HEDGE_LATENCY_RATIO: Final = 4.0
 HEDGE_MIN_SECONDS: Final = 0.010
 TYPICAL_WEIGHT: Final = 0.05
+ASKED_IN_A_ROUND: Final = 4
+MAX_BACKLOG: Final = 32
+FIRST_PAUSE_SECONDS: Final = 0.004
+MAX_PAUSE_SECONDS: Final = 0.064
+REFUSED_BY_GATE: Final = (
+    Reason.FULL,
+    Reason.LEAVING,
+    Reason.OUT_OF_SERVICE,
+    Reason.NO_SERVER,
+    Reason.NOT_READY,
+    Reason.ISOLATED,
+)
 NOT_ELSEWHERE: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
 
@@ -59,6 +76,7 @@
     policy: Policy = least_expected
     is_hedging: bool = True
     attempts: int = 0
+    backlog: int = 0
     retries: ShareBudget = attrs.field(factory=lambda: ShareBudget(RETRY_SHARE))
     hedges: ShareBudget = attrs.field(factory=lambda: ShareBudget(HEDGE_SHARE))
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
@@ -71,6 +89,20 @@
         """
         self.retries.earn()
         self.hedges.earn()
+        give_up_at = call.deadline - (call.deadline - self.clock.monotonic()) / 2
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            got = await self._run_round(call)
+            if got.is_ok() or got.error.reason is not Reason.FULL or call.body.is_taken:
+                return got
+            if self.backlog >= MAX_BACKLOG or self.clock.monotonic() + pause > give_up_at:
+                return got
+            await self._wait_in_backlog(pause)
+            pause = min(pause * 2, MAX_PAUSE_SECONDS)
+            call = attrs.evolve(call, id=self.next_id())
+
+    async def _run_round(self, call: Call) -> Result[Answer, Failure]:
+        """Try a few servers, each once."""
         tried: set[str] = set()
         failure: Failure = NotRun(Reason.NO_SERVER, f"no server of {call.service} takes work now")
         while True:
@@ -82,11 +114,23 @@
             if got.is_ok():
                 return got
             failure = got.error
+            if failure.reason in REFUSED_BY_GATE:
+                if len(tried) >= ASKED_IN_A_ROUND or call.body.is_taken:
+                    return got
+                call = attrs.evolve(call, id=self.next_id())
+                continue
             if not self._may_repeat(call, failure):
-                return Error(failure)
+                return got
             self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=failure.reason.value)
             call = attrs.evolve(call, id=self.next_id(), retry_budget=call.retry_budget - 1)
 
+    async def _wait_in_backlog(self, pause: float) -> None:
+        self.backlog += 1
+        try:
+            await asyncio.sleep(pause * self.rng.uniform(0.5, 1.0))
+        finally:
+            self.backlog -= 1
+
     def candidates(self, service: str, tried: set[str]) -> list[Candidate]:
         """Return the servers that may run a call of a service now."""
         now = self.clock.monotonic()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 stands for a VM of its own.  Only processes that were started here are ended, by their id.
 """
 
+import contextlib
 import json
 import os
 import secrets
@@ -15,16 +16,22 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Final
 
 import attrs
 
+from standins.link import Link
+
 HOST: Final = "127.0.0.1"
 READY_SECONDS: Final = 30.0
 POLL_SECONDS: Final = 0.05
 STOP_SECONDS: Final = 20.0
+FIRST_PORT: Final = 10_000
+PORTS_PER_RUN: Final = 2000
+WARM_UP_CALLERS: Final = 48
 
 
 @attrs.frozen
@@ -56,15 +63,23 @@
 
 @attrs.define
 class Fleet:
-    """A running fleet; use it as a context manager."""
+    """A running fleet; use it as a context manager.
+
+    :param linked_stores: VMs whose daemon reaches the store over a link of its own
+    :param linked_servers: VMs whose daemon reaches its server over a link of its own
+    """
 
     plans: Sequence[VmPlan]
     daemon_options: tuple[str, ...] = ()
+    linked_stores: tuple[str, ...] = ()
+    linked_servers: tuple[str, ...] = ()
     platform_options: tuple[str, ...] = ()
     log_level: str = "info"
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
+    store_links_by_name: dict[str, Link] = attrs.field(factory=dict)
+    server_links_by_name: dict[str, Link] = attrs.field(factory=dict)
     _platform_process: subprocess.Popen[bytes] | None = None
 
     def __enter__(self) -> "Fleet":
@@ -114,6 +129,9 @@
         """Start the server of a VM."""
         vm = self.vms_by_name[name]
         arguments = ["standins.server", "--service", vm.plan.service, "--address", vm.server]
+        if name in self.server_links_by_name:
+            link = self.server_links_by_name[name]
+            arguments += ["--announced-address", f"{HOST}:{link.listen}"]
         arguments += ["--daemon-server-address", vm.server_port]
         arguments += ["--daemon-caller-address", vm.caller]
         arguments += [*vm.plan.server_options, *options]
@@ -138,6 +156,8 @@
         processes = [p for vm in self.vms_by_name.values() for p in vm.processes_by_role.values()]
         if self._platform_process is not None:
             processes.append(self._platform_process)
+        for link in (*self.store_links_by_name.values(), *self.server_links_by_name.values()):
+            link.stop()
         for process in processes:
             process.kill()
         for process in processes:
@@ -209,6 +229,19 @@
                     raise TimeoutError(f"{name} is not ready")
                 time.sleep(POLL_SECONDS)
 
+    def warm_up(self, path: str) -> None:
+        """Send calls until every gate lets more than half of its server's slots be used."""
+        end = time.monotonic() + READY_SECONDS
+        with ThreadPoolExecutor(WARM_UP_CALLERS) as pool:
+            while time.monotonic() < end:
+                states = [self.status(name) for name in self.vms_by_name]
+                cold = [state["vm"] for state in states if state["limit"] * 2 <= state["slots"]]
+                if not cold:
+                    return
+                urls = [f"http://{self.vms_by_name[name].caller}{path}" for name in cold]
+                list(pool.map(_read_quietly, urls * (WARM_UP_CALLERS // len(urls) + 1)))
+        raise TimeoutError("servers did not become warm")
+
     def _is_ready(self, name: str, members: int) -> bool:
         try:
             status = self.status(name)
@@ -221,9 +254,19 @@
         ]
         return len(alive) >= members and status["configuration_version"] > 0
 
+    def _link(self, target: str) -> Link:
+        (port,) = free_ports(1)
+        return Link(port, int(target.rpartition(":")[2])).start()
+
     def _add(self, plan: VmPlan, addresses: list[str]) -> None:
         caller, peer, server_port, metrics, server = addresses
         settings = self.folder / f"{plan.name}.json"
+        store = self.platform
+        if plan.name in self.linked_stores:
+            link = self.store_links_by_name[plan.name] = self._link(self.platform)
+            store = f"{HOST}:{link.listen}"
+        if plan.name in self.linked_servers:
+            self.server_links_by_name[plan.name] = self._link(server)
         values = {
             "vm": plan.name,
             "data_centre": plan.data_centre,
@@ -232,7 +275,7 @@
             "peer_address": peer,
             "server_address": server_port,
             "metrics_address": metrics,
-            "platform_address": self.platform,
+            "platform_address": store,
             "fleet_key_file": "fleet.key",
             "log_level": self.log_level,
         }
@@ -258,31 +301,43 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago, below the range for outgoing connections."""
+    """Return ports that are free, below the range for outgoing connections.
+
+    Each parallel run of tests has a range of its own, and a process takes no port twice.
+    """
     ports: list[int] = []
-    sockets = []
-    candidate = 10_000 + secrets.randbelow(15_000)
     while len(ports) < count:
-        candidate += 1
-        taken = socket.socket()
-        try:
-            taken.bind((HOST, candidate))
-        except OSError:
-            taken.close()
-            continue
-        sockets.append(taken)
-        ports.append(candidate)
-    for taken in sockets:
-        taken.close()
+        port = next(_PORTS)
+        with socket.socket() as taken:
+            try:
+                taken.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
+def _port_range() -> Iterator[int]:
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw9").removeprefix("gw"))
+    first = FIRST_PORT + PORTS_PER_RUN * (worker % 10)
+    while True:
+        yield from range(first, first + PORTS_PER_RUN)
+
+
+_PORTS: Final = _port_range()
+
+
 def get_json(url: str) -> dict[str, Any]:
     """Read a JSON page."""
     with urllib.request.urlopen(url, timeout=5) as answer:
         return dict(json.loads(answer.read()))
 
 
+def _read_quietly(url: str) -> None:
+    with contextlib.suppress(OSError), urllib.request.urlopen(url, timeout=5) as answer:
+        answer.read()
+
+
 def put_json(url: str, value: object) -> None:
     """Put a JSON value."""
     request = urllib.request.Request(url, json.dumps(value).encode(), method="PUT")
--- a/standins/server.py
+++ b/standins/server.py
@@ -62,6 +62,7 @@
     address: str
     daemon_server_address: str
     daemon_caller_address: str
+    announced_address: str = ""
     slots: int = 6
     service_ms: float = 5.0
     cold_requests: int = 0
@@ -214,7 +215,7 @@
     reported = state.faults.reported_in_flight
     announcement = {
         "service": state.options.service,
-        "address": state.options.address,
+        "address": state.options.announced_address or state.options.address,
         "state": state.faults.state or ("cold" if state.is_cold else "warm"),
         "load": {
             "in_flight": state.in_flight if reported < 0 else reported,
