--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -43,7 +43,6 @@
 ROUNDS: Final = 4
 ASK_SECONDS: Final = 1.0
 KEY_BYTES: Final = 16
-MAX_KEY_LENGTH: Final = 255
 
 Run = Callable[[Call], Awaitable[Result[Answer, Failure]]]
 
--- a/kingcuppond/entry/intake.py
+++ b/kingcuppond/entry/intake.py
@@ -15,6 +15,7 @@
 
 from kingcuppond.configuration.objects import MAX_ANSWER_MS, ClassOfWork
 from kingcuppond.configuration.replica import Configuration
+from kingcuppond.entry.http_server import HALF_OPEN_SECONDS
 from kingcuppond.harmful.suspects import fingerprint
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.routing.call import (
@@ -34,7 +35,6 @@
 )
 
 MAX_KEY_LENGTH: Final = 255
-HALF_OPEN_SECONDS: Final = 30.0
 CONTINUE_LINE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
--- a/kingcuppond/entry/reply.py
+++ b/kingcuppond/entry/reply.py
@@ -4,16 +4,14 @@
 """
 
 import asyncio
-from typing import Final
 
 from aiohttp import web
 
+from kingcuppond.entry.http_server import HALF_OPEN_SECONDS
 from kingcuppond.outcomes import OUTCOME_HEADER, Outcome
 from kingcuppond.routing.call import Answer, BrokenAnswerError
 from kingcuppond.routing.headers import to_multidict
 
-HALF_OPEN_SECONDS: Final = 30.0
-
 
 async def send_answer(
     request: web.BaseRequest, answer: Answer, extra: dict[str, str], is_closing: bool
--- a/kingcuppond/gate/limit.py
+++ b/kingcuppond/gate/limit.py
@@ -3,9 +3,11 @@
 A server that has just appeared gets one call at a time.  The limit doubles after a window of
 answers that used the present limit, unless the server is still warming up: its typical answer of
 this window is clearly faster than that of the window before, or it says itself that it is cold and
-the evidence is not yet long.  Several slow answers in a row halve the limit, several failures in a
-row set it back to one: a warm server can turn cold without a word.  What the server says of itself
-can lower the limit and never raise it above what was proved.
+the evidence is not yet long.  Several slow answers in a row halve the limit, since a warm server
+can turn cold without a word; answers at the usual speed raise it again, one by one, to what was
+proved before, so that a short stall does not cost capacity for long.  Several failures in a row
+set it back to one, and nothing counts as proved any more.  What the server says of itself can
+lower the limit and never raise it above what was proved.
 
 Answers of different classes take different times, so each is measured against the first one of its
 class.
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging as standard_logging
-import os
 import signal
 from pathlib import Path
 from typing import Annotated, Final
@@ -63,9 +62,6 @@
 
 
 async def _run(settings: DaemonSettings, key: bytes, policy: str, is_hedging: bool) -> str:
-    # The HTTP library loads all root certificates when it is imported, which costs 2 MB.  A daemon
-    # speaks plain HTTP to addresses that its operators chose, so it needs none of them.
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
     from kingcuppond.daemon import Daemon
 
     service = Daemon(settings, key, policy=policy, is_hedging=is_hedging)
--- a/tests/failures/test_membership.py
+++ b/tests/failures/test_membership.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from standins.fleet import Fleet, plan_service
+from standins.fleet import Fleet, get_json, plan_service
 from tests.failures.callers import not_own, send, send_steadily
 from tests.failures.conftest import StartFleet
 
@@ -113,6 +113,4 @@
 
 
 def _store_calls(fleet: Fleet) -> int:
-    from standins.fleet import get_json
-
     return sum(get_json(f"http://{fleet.platform}/counts").values())
