--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -18,7 +18,7 @@
 import attrs
 
 ROOT: Final = Path(__file__).parents[1]
-COPIED: Final = ("kingcuppond", "standins", "tests", "pyproject.toml")
+COPIED: Final = ("kingcuppond", "standins", "tests", "pyproject.toml", "KNOWN-RED.txt")
 AT_ONCE: Final = 4
 TEST_SECONDS: Final = 150
 PORT_RANGES: Final = 10
