--- a/kingcuppond/claims/home.py
+++ b/kingcuppond/claims/home.py
@@ -20,7 +20,7 @@
 from kingcuppond.membership.contacts import rank
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member
-from kingcuppond.store.client import Store, StoreError
+from kingcuppond.store.port import Store, StoreError
 
 SHARDS: Final = 64
 COMMITS_PER_SECOND: Final = 5.0
--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -13,11 +13,10 @@
 from typing import Final
 
 import attrs
-import msgspec
 from expression import Error, Ok, Result
 
 from kingcuppond.claims.messages import Record
-from kingcuppond.store.client import ABSENT, Store, StoreError
+from kingcuppond.store.port import ABSENT, Store, StoreError, decode_body, encode_body
 
 SEGMENT_BYTES: Final = 8192
 RETENTION_MS: Final = 86_400_000
@@ -75,7 +74,7 @@
         old = self._records
         if self._size >= SEGMENT_BYTES:
             number, version, old = number + 1, ABSENT, []
-        body = msgspec.msgpack.encode(old + records)
+        body = encode_body(old + records)
         written = await self.store.put(self.kind, _name(number), body, version)
         if written.is_error():
             if written.error.is_conflict or written.error.is_unknown:
@@ -117,10 +116,11 @@
             return Error(found.error)
         if found.ok is None:
             return Ok(None)
-        try:
-            records = msgspec.msgpack.decode(found.ok.body, type=list[Record])
-        except msgspec.MsgspecError as exc:
-            return Error(StoreError(f"segment {number} of {self.kind} is damaged: {exc}"))
+        decoded = decode_body(found.ok.body, list[Record])
+        if decoded.is_error():
+            message = f"segment {number} of {self.kind}: {decoded.error.message}"
+            return Error(StoreError(message))
+        records = decoded.ok
         self._take_segment(number, found.ok.version, records, len(found.ok.body))
         for record in records:
             if record.at_ms > now_ms - RETENTION_MS:
--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -1,7 +1,7 @@
 """A daemon's copy of the configuration.
 
-The copy is a map from object name to the newest version heard, whoever told it: the store, a watch
-or another daemon.  Versions grow over the whole store, so taking the larger one is commutative and
+The copy is a map from object to the newest version heard, whoever told it: the store, a watch or
+another daemon.  Versions grow over the whole store, so taking the larger one is commutative and
 idempotent, and the copy can only move forward: a stale read, an old rumour or a restart of a peer
 never brings an older object back.  A deletion is kept as a version with no body, for the same
 reason.
@@ -13,18 +13,33 @@
 import attrs
 
 from kingcuppond.configuration.objects import (
-    BUDGET_NAME,
-    DATA_CENTRE_PREFIX,
+    KIND,
+    OWN_FORMAT,
+    AllClasses,
     Budget,
     ClassOfWork,
+    ClassRemoved,
+    ConfigurationFormat,
     DataCentreState,
-    decode,
+    ServiceTerms,
 )
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 
 DEFAULT_BUDGET: Final = Budget()
+ANY_HOST: Final = ""
+
+ObjectKey = tuple[str, str]
+
+
+@attrs.frozen
+class ObjectHead:
+    """The name and version of an object, without its body."""
+
+    kind: str
+    name: str
+    version: int
 
 
 @attrs.frozen
@@ -34,26 +49,52 @@
     :param name: name in the store
     :param version: the store's version of this change
     :param body: JSON, or ``None`` if the object was removed
+    :param kind: kind in the store
     """
 
     name: str
     version: int
     body: bytes | None
+    kind: str = KIND
+
+    @property
+    def key(self) -> ObjectKey:
+        """Kind and name, unique in the store."""
+        return self.kind, self.name
+
+    @property
+    def head(self) -> ObjectHead:
+        """What tells others that there is this version."""
+        return ObjectHead(self.kind, self.name, self.version)
 
 
 @attrs.define
 class Configuration:
-    """The newest configuration that this daemon has heard of."""
+    """The newest configuration that this daemon has heard of.
+
+    :param is_complete: whether all objects of some moment were heard, and not only a few changes
+    :param release: the operators' own number of the configuration, 0 if they give none
+    """
 
     journal: Journal
-    objects_by_name: dict[str, VersionedObject] = attrs.field(factory=dict)
+    format: ConfigurationFormat = OWN_FORMAT
+    objects_by_key: dict[ObjectKey, VersionedObject] = attrs.field(factory=dict)
     classes_by_name: dict[str, ClassOfWork] = attrs.field(factory=dict)
+    services_by_name: dict[str, ServiceTerms] = attrs.field(factory=dict)
     data_centres_out: set[str] = attrs.field(factory=set)
     budget: Budget = DEFAULT_BUDGET
-    is_ready: bool = False
+    is_complete: bool = False
     version: int = 0
+    release: int = 0
     digest: int = 0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
+    _classes_by_host: dict[str, list[ClassOfWork]] = attrs.field(factory=dict)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be decided on: the configuration is complete and not empty."""
+        required = self.format.required
+        return self.is_complete and (required is None or required in self.objects_by_key)
 
     def merge(self, objects: Iterable[VersionedObject]) -> list[VersionedObject]:
         """Take what is newer than the copy.
@@ -62,40 +103,43 @@
         """
         news = []
         for item in objects:
-            known = self.objects_by_name.get(item.name)
-            if known is None or known.version < item.version:
-                self.digest ^= _hash(item) ^ (0 if known is None else _hash(known))
-                self.objects_by_name[item.name] = item
-                self.version = max(self.version, item.version)
-                self._apply(item)
-                news.append(item)
+            if not self.is_news(item.head):
+                continue
+            known = self.objects_by_key.get(item.key)
+            self.digest ^= _hash(item) ^ (0 if known is None else _hash(known))
+            self.objects_by_key[item.key] = item
+            self.version = max(self.version, item.version)
+            self._apply(item)
+            news.append(item)
         if news:
-            for call in self.on_change:
-                call()
+            self._index_classes()
+            self.call_changed()
         return news
 
+    def call_changed(self) -> None:
+        """Tell whoever depends on the configuration that it changed."""
+        for call in self.on_change:
+            call()
+
+    def is_news(self, head: ObjectHead) -> bool:
+        """Tell whether a version is newer than the copy's."""
+        known = self.objects_by_key.get((head.kind, head.name))
+        return known is None or known.version < head.version
+
     def is_out(self, data_centre: str) -> bool:
         """Tell whether operators took a data centre out of service."""
         return data_centre in self.data_centres_out
 
-    def match(self, method: str, path: str) -> ClassOfWork | None:
-        """Find the class of a request: the longest path prefix, then the exact method."""
-        best: ClassOfWork | None = None
-        for candidate in self.classes_by_name.values():
-            if candidate.method not in ("*", method) or not path.startswith(candidate.path_prefix):
-                continue
-            if best is None or _rank(candidate) > _rank(best):
-                best = candidate
-        return best
+    def match(self, method: str, path: str, host: str = ANY_HOST) -> ClassOfWork | None:
+        """Find the class of a request: its host, the longest path prefix, the exact method."""
+        for name in (host, ANY_HOST) if host else (ANY_HOST,):
+            for candidate in self._classes_by_host.get(name, ()):
+                if path.startswith(candidate.path_prefix) and candidate.method in ("*", method):
+                    return candidate
+        return None
 
     def _apply(self, item: VersionedObject) -> None:
-        if item.body is None:
-            self._remove(item.name)
-            self.journal.record(
-                catalogue.CONFIGURATION_CHANGED, name=item.name, version=item.version
-            )
-            return
-        decoded = decode(item.name, item.body)
+        decoded = self.format.decode(item.kind, item.name, item.body)
         if decoded.is_error():
             self.journal.record(
                 catalogue.CONFIGURATION_REFUSED,
@@ -105,8 +149,14 @@
             )
             return
         match decoded.ok:
+            case AllClasses(release=release, classes=classes, services=services):
+                self.release = release
+                self.classes_by_name = {it.name: it for it in classes}
+                self.services_by_name = {it.name: it for it in services}
             case ClassOfWork() as class_of_work:
                 self.classes_by_name[class_of_work.name] = class_of_work
+            case ClassRemoved(name=name):
+                self.classes_by_name.pop(name, None)
             case DataCentreState(name=name, state="out"):
                 self.data_centres_out.add(name)
             case DataCentreState(name=name):
@@ -115,15 +165,13 @@
                 self.budget = budget
         self.journal.record(catalogue.CONFIGURATION_CHANGED, name=item.name, version=item.version)
 
-    def _remove(self, name: str) -> None:
-        if name == BUDGET_NAME:
-            self.budget = DEFAULT_BUDGET
-            return
-        prefix, _, rest = name.partition("/")
-        if f"{prefix}/" == DATA_CENTRE_PREFIX:
-            self.data_centres_out.discard(rest)
-        else:
-            self.classes_by_name.pop(rest, None)
+    def _index_classes(self) -> None:
+        by_host: dict[str, list[ClassOfWork]] = {}
+        for class_of_work in self.classes_by_name.values():
+            by_host.setdefault(class_of_work.host, []).append(class_of_work)
+        for classes in by_host.values():
+            classes.sort(key=_rank, reverse=True)
+        self._classes_by_host = by_host
 
 
 def _rank(candidate: ClassOfWork) -> tuple[int, bool, str]:
@@ -131,4 +179,4 @@
 
 
 def _hash(item: VersionedObject) -> int:
-    return digest_of(item.name, item.version)
+    return digest_of(item.kind, item.name, item.version)
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -1,6 +1,6 @@
 """Hearing of changes from the store, by a few daemons for all.
 
-In each data centre, the two living members that rank first watch the store; all others hear of a
+In each data centre, the few living members that rank first watch the store; all others hear of a
 change as a rumour.  So the store's watches follow the number of data centres and not the fleet.  A
 daemon that does not hear most of the fleet watches too, for itself.
 
@@ -10,27 +10,27 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
-from kingcuppond.configuration.objects import KIND
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.contacts import rank
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
-from kingcuppond.store.client import Changes, Listing, Store, StoreError, watch_forever
+from kingcuppond.store.port import Changes, Listing, Store, StoreError, watch_forever
+
+WATCHERS_PER_DATA_CENTRE: Final = 3
+"""So that a change is heard at once while two watchers of a data centre are down or cut off."""
 
-WATCHERS_PER_DATA_CENTRE: Final = 2
-WATCH_WAIT_MS: Final = 1000
 CHECK_SECONDS: Final = 0.2
 FIRST_BACKOFF_SECONDS: Final = 0.1
-MAX_BACKOFF_SECONDS: Final = 3.0
+MAX_BACKOFF_SECONDS: Final = 2.0
 ISOLATED_SECONDS: Final = 2.0
 
 
@@ -40,6 +40,7 @@
     :param has_asked_others: tells whether this daemon has asked the others that the store names.
         Until then a listing, which may be stale, does not make it ready: a daemon that starts anew
         must not go back to what the others know to be over.
+    :param wait_ms: how long the store holds a watch that has nothing to tell
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         journal: Journal,
         rng: Random,
         has_asked_others: Callable[[], bool],
+        wait_ms: int,
     ) -> None:
         self.is_watching = False
         self._store = store
@@ -62,7 +64,9 @@
         self._journal = journal
         self._rng = rng
         self._has_asked_others = has_asked_others
+        self.wait_ms = wait_ms
         self._heard_at = clock.monotonic()
+        self._listed_kinds: set[str] = set()
         self._is_down = False
         self._was_isolated = False
 
@@ -72,14 +76,14 @@
         Such a daemon can't know whether its data centre was taken out, so its gate refuses new
         work.
         """
-        if self._gossip.hears_majority():
-            isolated = False
-        else:
-            isolated = self._clock.monotonic() - self._heard_at > ISOLATED_SECONDS
-        if isolated != self._was_isolated:
-            self._was_isolated = isolated
-            self._journal.record(catalogue.ISOLATED if isolated else catalogue.REJOINED)
-        return isolated
+        return self._was_isolated
+
+    def loops(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the loops that run as long as the daemon, by name."""
+        watches = {
+            f"watch {kind}": self._make_loop(kind) for kind in self._configuration.format.kinds
+        }
+        return {**watches, "isolation": self._check_isolation}
 
     def should_watch(self) -> bool:
         """Tell whether this daemon is one of those that watch the store."""
@@ -94,8 +98,8 @@
         ranked = sorted(living, key=lambda vm: rank("watch", vm))
         return me.vm in ranked[:WATCHERS_PER_DATA_CENTRE]
 
-    async def run(self) -> None:
-        """Watch whenever it is this daemon's turn, for ever."""
+    async def run(self, kind: str) -> None:
+        """Watch a kind whenever it is this daemon's turn, for ever."""
         backoff = FIRST_BACKOFF_SECONDS
         while True:
             if not self.should_watch():
@@ -105,7 +109,7 @@
             if not self.is_watching:
                 self.is_watching = True
                 self._journal.record(catalogue.WATCHING)
-            failure = await self._watch_once()
+            failure = await self._watch_once(kind)
             if failure is None:
                 backoff = FIRST_BACKOFF_SECONDS
                 continue
@@ -113,63 +117,65 @@
             await asyncio.sleep(backoff * self._rng.uniform(0.5, 1.0))
             backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
 
-    async def _watch_once(self) -> StoreError | None:
+    async def refresh(self, kind: str) -> Result[Listing, StoreError]:
+        """Read all objects of a kind."""
+        listed = await self._store.list(kind)
+        if listed.is_error():
+            return Error(listed.error)
+        objects = [
+            VersionedObject(item.name, item.version, item.body, kind) for item in listed.ok.items
+        ]
+        objects.extend(self._find_deleted(kind, listed.ok))
+        self._gossip.spread_objects(objects)
+        self._listed_kinds.add(kind)
+        self._note_ready()
+        self._note_heard()
+        return Ok(listed.ok)
+
+    def _make_loop(self, kind: str) -> Callable[[], Coroutine[Any, Any, None]]:
+        return lambda: self.run(kind)
+
+    async def _watch_once(self, kind: str) -> StoreError | None:
         """List, then watch until it fails or is no longer this daemon's turn."""
-        listed = await self.refresh()
+        listed = await self.refresh(kind)
         if listed.is_error():
             return listed.error
         version = listed.ok.version
-        async for answer in watch_forever(self._store, KIND, version, WATCH_WAIT_MS):
+        async for answer in watch_forever(self._store, kind, version, self.wait_ms):
             if answer.is_error():
                 return None if answer.error.is_gone else answer.error
             self._note_ready()
             self._note_heard()
-            self._take_changes(answer.ok)
+            self._take_changes(kind, answer.ok)
             if not self.should_watch():
                 return None
         return None
 
-    async def refresh(self) -> Result[Listing, StoreError]:
-        """Read all objects that are newer in the store than here."""
-        listed = await self._store.list(KIND)
-        if listed.is_error():
-            return Error(listed.error)
-        known = self._configuration.objects_by_name
-        objects = []
-        for item in listed.ok.items:
-            if item.name in known and known[item.name].version >= item.version:
-                continue
-            read = await self._store.get(KIND, item.name)
-            if read.is_error():
-                return Error(read.error)
-            if read.ok is not None:
-                objects.append(VersionedObject(item.name, read.ok.version, read.ok.body))
-        objects.extend(self._find_deleted(listed.ok))
-        self._gossip.spread_objects(objects)
-        self._note_ready()
-        self._note_heard()
-        return Ok(listed.ok)
-
-    def _find_deleted(self, listing: Listing) -> list[VersionedObject]:
+    def _find_deleted(self, kind: str, listing: Listing) -> list[VersionedObject]:
         # The listing may be stale; its version tells up to which change it can speak.
         names = {item.name for item in listing.items}
         return [
-            VersionedObject(name, listing.version, None)
-            for name, item in self._configuration.objects_by_name.items()
-            if name not in names and item.body is not None and item.version < listing.version
+            VersionedObject(item.name, listing.version, None, kind)
+            for item in self._configuration.objects_by_key.values()
+            if item.kind == kind
+            and item.name not in names
+            and item.body is not None
+            and item.version < listing.version
         ]
 
-    def _take_changes(self, changes: Changes) -> None:
+    def _take_changes(self, kind: str, changes: Changes) -> None:
         self._gossip.spread_objects(
             [
-                VersionedObject(change.name, change.version, change.content())
+                VersionedObject(change.name, change.version, change.body, kind)
                 for change in changes.changes
             ]
         )
 
     def _note_ready(self) -> None:
-        if self._has_asked_others():
-            self._configuration.is_ready = True
+        if self._has_asked_others() and self._listed_kinds.issuperset(
+            self._configuration.format.kinds
+        ):
+            self._configuration.is_complete = True
 
     def _note_heard(self) -> None:
         self._heard_at = self._clock.monotonic()
@@ -181,3 +187,20 @@
         if not self._is_down:
             self._is_down = True
             self._journal.record(catalogue.WATCH_LOST, error=error.message)
+
+    async def _check_isolation(self) -> None:
+        # Worked out a few times a second and not for each call, since it walks all members.
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            self._note_isolation()
+
+    def _note_isolation(self) -> None:
+        # A watch that waits tells nothing meanwhile; only one that failed shows an outage earlier.
+        allowed = ISOLATED_SECONDS + (0.0 if self._is_down else self.wait_ms / 1000)
+        isolated = (
+            not self._gossip.hears_majority() and self._clock.monotonic() - self._heard_at > allowed
+        )
+        if isolated != self._was_isolated:
+            self._was_isolated = isolated
+            self._journal.record(catalogue.ISOLATED if isolated else catalogue.REJOINED)
+            self._configuration.call_changed()
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -9,15 +9,16 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import attrs
 import zmq
 from aiohttp import web
 from expression import Error, Ok, Result
 from mode import Service
-from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client import CollectorRegistry
 
 from kingcuppond.claims.guard import ClaimGuard
 from kingcuppond.claims.home import ClaimHome
@@ -25,39 +26,45 @@
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.configuration.watcher import Watcher
 from kingcuppond.entry.counts import CallCounts
-from kingcuppond.entry.http_server import (
-    listen,
-    make_server,
-    problem_response,
-    stop_accepting,
-)
+from kingcuppond.entry.http_server import listen, make_server, stop_accepting
 from kingcuppond.entry.port import CallPort
+from kingcuppond.entry.ready import make_ready_handler
+from kingcuppond.entry.stop import StopPlan, wait_for_end
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.gate import announcements
+from kingcuppond.gate.announcements import ServerPlace
+from kingcuppond.gate.departures import Departures
 from kingcuppond.gate.gate import Gate
+from kingcuppond.gate.incarnation import Incarnation
+from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.harmful.suspects import SuspectTable
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
-from kingcuppond.membership.messages import Member
+from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import Registration
-from kingcuppond.operators.messages import CountsPage, DaemonStatus, EventsPage, MemberStatus
-from kingcuppond.operators.port import cpu_seconds, make_handler, resident_bytes
-from kingcuppond.outcomes import NotRun, Reason
+from kingcuppond.operators.messages import CountsPage, EventsPage
+from kingcuppond.operators.port import make_handler
+from kingcuppond.operators.status import make_gauges, read_status
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
+from kingcuppond.platform.store import PlatformStore
+from kingcuppond.protocol import PROTOCOLS_BY_NAME
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
 from kingcuppond.routing.exchange import open_session
 from kingcuppond.routing.router import Router
+from kingcuppond.routing.sender import Sender
+from kingcuppond.routing.split import SplitChooser
 from kingcuppond.service import LoopService
+from kingcuppond.settings.checks import split_address
 from kingcuppond.settings.daemon import DaemonSettings
-from kingcuppond.store.client import Store
 
-TOLD_SECONDS: Final = 0.5
-DRAIN_CHECK_SECONDS: Final = 0.05
-QUIET_SECONDS: Final = 0.5
 SILENCE_CHECK_SECONDS: Final = 0.2
+DEPARTURE_TRIES: Final = 3
+DEPARTURE_RETRY_SECONDS: Final = 0.2
+
+FLEET_RETRY_SHARE: Final = 0.5
+"""Part of what the fleet may spend that is given out, since members are not counted exactly."""
 
 
 @attrs.frozen
@@ -88,11 +95,114 @@
         self.settings = settings
         self.clock = clock or Clock()
         self.rng = rng or Random()
+        self.protocol = PROTOCOLS_BY_NAME[settings.protocol]
         self.journal = Journal(settings.vm, self.clock)
         self.registry = CollectorRegistry()
-        self.configuration = Configuration(self.journal)
+        self.configuration = Configuration(self.journal, self.protocol.format)
         self.suspects = SuspectTable(settings.vm, self.clock, self.journal)
         self.directory = Directory(self._make_member(), self.clock, self.journal)
+        self.store = PlatformStore(settings.platform_address)
+        self._make_fleet(fleet_key)
+        self.session = open_session()
+        self.fresh_session = open_session(is_reusing=False)
+        self._make_gate()
+        self._make_routing(fleet_key, policy, is_hedging)
+        self._make_entry(fleet_key)
+        self._last_id = 0
+        self._caller_runner: web.ServerRunner | None = None
+        self._runners: list[web.ServerRunner] = []
+        make_gauges(self)
+
+    def next_id(self) -> str:
+        """Make the id of a new attempt: unique over the fleet and for all time."""
+        self._last_id += 1
+        return f"{self.settings.vm}/{self.directory.me.incarnation}/{self._last_id}"
+
+    async def bind(self) -> Result[None, BindError]:
+        """Bind all addresses of the settings."""
+        settings = self.settings
+        try:
+            await self.transport.start()
+        except zmq.ZMQError as exc:
+            return Error(BindError("peer_address", settings.peer_address, str(exc)))
+        for key, handler in self._handlers().items():
+            address = getattr(settings, key)
+            listening = await listen(make_server(handler), address)
+            if listening.is_error():
+                return Error(BindError(key, address, listening.error.strerror or "in use"))
+            self._runners.append(listening.ok)
+            if key == "caller_address":
+                self._caller_runner = listening.ok
+        return Ok(None)
+
+    async def on_start(self) -> None:
+        """Start all loops; the addresses must be bound."""
+        loops = {
+            "registration": self.registration.run,
+            "silence": self._check_silence,
+            "observer": self.gate.observer.run,
+            **self.watcher.loops(),
+        }
+        loops.update({loop.__name__: loop for loop in self.gossip.tasks()})
+        if self.gate.is_unconfirmed:
+            loops["departures"] = self._find_departure
+        for name, loop in loops.items():
+            await self.add_runtime_dependency(LoopService(name, loop, self.journal))
+        self.journal.record(
+            catalogue.DAEMON_STARTED,
+            vm=self.settings.vm,
+            data_centre=self.settings.data_centre,
+        )
+
+    async def drain(self) -> None:
+        """Leave: take no new work from others, and wait until all that is in progress has ended.
+
+        The wait is bounded, since every call has a deadline.
+        """
+        self.journal.record(
+            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
+        )
+        self.directory.update_me(is_leaving=True)
+        self.gate.admission.wake()
+        plan = StopPlan(
+            seconds=self.settings.grace_ms / 1000,
+            is_idle=lambda: self.port.is_idle,
+            idle_seconds=lambda: self.clock.monotonic() - self.port.last_request_at,
+            stop_accepting=self._stop_accepting,
+            now=self.clock.monotonic,
+        )
+        withdrawal = asyncio.create_task(self.registration.withdraw())
+        await wait_for_end(plan)
+        await withdrawal
+
+    async def on_stop(self) -> None:
+        """Close everything."""
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+        self.home.stop()
+        self.gossip.stop()
+        await self.transport.close()
+        await self.session.close()
+        await self.fresh_session.close()
+        await self.store.close()
+        self.journal.record(catalogue.DAEMON_STOPPED, vm=self.settings.vm)
+
+    def take_settings(self, settings: DaemonSettings) -> None:
+        """Take up settings that can change while the daemon runs."""
+        self.settings = settings
+        self.gate.silent_seconds = settings.server_silent_ms / 1000
+        self.gate.suspect_hold_seconds = settings.suspect_hold_ms / 1000
+        self.watcher.wait_ms = settings.watch_wait_ms
+        self.router.detour_seconds = settings.detour_ms / 1000
+        self.router.fleet_retries = settings.fleet_retries * FLEET_RETRY_SHARE
+        self.server_port.place = self._place()
+        self.port.service = settings.service
+        if settings.service != self.directory.me.service:
+            self.directory.update_me(service=settings.service)
+
+    def _make_fleet(self, fleet_key: bytes) -> None:
+        """Make what keeps contact with the other daemons and with the store."""
+        settings = self.settings
         self.transport = PeerTransport(
             settings.vm,
             settings.peer_address,
@@ -110,7 +220,6 @@
             self.journal,
             self.rng,
         )
-        self.store = Store(settings.platform_address)
         self.watcher = Watcher(
             self.store,
             self.configuration,
@@ -119,7 +228,8 @@
             self.clock,
             self.journal,
             self.rng,
-            lambda: self.registration.has_asked_others,
+            lambda: self.registration.has_asked_others or settings.is_first_start,
+            settings.watch_wait_ms,
         )
         self.registration = Registration(
             self.store,
@@ -128,32 +238,61 @@
             self.clock,
             self.journal,
             self.rng,
+            self._seed_addresses(),
             lambda: self.watcher.is_watching,
         )
-        self.session = open_session()
+
+    def _make_gate(self) -> None:
+        """Make the gate and the port of the server beside this daemon."""
+        may_have_run = not self.settings.is_first_start
         self.gate = Gate(
             self.directory,
             self.configuration,
             self.suspects,
             self.session,
+            self.fresh_session,
             self.clock,
             self.journal,
+            self.protocol.dialect,
+            self.settings.server_silent_ms / 1000,
+            self.settings.suspect_hold_ms / 1000,
             self.watcher.is_isolated,
+            is_unconfirmed=may_have_run,
+            may_confirm=not may_have_run,
         )
-        self.configuration.on_change.append(self.gate.admission.wake)
-        self.router = Router(
+        self.configuration.on_change.append(self.gate.note_configuration)
+        self.directory.on_earlier_self.append(self._note_earlier_self)
+        self.departures = Departures(self.settings.vm, self.store, self.journal)
+        self.server_port = ServerPort(
+            self.gate, self.departures, self.protocol.read_message, self._place()
+        )
+
+    def _make_routing(self, fleet_key: bytes, policy: str, is_hedging: bool) -> None:
+        """Make what sends calls to servers."""
+        self.sender = Sender(
             self.directory,
-            self.configuration,
             self.gate,
             self.session,
             fleet_key,
             self.clock,
             self.journal,
+        )
+        self.router = Router(
+            self.directory,
+            self.configuration,
+            self.sender,
+            self.clock,
+            self.journal,
             self.rng,
             self.next_id,
+            self.settings.detour_ms / 1000,
+            self.settings.fleet_retries * FLEET_RETRY_SHARE,
             policy=POLICY_FACTORIES_BY_NAME[policy](),
             is_hedging=is_hedging,
         )
+
+    def _make_entry(self, fleet_key: bytes) -> None:
+        """Make the port of callers and what guards their keys."""
         self.home = ClaimHome(self.store, self.clock, self.journal)
         self.guard = ClaimGuard(
             self.directory,
@@ -168,7 +307,10 @@
             lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
         )
         self.port = CallPort(
-            settings.vm,
+            self.settings.vm,
+            self.settings.service,
+            self.protocol.dialect,
+            SplitChooser(self.rng).choose,
             self.configuration,
             self.gate,
             self.router,
@@ -181,120 +323,27 @@
             self.journal,
             self.next_id,
         )
-        self._last_id = 0
-        self._runners: list[web.ServerRunner] = []
-        self._make_gauges()
-
-    def next_id(self) -> str:
-        """Make the id of a new attempt: unique over the fleet and for all time."""
-        self._last_id += 1
-        return f"{self.settings.vm}/{self.directory.me.incarnation}/{self._last_id}"
 
-    async def bind(self) -> Result[None, BindError]:
-        """Bind all addresses of the settings."""
+    def _handlers(self) -> dict[str, Callable[[web.BaseRequest], Any]]:
+        """Return the handler of each address, by its key in the settings."""
         settings = self.settings
-        try:
-            await self.transport.start()
-        except zmq.ZMQError as exc:
-            return Error(BindError("peer_address", settings.peer_address, str(exc)))
-        pages = {
-            "/v1/status": self.status,
+        pages: dict[str, Callable[[], Any]] = {
+            "/v1/status": lambda: read_status(self),
             "/v1/events": lambda: EventsPage(settings.vm, list(self.journal.entries)),
             "/v1/counts": lambda: CountsPage(settings.vm, self.port.counts.read()),
         }
-        handlers = {
-            "server_address": self._serve_server,
+        handlers: dict[str, Callable[[web.BaseRequest], Any]] = {
+            "server_address": self.server_port.handle,
             "metrics_address": make_handler(pages, self.registry),
-            "caller_address": self.port.handle,
         }
-        for key, handler in handlers.items():
-            address = getattr(settings, key)
-            listening = await listen(make_server(handler), address)
-            if listening.is_error():
-                return Error(BindError(key, address, listening.error.strerror or "in use"))
-            self._runners.append(listening.ok)
-        return Ok(None)
-
-    async def on_start(self) -> None:
-        """Start all loops; the addresses must be bound."""
-        loops = {
-            "registration": self.registration.run,
-            "watcher": self.watcher.run,
-            "silence": self._check_silence,
-        }
-        loops.update({loop.__name__: loop for loop in self.gossip.tasks()})
-        for name, loop in loops.items():
-            await self.add_runtime_dependency(LoopService(name, loop, self.journal))
-        self.journal.record(
-            catalogue.DAEMON_STARTED,
-            vm=self.settings.vm,
-            data_centre=self.settings.data_centre,
-        )
-
-    async def drain(self) -> None:
-        """Leave: take no new work, and wait until all that is in progress has ended.
-
-        The wait is bounded, since every call has a deadline.
-        """
-        self.journal.record(
-            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
-        )
-        self.directory.update_me(is_leaving=True)
-        self.gate.admission.wake()
-        await asyncio.sleep(TOLD_SECONDS)
-        await self._wait_until_idle()
-        await stop_accepting(self._runners[-1])
-        # A connection that was accepted in the last moment may still bring a request.
-        await asyncio.sleep(QUIET_SECONDS)
-        await self._wait_until_idle()
-        await self.registration.withdraw()
-
-    async def on_stop(self) -> None:
-        """Close everything."""
-        for runner in reversed(self._runners):
-            await runner.cleanup()
-        self.home.stop()
-        self.gossip.stop()
-        await self.transport.close()
-        await self.session.close()
-        await self.store.close()
-        self.journal.record(catalogue.DAEMON_STOPPED, vm=self.settings.vm)
-
-    def status(self) -> DaemonStatus:
-        """Return what this daemon sees."""
-        me = self.directory.me
-        admission = self.gate.admission
-        return DaemonStatus(
-            vm=me.vm,
-            data_centre=me.data_centre,
-            service=me.service,
-            configuration_version=self.configuration.version,
-            data_centres_out=sorted(self.configuration.data_centres_out),
-            is_watching=self.watcher.is_watching,
-            is_isolated=self.watcher.is_isolated(),
-            server_state="leaving" if me.is_leaving else me.state.value,
-            in_flight=admission.in_flight,
-            waiting=admission.waiting,
-            limit=self.gate.limit.limit,
-            slots=self.gate.limit.slots,
-            attempts=self.router.attempts,
-            claim_commits=self.home.commits,
-            control_bytes=self.transport.bytes_sent,
-            control_messages=self.transport.messages_sent,
-            measuring_bytes=int(self.measuring.spent),
-            resident_bytes=resident_bytes(),
-            cpu_seconds=cpu_seconds(),
-            members=[
-                MemberStatus(member, self._condition(member))
-                for _, member in sorted(self.directory.members_by_vm.items())
-            ],
-            held=self.suspects.held(),
-        )
-
-    def _condition(self, member: Member) -> str:
-        if self.directory.is_dead(member.vm):
-            return "dead"
-        return "suspected" if self.directory.is_suspected(member.vm) else "alive"
+        if settings.ready_address:
+            handlers["ready_address"] = make_ready_handler(self._is_ready)
+        if settings.relay_address:
+            handlers["relay_address"] = self.port.handle_relay
+            handlers["caller_address"] = self.port.handle_caller
+        else:
+            handlers["caller_address"] = self.port.handle
+        return handlers
 
     def _make_member(self) -> Member:
         settings = self.settings
@@ -302,51 +351,44 @@
             vm=settings.vm,
             data_centre=settings.data_centre,
             service=settings.service,
-            caller_address=settings.caller_address,
+            relay_address=settings.relay_address or settings.caller_address,
             peer_address=settings.peer_address,
             metrics_address=settings.metrics_address,
             incarnation=self.clock.wall_ms(),
         )
 
-    async def _serve_server(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.method != "PUT" or request.path != announcements.PATH:
-            return announcements.problem(
-                NotRun(Reason.BAD_REQUEST, f"only PUT {announcements.PATH} is answered here")
-            )
-        if (request.content_length or 0) > announcements.MAX_BYTES:
-            return problem_response(NotRun(Reason.TOO_LARGE, "the announcement is too large"))
-        body = await request.content.read(announcements.MAX_BYTES)
-        parsed = announcements.parse(body, self.settings.service)
-        if parsed.is_error():
-            return announcements.problem(parsed.error)
-        self.gate.announce(parsed.ok)
-        return web.Response()
+    def _place(self) -> ServerPlace:
+        return ServerPlace(self.settings.service, self.settings.application_address)
+
+    def _seed_addresses(self) -> list[str]:
+        """Return where the seeds' daemons listen for control: all VMs use the same port."""
+        own_host, port = split_address(self.settings.peer_address)
+        hosts = [split_address(seed)[0] for seed in self.settings.seeds]
+        return [f"{host}:{port}" for host in hosts if host != own_host]
+
+    def _is_ready(self) -> bool:
+        return self.configuration.is_ready and not self.directory.me.is_leaving
+
+    async def _stop_accepting(self) -> None:
+        if self._caller_runner is not None:
+            await stop_accepting(self._caller_runner)
+
+    def _note_earlier_self(self, member: Member) -> None:
+        if member.state is ServerState.DRAINING:
+            self.gate.note_left(Incarnation(member.instance, member.born_ms))
+
+    async def _find_departure(self) -> None:
+        for _ in range(DEPARTURE_TRIES):
+            loaded = await self.departures.load()
+            if loaded.is_ok():
+                if loaded.ok is not None:
+                    self.gate.note_left(loaded.ok)
+                break
+            await asyncio.sleep(DEPARTURE_RETRY_SECONDS)
+        self.gate.may_confirm = True
+        await asyncio.Event().wait()
 
     async def _check_silence(self) -> None:
         while True:
             await asyncio.sleep(SILENCE_CHECK_SECONDS)
             self.gate.check_silence()
-
-    async def _wait_until_idle(self) -> None:
-        while not self.port.is_idle:
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-
-    def _make_gauges(self) -> None:
-        readings = {
-            "gate_in_flight": ("Calls that the server runs now", lambda: self.gate.in_flight),
-            "gate_limit": ("Calls that may run at once", lambda: self.gate.limit.limit),
-            "gate_answered": ("Calls that the server answered", lambda: self.gate.answered),
-            "gate_refused": ("Calls that the gate refused", lambda: self.gate.refused),
-            "attempts": ("Attempts sent to servers", lambda: self.router.attempts),
-            "claim_commits": ("Writes of claims to the store", lambda: self.home.commits),
-            "control_bytes": ("Bytes of control sent", lambda: self.transport.bytes_sent),
-            "measuring_bytes": ("Bytes of load reports sent", lambda: self.measuring.spent),
-            "members": ("Members known", lambda: len(self.directory.members_by_vm)),
-            "configuration_version": (
-                "Newest version of the store heard of",
-                lambda: self.configuration.version,
-            ),
-        }
-        for name, (text, reading) in readings.items():
-            gauge = Gauge(f"kingcuppond_{name}", text, registry=self.registry)
-            gauge.set_function(reading)
--- a/kingcuppond/entry/http_server.py
+++ b/kingcuppond/entry/http_server.py
@@ -13,7 +13,8 @@
 from aiohttp.web_protocol import RequestHandler
 from expression import Error, Ok, Result
 
-from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown, problem_body, problem_headers
+from kingcuppond.dialect import OWN_DIALECT, Dialect
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown, problem_body
 from kingcuppond.settings.checks import split_address
 
 MAX_LINE_BYTES: Final = 8190
@@ -24,6 +25,9 @@
 HALF_OPEN_SECONDS: Final = 30.0
 BACKLOG: Final = 1024
 
+KEEP_ALIVE_SECONDS: Final = 120.0
+"""Longer than callers leave a connection idle, so that no request meets the close."""
+
 
 class ProblemHandler(RequestHandler):
     """Answers what the parser refuses with problem details."""
@@ -69,13 +73,21 @@
         max_headers=MAX_HEADERS,
         read_bufsize=READ_BUFFER_BYTES,
         lingering_time=LINGER_SECONDS,
+        keepalive_timeout=KEEP_ALIVE_SECONDS,
     )
 
 
-def problem_response(failure: Failure) -> web.Response:
-    """Make the answer that tells a caller of a failure."""
+def problem_response(
+    failure: Failure, dialect: Dialect = OWN_DIALECT, after: float = 1.0
+) -> web.Response:
+    """Make the answer that tells a caller of a failure.
+
+    :param after: seconds after which the caller may come again
+    """
     return web.Response(
-        status=failure.status, body=problem_body(failure), headers=problem_headers(failure)
+        status=dialect.failure_status(failure),
+        body=problem_body(failure),
+        headers=dialect.failure_headers(failure, after),
     )
 
 
--- a/kingcuppond/entry/intake.py
+++ b/kingcuppond/entry/intake.py
@@ -15,6 +15,7 @@
 
 from kingcuppond.configuration.objects import MAX_ANSWER_MS, ClassOfWork
 from kingcuppond.configuration.replica import Configuration
+from kingcuppond.dialect import DEPTH_HEADER, KEY_HEADER, RETRY_BUDGET_HEADER, Dialect
 from kingcuppond.entry.http_server import HALF_OPEN_SECONDS
 from kingcuppond.harmful.suspects import fingerprint
 from kingcuppond.outcomes import Failure, NotRun, Reason
@@ -25,14 +26,7 @@
     Body,
     Call,
 )
-from kingcuppond.routing.headers import (
-    DEADLINE_HEADER,
-    DEPTH_HEADER,
-    KEY_HEADER,
-    OWN_REQUEST_HEADERS,
-    RETRY_BUDGET_HEADER,
-    end_to_end,
-)
+from kingcuppond.routing.headers import RELAY_HEADERS, end_to_end
 
 MAX_KEY_LENGTH: Final = 255
 CONTINUE_LINE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -55,35 +49,46 @@
 async def read_request(
     request: web.BaseRequest,
     configuration: Configuration,
+    dialect: Dialect,
+    caller_service: str,
+    choose_service: Callable[[ClassOfWork], str],
     now: Callable[[], float],
     next_id: Callable[[], str],
 ) -> Result[Request, Failure]:
-    """Check a caller's request and read the first part of its body."""
+    """Check a caller's request and read the first part of its body.
+
+    :param caller_service: service of the VM where the request begins
+    :param choose_service: picks a service for a request of a class
+    """
     started = now()
     found = _find_class(request, configuration)
     if found.is_error():
         return Error(found.error)
     class_of_work = found.ok
-    terms = _read_terms(request, class_of_work)
+    terms = _read_terms(request, class_of_work, dialect)
     if isinstance(terms, NotRun):
         return Error(terms)
-    deadline = started + terms.deadline_ms / 1000
+    deadline = started + min(terms.deadline_ms, class_of_work.timeout_ms) / 1000
     body = await _read_body(request, deadline - now())
     if body.is_error():
         return Error(body.error)
     call = Call(
         id=next_id(),
         class_name=class_of_work.name,
-        service=class_of_work.service,
+        service=choose_service(class_of_work),
         method=request.method,
         target=request.raw_path,
-        headers=_pass_on(request),
+        headers=_pass_on(request, dialect),
         body=body.ok,
         deadline=deadline,
         depth=terms.depth + 1,
         retry_budget=terms.retry_budget,
         at_most_once=class_of_work.at_most_once,
         fingerprint=fingerprint(request.method, request.raw_path, body.ok.first),
+        request_id=request.headers.get(dialect.request_id_header, ""),
+        caller_service=caller_service,
+        target_at=started + class_of_work.answer_within_ms / 1000,
+        priority=class_of_work.priority,
     )
     return Ok(Request(call, class_of_work, terms.key, started))
 
@@ -95,9 +100,10 @@
     return Body(b"", _stream(request), request.content_length)
 
 
-def _pass_on(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+def _pass_on(request: web.BaseRequest, dialect: Dialect) -> tuple[tuple[str, str], ...]:
     connection = request.headers.get("Connection", "")
-    return end_to_end(request.headers.items(), connection, OWN_REQUEST_HEADERS)
+    private = dialect.private_headers | RELAY_HEADERS
+    return end_to_end(request.headers.items(), connection, private)
 
 
 def _find_class(
@@ -111,7 +117,8 @@
         return Error(NotRun(Reason.BAD_REQUEST, "the path must not hold '.' or '..' segments"))
     if not configuration.is_ready:
         return Error(NotRun(Reason.NOT_READY, "this daemon has not heard the configuration yet"))
-    class_of_work = configuration.match(request.method, path)
+    host = request.headers.get("Host", "").partition(":")[0].lower()
+    class_of_work = configuration.match(request.method, path, host)
     if class_of_work is None:
         return Error(NotRun(Reason.NO_CLASS, f"no class of work has {request.method} {path}"))
     return Ok(class_of_work)
@@ -125,16 +132,19 @@
     retry_budget: int
 
 
-def _read_terms(request: web.BaseRequest, class_of_work: ClassOfWork) -> _Terms | NotRun:
+def _read_terms(
+    request: web.BaseRequest, class_of_work: ClassOfWork, dialect: Dialect
+) -> _Terms | NotRun:
     """Read the headers that say how a call is to be run."""
     key = _read_key(request)
     deadline_ms = _read_number(
-        request, DEADLINE_HEADER, class_of_work.answer_within_ms, 1, MAX_ANSWER_MS
+        request, dialect.deadline_header, class_of_work.answer_within_ms, 1, MAX_ANSWER_MS
     )
     depth = _read_number(request, DEPTH_HEADER, 0, 0, MAX_DEPTH - 1)
-    budget = _read_number(
-        request, RETRY_BUDGET_HEADER, DEFAULT_RETRY_BUDGET, 0, DEFAULT_RETRY_BUDGET
-    )
+    most = DEFAULT_RETRY_BUDGET
+    if class_of_work.max_attempts is not None:
+        most = max(0, class_of_work.max_attempts - 1)
+    budget = _read_number(request, RETRY_BUDGET_HEADER, most, 0, max(most, DEFAULT_RETRY_BUDGET))
     if isinstance(key, NotRun):
         return key
     if isinstance(deadline_ms, NotRun):
--- a/kingcuppond/entry/port.py
+++ b/kingcuppond/entry/port.py
@@ -1,11 +1,12 @@
 """The port for calls: from callers, and from other daemons that relay a call to this gate.
 
-Both come to ``caller_address``.  A request with the relay's header is another daemon's: it must
-prove that it is the fleet's, and goes to the gate and nowhere else.  All other requests are
-callers'.
+A relayed call must prove that it is the fleet's, and goes to the gate and nowhere else.  Both may
+come to one address, where the relay's header tells them apart; where callers have an address of
+their own, what they write into that header is dropped.
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -15,7 +16,9 @@
 
 from kingcuppond.claims.guard import ClaimGuard
 from kingcuppond.clock import Clock
+from kingcuppond.configuration.objects import ClassOfWork
 from kingcuppond.configuration.replica import Configuration
+from kingcuppond.dialect import OWN_DIALECT, Dialect
 from kingcuppond.entry.counts import CallCounts
 from kingcuppond.entry.http_server import problem_response
 from kingcuppond.entry.intake import Request, read_relayed_body, read_request
@@ -31,25 +34,34 @@
 from kingcuppond.routing.headers import (
     GATE_HEADER,
     MAC_HEADER,
-    OWN_REQUEST_HEADERS,
     RELAY_HEADER,
+    RELAY_HEADERS,
     end_to_end,
 )
 from kingcuppond.routing.relay import Relay, verify
 from kingcuppond.routing.router import Router
-from kingcuppond.routing.view import GateReport
 
 REPORT_OVERHEAD_BYTES: Final = len(GATE_HEADER) + 4
 
+COME_AGAIN_SHARE: Final = 0.25
+"""Part of the time left after which a refused caller may come again; a third at most."""
+
+COME_AGAIN_MAX_SECONDS: Final = 0.25
+"""Half of the time for which a machine's speed usually stays the same."""
+
 
 @attrs.define
 class CallPort:
     """Serves calls.
 
     :param measuring: the budget that load reports draw on
+    :param choose_service: picks a service for a request of a class
     """
 
     vm: str
+    service: str
+    dialect: Dialect
+    choose_service: Callable[[ClassOfWork], str]
     configuration: Configuration
     gate: Gate
     router: Router
@@ -62,25 +74,47 @@
     journal: Journal
     next_id: Callable[[], str]
     in_progress: int = 0
+    last_request_at: float = float("-inf")
     _running: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve one request."""
+        """Serve one request of a caller or of another daemon."""
+        if RELAY_HEADER in request.headers:
+            return await self.handle_relay(request)
+        return await self.handle_caller(request)
+
+    async def handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a caller."""
         self.in_progress += 1
+        self.last_request_at = self.clock.monotonic()
         try:
-            if RELAY_HEADER in request.headers:
-                return await self._serve_relay(request)
             return await self._serve_caller(request)
         finally:
             self.in_progress -= 1
 
+    async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of another daemon."""
+        self.in_progress += 1
+        try:
+            return await self._serve_relay(request)
+        finally:
+            self.in_progress -= 1
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in progress, also no call whose caller has gone."""
         return self.in_progress == 0 and not self._running
 
     async def _serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
-        read = await read_request(request, self.configuration, self.clock.monotonic, self.next_id)
+        read = await read_request(
+            request,
+            self.configuration,
+            self.dialect,
+            self.service,
+            self.choose_service,
+            self.clock.monotonic,
+            self.next_id,
+        )
         if read.is_error():
             return self._refuse(request, read.error)
         wanted = read.ok
@@ -88,7 +122,9 @@
         name = wanted.class_of_work.name
         if got.is_error():
             self._record_failure(wanted, got.error)
-            return self._refuse(request, got.error)
+            left = wanted.call.deadline - self.clock.monotonic()
+            after = min(max(left, 0.0) * COME_AGAIN_SHARE, COME_AGAIN_MAX_SECONDS)
+            return self._refuse(request, got.error, after=after)
         answer = got.ok
         try:
             response = await send_answer(request, answer, {}, self._is_closing())
@@ -126,13 +162,13 @@
             self.fleet_key,
             request.method,
             request.raw_path,
-            request.headers[RELAY_HEADER],
+            request.headers.get(RELAY_HEADER, ""),
             request.headers.get(MAC_HEADER, ""),
             self.vm,
             self.clock.fleet_ms(),
         )
         if head.is_error():
-            return self._refuse(request, head.error)
+            return self._refuse(request, head.error, {})
         self.clock.observe(head.ok.stamp)
         call = self._make_call(request, head.ok)
         got = await self.gate.run(call)
@@ -149,27 +185,31 @@
 
     def _make_call(self, request: web.BaseRequest, head: Relay) -> Call:
         connection = request.headers.get("Connection", "")
+        now = self.clock.monotonic()
         return Call(
             id=head.call,
             class_name=head.class_name,
             service=head.service,
             method=request.method,
             target=request.raw_path,
-            headers=end_to_end(request.headers.items(), connection, OWN_REQUEST_HEADERS),
+            headers=end_to_end(request.headers.items(), connection, RELAY_HEADERS),
             body=read_relayed_body(request),
-            deadline=self.clock.monotonic() + head.left_ms / 1000,
+            deadline=now + head.left_ms / 1000,
             depth=head.depth,
             retry_budget=head.retry_budget,
             at_most_once=head.at_most_once,
             fingerprint=head.fingerprint,
             is_on_trial=head.is_on_trial,
+            request_id=head.request_id,
+            caller_service=head.caller_service,
+            target_at=math.inf if head.target_left_ms is None else now + head.target_left_ms / 1000,
+            priority=head.priority,
+            is_last_resort=head.is_last_resort,
         )
 
     def _report(self) -> dict[str, str]:
         """Return the header that reports the gate's load, if the measuring budget allows it."""
-        admission = self.gate.admission
-        waiting = admission.in_flight + admission.waiting
-        text = GateReport(waiting, self.gate.limit.limit).encode()
+        text = self.gate.report().encode()
         if not self.measuring.take(REPORT_OVERHEAD_BYTES + len(text)):
             return {}
         return {GATE_HEADER: text}
@@ -179,15 +219,17 @@
         request: web.BaseRequest,
         failure: Failure,
         extra: dict[str, str] | None = None,
+        after: float = 1.0,
     ) -> web.StreamResponse:
-        response = problem_response(failure)
+        dialect = OWN_DIALECT if extra is not None else self.dialect
+        response = problem_response(failure, dialect, after)
         response.headers.update(extra or {})
         if self._is_closing() or not request.content.at_eof():
             response.force_close()
         return response
 
     def _is_closing(self) -> bool:
-        return self.router.directory.me.is_leaving
+        return self.gate.directory.me.is_leaving
 
     def _record_failure(self, wanted: Request, failure: Failure) -> None:
         self.counts.count_failure(wanted.class_of_work.name, failure)
--- /dev/null
+++ b/kingcuppond/entry/ready.py
@@ -0,0 +1,24 @@
+"""Whether the platform may send callers to this daemon."""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp import web
+
+PATH: Final = "/ready"
+
+
+def make_ready_handler(
+    is_ready: Callable[[], bool],
+) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    """Make the handler of the readiness address.
+
+    :param is_ready: tells whether this daemon knows the configuration and goes on running
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if is_ready() else 503)
+
+    return handle
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -27,6 +27,10 @@
 DAEMON_STARTED: Final = Event(101, "info", "daemon {vm} started in {data_centre}")
 DAEMON_LEAVING: Final = Event(102, "info", "daemon {vm} is leaving: {in_flight} calls in progress")
 DAEMON_STOPPED: Final = Event(103, "info", "daemon {vm} stopped")
+SETTINGS_TAKEN: Final = Event(105, "info", "settings are taken up again: {what}")
+SETTINGS_REFUSED: Final = Event(
+    106, "error", "new settings are refused, the old ones stay: {error}"
+)
 TASK_FAILED: Final = Event(104, "error", "task {task} failed and starts again: {error}")
 MEMBER_JOINED: Final = Event(201, "info", "member {member} of {data_centre} is known")
 MEMBER_CHANGED: Final = Event(202, "info", "member {member} is {state}")
@@ -43,6 +47,11 @@
 SERVER_COLD: Final = Event(403, "warning", "server {address} is taken for cold: {why}")
 SERVER_DRAINING: Final = Event(404, "info", "server {address} is draining")
 GATE_REFUSED: Final = Event(405, "debug", "gate refused call {call}: {reason}")
+ANNOUNCEMENT_STALE: Final = Event(406, "info", "announcement of {instance} is older than others")
+DEPARTURE_NOT_RECORDED: Final = Event(
+    407, "warning", "the store did not take that {instance} leaves: {error}"
+)
+SERVER_CONFIRMED: Final = Event(408, "info", "server {instance} is healthy after a restart here")
 CALL_ANSWERED: Final = Event(501, "debug", "call {call} answered {status} by {member}")
 CALL_NOT_RUN: Final = Event(502, "info", "call {call} not run: {reason}")
 CALL_UNKNOWN: Final = Event(503, "warning", "call {call} has an unknown outcome: {reason}")
--- a/kingcuppond/gate/admission.py
+++ b/kingcuppond/gate/admission.py
@@ -1,10 +1,10 @@
 """Admission: who may run at the server now, who waits, who is refused.
 
 The number in flight never exceeds the limit, whoever sends the calls; that is the one exact bound
-in the system.  A few calls may wait, the one with the earliest deadline first.  When too many
-wait, one is refused from the class that has most of them waiting, so that no class starves
-another; and a call that could not be answered in time any more is refused at once.  A refused call
-was not run.
+in the system.  A few calls may wait, the most urgent class first and in it the one with the
+earliest deadline.  When too many wait, one is refused from the least urgent rank, and there from
+the class that has most of them waiting, so that no class starves another; and a call that could not
+be answered in time any more is refused at once.  A refused call was not run.
 
 A call on trial (see ``kingcuppond.harmful``) runs beside no other call on trial.
 """
@@ -19,9 +19,13 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.gate.limit import ConcurrencyLimit
+from kingcuppond.gate.pace import ColdPace
 from kingcuppond.outcomes import NotRun, Reason
 
 WAITING_PER_SLOT: Final = 1
+"""More would wait for longer than a call of their kind takes."""
+
+COLD_REFUSAL: Final = NotRun(Reason.FULL, "the server is cold and had its calls of this second")
 
 
 @attrs.define(eq=False)
@@ -32,6 +36,7 @@
     deadline: float
     is_on_trial: bool
     granted: "asyncio.Future[NotRun | None]"
+    priority: int = 0
     was_full: bool = False
     is_over: bool = False
 
@@ -42,14 +47,16 @@
 
     :param refusal: tells why no call may run at all now, or ``None``
     :param now: monotonic clock
+    :param pace: bounds the rate while the server is cold
     """
 
     limit: ConcurrencyLimit
     refusal: Callable[[], NotRun | None]
     now: Callable[[], float]
+    pace: ColdPace
     in_flight: int = 0
     trials_in_flight: int = 0
-    _heap: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
+    _heap: list[tuple[int, float, int, Ticket]] = attrs.field(factory=list)
     _waiting_by_class: Counter[str] = attrs.field(factory=Counter)
     _count: int = 0
 
@@ -59,7 +66,7 @@
         return self._waiting_by_class.total()
 
     async def enter(
-        self, class_name: str, deadline: float, is_on_trial: bool
+        self, class_name: str, deadline: float, is_on_trial: bool, priority: int = 0
     ) -> Result[Ticket, NotRun]:
         """Wait until the call may run.
 
@@ -70,7 +77,9 @@
         if refusal is not None:
             return Error(refusal)
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
-        ticket = Ticket(class_name, deadline, is_on_trial, future)
+        ticket = Ticket(class_name, deadline, is_on_trial, future, priority)
+        if not self.pace.may_start():
+            return Error(COLD_REFUSAL)
         if self._is_free(ticket) and not self.waiting:
             self._grant(ticket)
             return Ok(ticket)
@@ -104,13 +113,15 @@
         passed_over = []
         while self._heap and (refusal is not None or self.in_flight < self.limit.limit):
             entry = heapq.heappop(self._heap)
-            ticket = entry[2]
+            ticket = entry[-1]
             if ticket.granted.done():
                 continue
             if refusal is not None:
                 self._refuse(ticket, refusal)
             elif self._is_late(ticket):
                 self._refuse(ticket, NotRun(Reason.DEADLINE, "no time is left to run the call"))
+            elif not self.pace.may_start():
+                self._refuse(ticket, COLD_REFUSAL)
             elif self._is_free(ticket):
                 self._waiting_by_class[ticket.class_name] -= 1
                 self._grant(ticket)
@@ -130,26 +141,24 @@
 
     def _grant(self, ticket: Ticket) -> None:
         self.in_flight += 1
+        self.pace.start()
         self.trials_in_flight += ticket.is_on_trial
         ticket.was_full = self.in_flight >= self.limit.limit
 
     def _queue(self, ticket: Ticket) -> None:
         self._count += 1
-        heapq.heappush(self._heap, (ticket.deadline, self._count, ticket))
+        heapq.heappush(self._heap, (ticket.priority, ticket.deadline, self._count, ticket))
         self._waiting_by_class[ticket.class_name] += 1
 
     def _shed(self) -> None:
         if self.waiting <= WAITING_PER_SLOT * self.limit.limit:
             return
-        crowd, _ = self._waiting_by_class.most_common(1)[0]
+        waiting = [entry[-1] for entry in self._heap if not entry[-1].granted.done()]
         last = max(
-            (entry for entry in self._heap if self._is_waiting_of(entry[2], crowd)),
-            key=lambda entry: entry[:2],
+            waiting,
+            key=lambda it: (it.priority, self._waiting_by_class[it.class_name], it.deadline),
         )
-        self._refuse(last[2], NotRun(Reason.FULL, "the server is full and so is its queue"))
-
-    def _is_waiting_of(self, ticket: Ticket, class_name: str) -> bool:
-        return ticket.class_name == class_name and not ticket.granted.done()
+        self._refuse(last, NotRun(Reason.FULL, "the server is full and so is its queue"))
 
     def _refuse(self, ticket: Ticket, refusal: NotRun) -> None:
         self._waiting_by_class[ticket.class_name] -= 1
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -10,68 +10,110 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
-from typing import Final
+from typing import Any, Final
 
 import aiohttp
 import attrs
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
+from kingcuppond.configuration.objects import ServiceTerms
 from kingcuppond.configuration.replica import Configuration
+from kingcuppond.dialect import AnswerKind, Dialect, ServerRequest, ServerWord
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
-from kingcuppond.gate.announcements import SILENT_SECONDS, Announcement
+from kingcuppond.gate.announcements import Announcement
+from kingcuppond.gate.estimate import WorkEstimate
+from kingcuppond.gate.incarnation import Incarnation, IncarnationLog
 from kingcuppond.gate.limit import ConcurrencyLimit
+from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.pace import ColdPace
 from kingcuppond.harmful.messages import Level
 from kingcuppond.harmful.suspects import SuspectTable
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import ServerState
-from kingcuppond.outcomes import OUTCOME_HEADER, Failure, NotRun, Outcome, Reason, Unknown
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, BrokenAnswerError, Call
 from kingcuppond.routing.exchange import exchange, is_gone
-from kingcuppond.routing.headers import (
-    DEADLINE_HEADER,
-    DEPTH_HEADER,
-    RETRY_BUDGET_HEADER,
-    to_multidict,
-)
+from kingcuppond.routing.headers import to_multidict
+from kingcuppond.routing.view import GateReport
 
 SEEN_SECONDS: Final = 60.0
+"""Longer than any call may take, so that a doubled message is still known."""
+
 MAX_SEEN: Final = 50_000
-NOTE_SPREAD_SECONDS: Final = 0.25
 
 
 @attrs.define
 class Gate:
     """The state of the gate.
 
+    :param session: reuses its connections; for calls that may be repeated
+    :param fresh_session: opens a connection for each call; what a server still sends after an
+        earlier answer can't meet a call that must not be repeated
+    :param silent_seconds: a server that says nothing for so long is taken for gone
+    :param suspect_hold_seconds: how long the failure of a call that may have taken the server down
+        is held back, so that all daemons know of it first; 0: not at all
     :param is_isolated: tells whether this daemon is cut off from the fleet
+    :param is_unconfirmed: the server may have said to an earlier process that it leaves, so it must
+        be heard, and be healthy, before it gets calls
+    :param may_confirm: what an earlier process wrote of a departure was looked for
     """
 
     directory: Directory
     configuration: Configuration
     suspects: SuspectTable
     session: aiohttp.ClientSession
+    fresh_session: aiohttp.ClientSession
     clock: Clock
     journal: Journal
+    dialect: Dialect
+    silent_seconds: float
+    suspect_hold_seconds: float
     is_isolated: Callable[[], bool]
+    is_unconfirmed: bool = False
+    may_confirm: bool = True
     address: str = ""
-    announced_at: float = 0.0
+    heard_at: float = 0.0
     answered: int = 0
     refused: int = 0
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
+    incarnations: IncarnationLog = attrs.field(factory=IncarnationLog)
+    estimate: WorkEstimate = attrs.field(factory=WorkEstimate)
+    pace: ColdPace = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
+    observer: ServerObserver = attrs.field(init=False)
+    _was_out: bool = False
     _seen_by_call: dict[str, float] = attrs.field(factory=dict)
+    _tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
-        self.admission = Admission(self.limit, self.refusal, self.clock.monotonic)
+        now = self.clock.monotonic
+        self.pace = ColdPace(lambda: self._terms().cold_per_second, now)
+        if self.is_unconfirmed:
+            self.pace.assume_full()
+            self.pace.is_uncertain = True
+        self.admission = Admission(self.limit, self.refusal, now, self.pace)
+        self.observer = ServerObserver(
+            self.session,
+            self.dialect.read_word,
+            lambda: self._terms().health_path,
+            self.clock,
+            self._take_word,
+        )
 
     @property
     def in_flight(self) -> int:
         """How many calls the server runs now."""
         return self.admission.in_flight
 
+    def report(self) -> GateReport:
+        """Return the load that other daemons are told."""
+        admission = self.admission
+        waiting = admission.in_flight + admission.waiting
+        return GateReport(waiting, self.limit.limit, self.observer.slowdown)
+
     def refusal(self) -> NotRun | None:
         """Tell why no call may run at the server now, or ``None``."""
         me = self.directory.me
@@ -83,6 +125,8 @@
             return NotRun(Reason.LEAVING, f"the server beside {me.vm} is draining")
         if me.state is ServerState.ABSENT:
             return NotRun(Reason.NO_SERVER, f"no server announces itself to {me.vm}")
+        if self.is_unconfirmed:
+            return NotRun(Reason.NO_SERVER, f"the server beside {me.vm} is not confirmed yet")
         if self.configuration.is_out(me.data_centre):
             return NotRun(Reason.OUT_OF_SERVICE, f"{me.data_centre} is out of service")
         if self.is_isolated():
@@ -91,32 +135,64 @@
 
     def announce(self, announcement: Announcement) -> None:
         """Take an announcement of the server."""
-        self.announced_at = self.clock.monotonic()
+        before = self.incarnations.present
+        if not self.incarnations.take(announcement):
+            self.journal.record(catalogue.ANNOUNCEMENT_STALE, instance=announcement.instance)
+            return
+        self.heard_at = self.clock.monotonic()
         old = self.directory.me.state
-        is_new = announcement.address != self.address or old is ServerState.ABSENT
-        self.address = announcement.address
-        if announcement.load.slots > 0:
-            self.limit.set_slots(announcement.load.slots)
+        is_new = (
+            announcement.address != self.address
+            or self.incarnations.present != before
+            or old is ServerState.ABSENT
+        )
+        self.address = self.observer.address = announcement.address
         new = ServerState(announcement.state)
-        self.limit.is_said_cold = new is ServerState.COLD
-        if is_new or (new is ServerState.COLD and old is not ServerState.COLD):
-            self.limit.reset()
-        if new is old and not is_new:
-            return
-        event = catalogue.SERVER_ANNOUNCED
         if new is ServerState.DRAINING:
-            event = catalogue.SERVER_DRAINING
-        self.journal.record(event, address=self.address, state=new.value)
-        self.directory.update_me(state=new)
-        self.admission.wake()
+            self.incarnations.leave(self.incarnations.present)
+        elif self.incarnations.has_left:
+            new = ServerState.DRAINING
+        is_cold = new is ServerState.COLD
+        self._take_load(announcement, is_new or (is_cold and old is not ServerState.COLD))
+        if is_new or self.is_unconfirmed:
+            self.observer.forget()
+            self._keep(self.observer.freshen())
+        if new is not old or is_new:
+            self._set_state(new)
+
+    def withdraw(self, instance: str) -> Incarnation:
+        """Take that an incarnation of the server leaves, and return which one it is."""
+        leaving = self.incarnations.find(instance)
+        self.incarnations.leave(leaving)
+        if leaving == self.incarnations.present:
+            self._set_state(ServerState.DRAINING)
+        return leaving
+
+    def note_left(self, leaving: Incarnation) -> None:
+        """Take from an earlier process of this daemon that an incarnation leaves."""
+        self.incarnations.leave(leaving)
+        state = self.directory.me.state
+        if self.incarnations.has_left and state in (ServerState.COLD, ServerState.WARM):
+            self._set_state(ServerState.DRAINING)
 
     def check_silence(self) -> None:
-        """Take a server that stopped announcing itself for gone."""
+        """Take a server that stopped announcing itself, and answers nothing, for gone."""
         if self.directory.me.state is ServerState.ABSENT:
             return
-        if self.clock.monotonic() - self.announced_at > SILENT_SECONDS:
+        if self.clock.monotonic() - self.heard_at > self.silent_seconds:
             self._lose_server()
 
+    def note_configuration(self) -> None:
+        """Take a change of the configuration."""
+        is_out = self.configuration.is_out(self.directory.me.data_centre)
+        if self._was_out and not is_out:
+            # A server that was kept idle may be cold by now.
+            self.pace.is_uncertain = bool(self._terms().health_path)
+            self.observer.forget()
+            self._keep(self.observer.freshen())
+        self._was_out = is_out
+        self.admission.wake()
+
     async def run(self, call: Call) -> Result[Answer, Failure]:
         """Run a call at the server.
 
@@ -127,12 +203,23 @@
         level = self.suspects.level(call.fingerprint)
         if level is Level.HELD:
             return Error(NotRun(Reason.HARMFUL, f"request {call.fingerprint} takes servers down"))
+        refusal = self.refusal()
+        if refusal is None:
+            await self.observer.freshen()
+            refusal = self._find_late(call)
+        if refusal is not None:
+            return Error(self._refuse(call, refusal))
         is_on_trial = call.is_on_trial or level is Level.SUSPECTED
-        entered = await self.admission.enter(call.class_name, call.deadline, is_on_trial)
+        entered = await self.admission.enter(
+            call.class_name, call.deadline, is_on_trial, call.priority
+        )
         if entered.is_error():
             return Error(self._refuse(call, entered.error))
-        ticket = entered.ok
+        return await self._run_admitted(call, entered.ok)
+
+    async def _run_admitted(self, call: Call, ticket: Ticket) -> Result[Answer, Failure]:
         started = self.clock.monotonic()
+        slowdown = self.observer.slowdown
         try:
             got = await self._exchange(call)
         except BaseException:
@@ -143,36 +230,64 @@
             return got
         answer = got.ok
         if answer.chunks is None:
-            self._judge_answer(call, ticket, answer, started)
+            self._judge_answer(call, ticket, answer, started, slowdown)
             self.admission.leave(ticket)
             return got
-        return Ok(self._guard(call, ticket, answer, started))
+        return Ok(self._guard(call, ticket, answer, started, slowdown))
+
+    def _find_late(self, call: Call) -> NotRun | None:
+        """Tell whether a call would come too late here while another server may be in time."""
+        if self.observer.load is None:
+            return None
+        expected = self.estimate.expect(call.class_name, self.observer.slowdown)
+        if expected is None:
+            return None
+        if self.in_flight >= self.limit.limit:
+            expected *= 1 + (self.admission.waiting + 1) / self.limit.limit
+        due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
+        if self.clock.monotonic() + expected <= due:
+            return None
+        detail = f"an answer would take {expected * 1000:.0f} ms at {self.directory.me.vm}"
+        return NotRun(Reason.SLOW, detail)
 
     async def _exchange(self, call: Call) -> Result[Answer, Failure]:
         headers = to_multidict(call.headers)
         left_ms = int((call.deadline - time.monotonic()) * 1000)
-        headers[DEADLINE_HEADER] = str(max(left_ms, 1))
-        headers[DEPTH_HEADER] = str(call.depth)
-        headers[RETRY_BUDGET_HEADER] = str(call.retry_budget)
+        sent = ServerRequest(
+            max(left_ms, 1),
+            call.depth,
+            call.retry_budget,
+            call.caller_service,
+            self.incarnations.present.id,
+        )
+        headers.update(self.dialect.server_headers(sent))
+        kind_of = self.dialect.kind_of_answer
         got = await exchange(
-            self.session,
+            self.fresh_session if call.at_most_once else self.session,
             self.address,
             call.method,
             call.target,
             headers,
             call.body,
             call.deadline,
+            accept=lambda status, head: kind_of(status, head, headers) is not AnswerKind.UNUSABLE,
         )
         if got.is_error():
             return Error(got.error)
         head = got.ok.headers
         answer = got.ok.answer
-        if answer.status == 503 and head.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
-            await answer.close()
-            return Error(NotRun(Reason.SHED, f"the server beside {self.directory.me.vm} shed it"))
-        return Ok(answer)
+        self.observer.hear(head)
+        kind = kind_of(answer.status, head, headers)
+        if kind is AnswerKind.ANSWERED:
+            return Ok(answer)
+        await answer.close()
+        if kind is AnswerKind.OTHER_INSTANCE:
+            return Error(NotRun(Reason.NO_SERVER, "another server has the address now"))
+        return Error(NotRun(Reason.SHED, f"the server beside {self.directory.me.vm} shed it"))
 
-    def _guard(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> Answer:
+    def _guard(
+        self, call: Call, ticket: Ticket, answer: Answer, started: float, slowdown: float
+    ) -> Answer:
         # The call stays in flight until its streamed answer has ended.
         source = answer.chunks
         close = answer.close
@@ -186,7 +301,7 @@
                 lost = Unknown(Reason.CONNECTION_LOST, str(exc))
                 await self._judge_failure(call, ticket, lost)
                 raise
-            self._judge_answer(call, ticket, answer, started)
+            self._judge_answer(call, ticket, answer, started, slowdown)
 
         async def close_and_leave() -> None:
             self.admission.leave(ticket)
@@ -194,13 +309,16 @@
 
         return attrs.evolve(answer, chunks=guarded(), close=close_and_leave)
 
-    def _judge_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
+    def _judge_answer(
+        self, call: Call, ticket: Ticket, answer: Answer, started: float, slowdown: float
+    ) -> None:
         self.answered += 1
         self.suspects.answered(call.fingerprint)
         if answer.status >= 500:
             self._note_cold(self.limit.failed(), "it answers with errors")
             return
         seconds = self.clock.monotonic() - started
+        self.estimate.learn(call.class_name, seconds, slowdown)
         is_cold = self.limit.answered(call.class_name, seconds, ticket.was_full)
         self._note_cold(is_cold, "its answers became slow")
 
@@ -209,13 +327,64 @@
         if failure.reason is not Reason.SHED:
             self._note_cold(self.limit.failed(), failure.reason.value)
         self.admission.leave(ticket)
+        if failure.reason is Reason.UNREACHABLE:
+            self._keep(self._check_gone())
         # While a call on trial is in flight, the others beside it are innocent.
         if failure.reason is not Reason.CONNECTION_LOST or not (ticket.is_on_trial or is_alone):
             return
+        blaming = asyncio.ensure_future(self._blame(call, ticket))
+        self._keep(blaming)
+        if self.suspect_hold_seconds:
+            await asyncio.shield(blaming)
+
+    async def _blame(self, call: Call, ticket: Ticket) -> None:
         if await is_gone(self.address):
             self.suspects.blame(call.fingerprint, ticket.is_on_trial)
             # The caller may send it again at once: the news must be everywhere by then.
-            await asyncio.sleep(NOTE_SPREAD_SECONDS)
+            await asyncio.sleep(self.suspect_hold_seconds)
+
+    async def _check_gone(self) -> None:
+        if await is_gone(self.address) and self.directory.me.state is not ServerState.ABSENT:
+            self._lose_server()
+
+    def _take_load(self, announcement: Announcement, starts_anew: bool) -> None:
+        self.limit.is_learning = announcement.cold_ms is None
+        if announcement.load.slots > 0:
+            self.limit.set_slots(announcement.load.slots)
+        self.limit.is_said_cold = announcement.state == "cold"
+        if announcement.cold_ms is not None:
+            self.pace.hear(announcement.cold_ms)
+        if starts_anew:
+            self.limit.reset()
+
+    def _take_word(self, word: ServerWord, is_healthy: bool) -> None:
+        """Take what the server said of itself on an answer."""
+        present = self.incarnations.present.id
+        if word.instance and present and word.instance != present:
+            if self.directory.me.state is not ServerState.ABSENT:
+                self._lose_server()
+            return
+        if word.load is not None:
+            self.heard_at = self.clock.monotonic()
+        if word.cold_ms is not None:
+            self.pace.hear(word.cold_ms)
+        if not (is_healthy and word.instance and word.instance == present):
+            return
+        if self.is_unconfirmed and self.may_confirm:
+            self.is_unconfirmed = False
+            self.journal.record(catalogue.SERVER_CONFIRMED, instance=present)
+        if self.directory.me.state is ServerState.ABSENT:
+            has_left = self.incarnations.has_left
+            self._set_state(ServerState.DRAINING if has_left else ServerState.WARM)
+
+    def _set_state(self, state: ServerState) -> None:
+        event = catalogue.SERVER_ANNOUNCED
+        if state is ServerState.DRAINING:
+            event = catalogue.SERVER_DRAINING
+        self.journal.record(event, address=self.address, state=state.value)
+        present = self.incarnations.present
+        self.directory.update_me(state=state, instance=present.id, born_ms=present.born_ms)
+        self.admission.wake()
 
     def _note_cold(self, is_cold: bool, why: str) -> None:
         if is_cold:
@@ -230,8 +399,18 @@
         self.journal.record(catalogue.SERVER_SILENT, address=self.address)
         self.directory.update_me(state=ServerState.ABSENT)
         self.limit.reset()
+        self.observer.forget()
         self.admission.wake()
 
+    def _terms(self) -> ServiceTerms:
+        service = self.directory.me.service
+        return self.configuration.services_by_name.get(service) or ServiceTerms(service)
+
+    def _keep(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _is_first(self, call_id: str) -> bool:
         """Remember a call's id, so that a doubled or replayed message does not run it again."""
         now = self.clock.monotonic()
--- a/kingcuppond/gate/limit.py
+++ b/kingcuppond/gate/limit.py
@@ -11,6 +11,10 @@
 
 Answers of different classes take different times, so each is measured against the first one of its
 class.
+
+Where servers tell themselves for how long they are cold, and their machines change their speed many
+times a second, nothing is learnt: the limit is the number of slots, and the rate of a cold server
+is bounded by ``kingcuppond.gate.pace``.
 """
 
 from statistics import median
@@ -35,11 +39,13 @@
 
     :param slots: how many calls the server says that it runs at once
     :param is_said_cold: whether the server says that it is cold
+    :param is_learning: whether the limit is learnt from evidence, and is not the number of slots
     """
 
     slots: int = MAX_SLOTS
     limit: int = COLD_LIMIT
     is_said_cold: bool = False
+    is_learning: bool = True
     _first_by_class: dict[str, float] = attrs.field(factory=dict)
     _typical_by_class: dict[str, float] = attrs.field(factory=dict)
     _window: list[float] = attrs.field(factory=list)
@@ -51,7 +57,7 @@
 
     def reset(self) -> None:
         """Start again from almost nothing."""
-        self.limit = COLD_LIMIT
+        self.limit = COLD_LIMIT if self.is_learning else self.slots
         self._proved = COLD_LIMIT
         self._windows = 0
         self._bad = 0
@@ -63,7 +69,7 @@
     def set_slots(self, slots: int) -> None:
         """Take the number of slots that the server announces."""
         self.slots = max(1, min(slots, MAX_SLOTS))
-        self.limit = min(self.limit, self.slots)
+        self.limit = min(self.limit, self.slots) if self.is_learning else self.slots
         self._proved = min(self._proved, self.slots)
 
     def answered(self, class_name: str, seconds: float, was_full: bool) -> bool:
@@ -73,6 +79,8 @@
         :param was_full: whether the limit was reached while the call ran
         :return: whether the limit was lowered
         """
+        if not self.is_learning:
+            return False
         if len(self._first_by_class) >= MAX_CLASSES:
             self.reset()
         first = self._first_by_class.setdefault(class_name, seconds)
@@ -95,7 +103,7 @@
 
         :return: whether the limit was lowered
         """
-        is_lowered = self._note_bad(COLD_LIMIT)
+        is_lowered = self.is_learning and self._note_bad(COLD_LIMIT)
         if is_lowered:
             self.reset()
         return is_lowered
--- a/kingcuppond/membership/directory.py
+++ b/kingcuppond/membership/directory.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -15,7 +15,7 @@
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.messages import Member, ServerState, Suspicion
+from kingcuppond.membership.messages import Member, Suspicion
 
 DEAD_AFTER_SECONDS: Final = 2.0
 FORGET_AFTER_SECONDS: Final = 3600.0
@@ -43,6 +43,7 @@
     digest: int = 0
     generation: int = 0
     on_own_change: list[Callable[[Member], None]] = attrs.field(factory=list)
+    on_earlier_self: list[Callable[[Member], None]] = attrs.field(factory=list)
     _suspected_by_vm: dict[str, _Suspected] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -71,14 +72,12 @@
             self.journal.record(catalogue.MEMBER_CHANGED, member=member.vm, state=state)
         return True
 
-    def update_me(self, state: ServerState | None = None, is_leaving: bool | None = None) -> Member:
-        """Tell something new of this daemon."""
-        self.me = attrs.evolve(
-            self.me,
-            seq=self.me.seq + 1,
-            state=self.me.state if state is None else state,
-            is_leaving=self.me.is_leaving if is_leaving is None else is_leaving,
-        )
+    def update_me(self, **changes: Any) -> Member:
+        """Tell something new of this daemon.
+
+        :param changes: fields of :class:`Member` with their new values
+        """
+        self.me = attrs.evolve(self.me, seq=self.me.seq + 1, **changes)
         self._put(self.me)
         for call in self.on_own_change:
             call(self.me)
@@ -149,6 +148,8 @@
 
     def _outlive(self, member: Member) -> None:
         # An earlier process of this VM, or one with a faster wall clock, told of itself.
+        for call in self.on_earlier_self:
+            call(member)
         self.me = attrs.evolve(
             self.me, incarnation=max(self.me.incarnation, member.incarnation + 1), seq=0
         )
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -13,13 +13,15 @@
 from typing import Any, Final
 
 from kingcuppond.clock import Clock
-from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.configuration.replica import Configuration, ObjectHead, VersionedObject
 from kingcuppond.events.journal import Journal
 from kingcuppond.harmful.suspects import SuspectTable
 from kingcuppond.membership.contacts import choose_contacts, ping_interval
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import (
     Member,
+    ObjectsAsk,
+    ObjectsReply,
     Ping,
     Pong,
     Rumours,
@@ -37,6 +39,9 @@
 HOUSEKEEPING_SECONDS: Final = 0.1
 HEARD_SECONDS: Final = 2.0
 
+PULL_DELAY_SECONDS: Final = 0.1
+"""A daemon's own watch usually brings an object sooner than that, and then nothing is asked for."""
+
 
 class Gossip:
     """A daemon's side of the gossip.
@@ -65,9 +70,11 @@
         self._contacts: dict[str, Member] = {}
         self._pingers_by_vm: dict[str, asyncio.Task[None]] = {}
         self._generation = -1
+        self._pulls_by_vm: dict[str, asyncio.Task[None]] = {}
         transport.handlers_by_type[Ping] = self._on_ping
         transport.handlers_by_type[Rumours] = self._on_rumours
         transport.handlers_by_type[SyncAsk] = self._on_sync
+        transport.handlers_by_type[ObjectsAsk] = self._on_objects_ask
         directory.on_own_change.append(lambda me: self.spread(Rumours(members=(me,))))
         suspects.on_note.append(lambda note: self.spread(Rumours(notes=(note,))))
 
@@ -77,7 +84,7 @@
 
     def stop(self) -> None:
         """End all pings."""
-        for task in self._pingers_by_vm.values():
+        for task in (*self._pingers_by_vm.values(), *self._pulls_by_vm.values()):
             task.cancel()
         self._pingers_by_vm.clear()
 
@@ -90,8 +97,9 @@
                 self._transport.tell(member.peer_address, news)
 
     def spread_objects(self, objects: list[VersionedObject]) -> None:
-        """Merge objects of the store into the configuration and spread what was news."""
-        self.spread(Rumours(objects=tuple(self._configuration.merge(objects))))
+        """Merge objects of the store into the configuration and tell of those that were news."""
+        news = self._configuration.merge(objects)
+        self.spread(Rumours(heads=tuple(item.head for item in news)))
 
     async def join(self, addresses: list[str]) -> bool:
         """Make this daemon known to a few others and learn what they know.
@@ -134,12 +142,19 @@
     async def _on_rumours(self, sender: str, rumours: Rumours) -> None:
         self._hear(sender)
         self.spread(self._merge(rumours), except_vm=sender)
+        self._pull_news(sender, rumours.heads)
 
     async def _on_sync(self, sender: str, ask: SyncAsk) -> SyncReply:
         self._hear(sender)
         news = self._news_for(ask.known)
         self.spread(self._merge(ask.known), except_vm=sender)
-        return SyncReply(news, self._configuration.is_ready)
+        self._pull_news(sender, ask.known.heads)
+        objects = self._objects_newer_than(ask.known.heads)
+        return SyncReply(news, objects, self._configuration.is_complete)
+
+    async def _on_objects_ask(self, sender: str, ask: ObjectsAsk) -> ObjectsReply:
+        self._hear(sender)
+        return ObjectsReply(self._objects_newer_than(ask.known))
 
     def _hear(self, vm: str) -> None:
         self.heard_at_by_vm[vm] = self._clock.monotonic()
@@ -147,7 +162,6 @@
     def _merge(self, rumours: Rumours) -> Rumours:
         return Rumours(
             members=tuple(m for m in rumours.members if self.directory.merge(m)),
-            objects=tuple(self._configuration.merge(rumours.objects)),
             suspicions=tuple(s for s in rumours.suspicions if self.directory.suspect(s)),
             notes=tuple(n for n in rumours.notes if self._suspects.merge(n)),
         )
@@ -155,19 +169,17 @@
     def _everything(self) -> Rumours:
         return Rumours(
             members=tuple(self.directory.members_by_vm.values()),
-            objects=tuple(self._configuration.objects_by_name.values()),
+            heads=tuple(item.head for item in self._configuration.objects_by_key.values()),
             suspicions=tuple(self.directory.suspicions()),
             notes=tuple(self._suspects.notes()),
         )
 
     def _news_for(self, known: Rumours) -> Rumours:
         members = {m.vm: m.version for m in known.members}
-        objects = {o.name: o.version for o in known.objects}
         notes = {n.fingerprint: n.stamp for n in known.notes}
         mine = self._everything()
         return Rumours(
             members=tuple(m for m in mine.members if members.get(m.vm, (0, 0)) < m.version),
-            objects=tuple(o for o in mine.objects if objects.get(o.name, 0) < o.version),
             suspicions=mine.suspicions,
             notes=tuple(n for n in mine.notes if notes.get(n.fingerprint) != n.stamp),
         )
@@ -179,9 +191,35 @@
             return False
         self.spread(self._merge(reply.ok.news))
         # A few rumours are not the whole configuration; only one who has it can hand it on.
-        self._configuration.is_ready |= reply.ok.is_ready
+        self._configuration.is_complete |= reply.ok.is_complete
+        self.spread_objects(list(reply.ok.objects))
         return True
 
+    def _objects_newer_than(self, heads: tuple[ObjectHead, ...]) -> tuple[VersionedObject, ...]:
+        known = {(head.kind, head.name): head.version for head in heads}
+        mine = self._configuration.objects_by_key.values()
+        return tuple(item for item in mine if known.get(item.key, 0) < item.version)
+
+    def _pull_news(self, vm: str, heads: tuple[ObjectHead, ...]) -> None:
+        """Ask a daemon for the objects that it told of, unless they come by themselves."""
+        if vm in self._pulls_by_vm or not any(map(self._configuration.is_news, heads)):
+            return
+        task = asyncio.create_task(self._pull(vm, heads))
+        self._pulls_by_vm[vm] = task
+        task.add_done_callback(lambda _: self._pulls_by_vm.pop(vm, None))
+
+    async def _pull(self, vm: str, heads: tuple[ObjectHead, ...]) -> None:
+        await asyncio.sleep(PULL_DELAY_SECONDS * self._rng.uniform(0.5, 1.5))
+        member = self.directory.members_by_vm.get(vm)
+        if member is None or not any(map(self._configuration.is_news, heads)):
+            return
+        ask = ObjectsAsk(self._everything().heads)
+        reply = await self._transport.ask(
+            member.peer_address, ask, ObjectsReply, SYNC_TIMEOUT_SECONDS
+        )
+        if reply.is_ok():
+            self.spread_objects(list(reply.ok.objects))
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from kingcuppond.configuration.replica import VersionedObject
+from kingcuppond.configuration.replica import ObjectHead, VersionedObject
 from kingcuppond.harmful.messages import HarmNote
 
 
@@ -23,19 +23,24 @@
 
     :param incarnation: larger after each start of the VM's daemon
     :param seq: larger after each change within an incarnation
+    :param relay_address: where its gate takes calls from other daemons
     :param is_leaving: the daemon takes no new work and is about to stop
+    :param instance: id of the server's present incarnation, empty if servers have none
+    :param born_ms: Unix milliseconds of the server's start, 0 if unknown
     """
 
     vm: str
     data_centre: str
     service: str
-    caller_address: str
+    relay_address: str
     peer_address: str
     metrics_address: str
     incarnation: int
     seq: int = 0
     state: ServerState = ServerState.ABSENT
     is_leaving: bool = False
+    instance: str = ""
+    born_ms: int = 0
 
     @property
     def version(self) -> tuple[int, int]:
@@ -57,15 +62,18 @@
 
 @attrs.frozen
 class Rumours:
-    """News that is passed on from daemon to daemon."""
+    """News that is passed on from daemon to daemon.
+
+    Of objects of configuration only the versions are told; who lacks one asks for it.
+    """
 
     members: tuple[Member, ...] = ()
-    objects: tuple[VersionedObject, ...] = ()
+    heads: tuple[ObjectHead, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     notes: tuple[HarmNote, ...] = ()
 
     def __bool__(self) -> bool:
-        return bool(self.members or self.objects or self.suspicions or self.notes)
+        return bool(self.members or self.heads or self.suspicions or self.notes)
 
 
 @attrs.frozen
@@ -93,8 +101,24 @@
 class SyncReply:
     """What the asked daemon knows and the sender did not.
 
-    :param is_ready: whether the asked daemon has the whole configuration
+    :param objects: objects of configuration that the sender lacked
+    :param is_complete: whether the asked daemon has the whole configuration
     """
 
     news: Rumours
-    is_ready: bool
+    objects: tuple[VersionedObject, ...]
+    is_complete: bool
+
+
+@attrs.frozen
+class ObjectsAsk:
+    """Asks for objects of configuration that are newer than the heads."""
+
+    known: tuple[ObjectHead, ...]
+
+
+@attrs.frozen
+class ObjectsReply:
+    """The objects that were asked for."""
+
+    objects: tuple[VersionedObject, ...]
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -3,6 +3,9 @@
 A daemon writes its object once when it starts, and deletes it when it stops as planned.  It is no
 heartbeat: whether a daemon lives, its contacts tell.  Watchers read the listing now and then, so
 that two groups of daemons that never heard of each other become one.
+
+The settings may name a few seeds, other VMs whose daemons are asked at the start; with them a
+daemon finds the others also while the store is down.
 """
 
 import asyncio
@@ -10,7 +13,6 @@
 from random import Random
 from typing import Final
 
-import msgspec
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
@@ -19,18 +21,20 @@
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member
-from kingcuppond.store.client import ABSENT, Store, StoreError
+from kingcuppond.store.port import ABSENT, Store, StoreError, decode_body, encode_body, is_same_json
 
 KIND: Final = "daemon"
 ASKED_AT_JOIN: Final = 8
 FIRST_BACKOFF_SECONDS: Final = 0.2
 MAX_BACKOFF_SECONDS: Final = 5.0
-REVIEW_SECONDS: Final = 10.0
+REVIEW_SECONDS: Final = 30.0
+SEED_SECONDS: Final = 0.3
 
 
 class Registration:
     """A daemon's object in the store, and its way into the fleet.
 
+    :param seeds: peer addresses of daemons to ask first
     :param is_watching: tells whether this daemon watches the store for its data centre
     """
 
@@ -42,6 +46,7 @@
         clock: Clock,
         journal: Journal,
         rng: Random,
+        seeds: list[str],
         is_watching: Callable[[], bool],
     ) -> None:
         self.is_registered = False
@@ -52,10 +57,25 @@
         self._clock = clock
         self._journal = journal
         self._rng = rng
+        self._seeds = seeds
         self._is_watching = is_watching
 
     async def run(self) -> None:
         """Register and join, with backoff and jitter, then review the listing now and then."""
+        await asyncio.gather(self._join_through_seeds(), self._join_through_store())
+        while True:
+            await asyncio.sleep(REVIEW_SECONDS * self._rng.uniform(0.5, 1.5))
+            if self._is_watching() or len(self._directory.members_by_vm) == 1:
+                await self._meet_unknown()
+
+    async def _join_through_seeds(self) -> None:
+        while self._seeds and not self.has_asked_others:
+            if await self._gossip.join(self._seeds):
+                self.has_asked_others = True
+                return
+            await asyncio.sleep(SEED_SECONDS * self._rng.uniform(0.5, 1.0))
+
+    async def _join_through_store(self) -> None:
         backoff = FIRST_BACKOFF_SECONDS
         while not self.is_registered:
             registered = await self._register()
@@ -68,10 +88,6 @@
         while not await self._meet_unknown():
             await asyncio.sleep(FIRST_BACKOFF_SECONDS)
         self.has_asked_others = True
-        while True:
-            await asyncio.sleep(REVIEW_SECONDS * self._rng.uniform(0.5, 1.5))
-            if self._is_watching() or len(self._directory.members_by_vm) == 1:
-                await self._meet_unknown()
 
     async def withdraw(self) -> None:
         """Delete this daemon's object, if the store answers."""
@@ -82,11 +98,11 @@
     async def _register(self) -> Result[None, StoreError]:
         # A lost answer is no harm: the next try reads the object and finds it written.
         me = self._directory.me
-        body = msgspec.json.encode(me)
+        body = encode_body(me)
         found = await self._store.get(KIND, me.vm)
         if found.is_error():
             return Error(found.error)
-        if found.ok is not None and found.ok.body == body:
+        if found.ok is not None and is_same_json(found.ok.body, body):
             return Ok(None)
         expected = ABSENT if found.ok is None else found.ok.version
         return (await self._store.put(KIND, me.vm, body, expected)).map(lambda _: None)
@@ -100,18 +116,10 @@
         if listed.is_error():
             return False
         known = self._directory.members_by_vm
-        unknown = [item.name for item in listed.ok.items if item.name not in known]
+        unknown = [item for item in listed.ok.items if item.name not in known]
         chosen = self._rng.sample(unknown, min(ASKED_AT_JOIN, len(unknown)))
-        addresses = []
-        for name in chosen:
-            read = await self._store.get(KIND, name)
-            if read.is_error() or read.ok is None:
-                continue
-            try:
-                member = msgspec.json.decode(read.ok.body, type=Member)
-            except msgspec.MsgspecError:
-                continue
-            addresses.append(member.peer_address)
+        members = [decode_body(item.body, Member) for item in chosen]
+        addresses = [member.ok.peer_address for member in members if member.is_ok()]
         if addresses:
             await self._gossip.join(addresses)
         return True
--- a/kingcuppond/operators/changes.py
+++ b/kingcuppond/operators/changes.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.configuration.objects import KIND
-from kingcuppond.store.client import ABSENT, Store, StoreError
+from kingcuppond.store.port import ABSENT, Store, Stored, StoreError, is_same_json
 
 READ_BACK_TRIES: Final = 5
 READ_BACK_SECONDS: Final = 0.3
@@ -61,7 +61,7 @@
         return Error(_conflict(name, version))
     if found is None and body is None:
         return Error(ChangeError(f"there is no {name}", EXIT_CONFLICT))
-    if found is not None and found.body == body:
+    if found is not None and body is not None and is_same_json(found.body, body):
         return Ok(Changed(version, is_new=False))
     if body is None:
         written = await store.delete(KIND, name, version)
@@ -88,13 +88,19 @@
         if now == version:
             # The write may still be on its way, so this is no proof that it was not made.
             continue
-        if (None if read.ok is None else read.ok.body) == body:
+        if _holds(read.ok, body):
             return Ok(Changed(now))
         return Error(_conflict(name, now))
     detail = f"the platform's answer was lost, and it is unknown whether {name} was changed"
     return Error(ChangeError(f"{detail}; look again before you repeat it", EXIT_UNKNOWN))
 
 
+def _holds(found: Stored | None, body: bytes | None) -> bool:
+    if found is None or body is None:
+        return found is None and body is None
+    return is_same_json(found.body, body)
+
+
 def _conflict(name: str, version: int) -> ChangeError:
     message = f"{name} was changed by someone else (now version {version}); nothing was written"
     return ChangeError(message, EXIT_CONFLICT)
--- a/kingcuppond/operators/reading.py
+++ b/kingcuppond/operators/reading.py
@@ -17,7 +17,7 @@
 from kingcuppond.membership.messages import Member
 from kingcuppond.membership.registration import KIND
 from kingcuppond.operators.messages import DaemonStatus
-from kingcuppond.store.client import Store
+from kingcuppond.store.port import Store, decode_body
 
 ASKED_FIRST: Final = 8
 READ_SECONDS: Final = 2.0
@@ -47,12 +47,12 @@
     listed = await store.list(KIND)
     if listed.is_error():
         return Error(ReadError(f"platform: {listed.error.message}"))
-    names = [item.name for item in listed.ok.items]
-    for name in rng.sample(names, min(ASKED_FIRST, len(names))):
-        read = await store.get(KIND, name)
-        if read.is_error() or read.ok is None:
+    items = listed.ok.items
+    for item in rng.sample(items, min(ASKED_FIRST, len(items))):
+        decoded = decode_body(item.body, Member)
+        if decoded.is_error():
             continue
-        member = msgspec.json.decode(read.ok.body, type=Member)
+        member = decoded.ok
         async with aiohttp.ClientSession() as session:
             status = await _read(session, member, "/v1/status", DaemonStatus)
         if status is not None:
--- /dev/null
+++ b/kingcuppond/operators/status.py
@@ -0,0 +1,72 @@
+"""What a daemon shows of itself: its status page and its gauges."""
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import Gauge
+
+from kingcuppond.membership.messages import Member
+from kingcuppond.operators.messages import DaemonStatus, MemberStatus
+from kingcuppond.operators.port import cpu_seconds, resident_bytes
+
+if TYPE_CHECKING:
+    from kingcuppond.daemon import Daemon
+
+
+def read_status(daemon: "Daemon") -> DaemonStatus:
+    """Return what a daemon sees."""
+    me = daemon.directory.me
+    admission = daemon.gate.admission
+    return DaemonStatus(
+        vm=me.vm,
+        data_centre=me.data_centre,
+        service=me.service,
+        configuration_version=daemon.configuration.version,
+        data_centres_out=sorted(daemon.configuration.data_centres_out),
+        is_watching=daemon.watcher.is_watching,
+        is_isolated=daemon.watcher.is_isolated(),
+        server_state="leaving" if me.is_leaving else me.state.value,
+        in_flight=admission.in_flight,
+        waiting=admission.waiting,
+        limit=daemon.gate.limit.limit,
+        slots=daemon.gate.limit.slots,
+        attempts=daemon.sender.attempts,
+        claim_commits=daemon.home.commits,
+        control_bytes=daemon.transport.bytes_sent,
+        control_messages=daemon.transport.messages_sent,
+        measuring_bytes=int(daemon.measuring.spent),
+        resident_bytes=resident_bytes(),
+        cpu_seconds=cpu_seconds(),
+        members=[
+            MemberStatus(member, _condition(daemon, member))
+            for _, member in sorted(daemon.directory.members_by_vm.items())
+        ],
+        held=daemon.suspects.held(),
+    )
+
+
+def make_gauges(daemon: "Daemon") -> None:
+    """Register the gauges of a daemon."""
+    readings = {
+        "gate_in_flight": ("Calls that the server runs now", lambda: daemon.gate.in_flight),
+        "gate_limit": ("Calls that may run at once", lambda: daemon.gate.limit.limit),
+        "gate_answered": ("Calls that the server answered", lambda: daemon.gate.answered),
+        "gate_refused": ("Calls that the gate refused", lambda: daemon.gate.refused),
+        "attempts": ("Attempts sent to servers", lambda: daemon.sender.attempts),
+        "claim_commits": ("Writes of claims to the store", lambda: daemon.home.commits),
+        "control_bytes": ("Bytes of control sent", lambda: daemon.transport.bytes_sent),
+        "measuring_bytes": ("Bytes of load reports sent", lambda: daemon.measuring.spent),
+        "members": ("Members known", lambda: len(daemon.directory.members_by_vm)),
+        "configuration_version": (
+            "Newest version of the store heard of",
+            lambda: daemon.configuration.version,
+        ),
+    }
+    for name, (text, reading) in readings.items():
+        gauge = Gauge(f"kingcuppond_{name}", text, registry=daemon.registry)
+        gauge.set_function(reading)
+
+
+def _condition(daemon: "Daemon", member: Member) -> str:
+    if daemon.directory.is_dead(member.vm):
+        return "dead"
+    return "suspected" if daemon.directory.is_suspected(member.vm) else "alive"
--- a/kingcuppond/outcomes.py
+++ b/kingcuppond/outcomes.py
@@ -15,7 +15,6 @@
 
 OUTCOME_HEADER: Final = "Kingcuppond-Outcome"
 PROBLEM_TYPE: Final = "application/problem+json"
-RETRY_AFTER_SECONDS: Final = 1
 
 
 class Outcome(StrEnum):
@@ -36,6 +35,7 @@
     NOT_READY = "not-ready"
     NO_SERVER = "no-server"
     FULL = "full"
+    SLOW = "server-slow-now"
     LEAVING = "leaving"
     OUT_OF_SERVICE = "data-centre-out"
     ISOLATED = "isolated"
@@ -121,7 +121,4 @@
 
 def problem_headers(failure: Failure) -> dict[str, str]:
     """Return the headers of the answer for a failure."""
-    headers = {"Content-Type": PROBLEM_TYPE, OUTCOME_HEADER: outcome_of(failure).value}
-    if failure.status == 503:
-        headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
-    return headers
+    return {"Content-Type": PROBLEM_TYPE, OUTCOME_HEADER: outcome_of(failure).value}
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -7,7 +7,15 @@
 from typing import Final
 
 from kingcuppond.claims.messages import ClaimAsk, ClaimReply, RecallAsk, RecallReply
-from kingcuppond.membership.messages import Ping, Pong, Rumours, SyncAsk, SyncReply
+from kingcuppond.membership.messages import (
+    ObjectsAsk,
+    ObjectsReply,
+    Ping,
+    Pong,
+    Rumours,
+    SyncAsk,
+    SyncReply,
+)
 
 TYPES_BY_TAG: Final[dict[str, type]] = {
     "ping": Ping,
@@ -15,6 +23,8 @@
     "rumours": Rumours,
     "sync-ask": SyncAsk,
     "sync-reply": SyncReply,
+    "objects-ask": ObjectsAsk,
+    "objects-reply": ObjectsReply,
     "claim-ask": ClaimAsk,
     "claim-reply": ClaimReply,
     "recall-ask": RecallAsk,
--- a/kingcuppond/peers/transport.py
+++ b/kingcuppond/peers/transport.py
@@ -4,8 +4,9 @@
 say to; sockets that were idle for a while are closed, so their number follows the contacts and not
 the fleet.  A message is two frames: a header, then a body whose type the header's tag names.
 
-Only daemons that hold the fleet's key can speak here.  The key is the secret half of a CURVE key
-pair that all daemons share: a connection is refused unless the other end proves that it has it.
+If the fleet has a key, only daemons that hold it can speak here.  It is the secret half of a CURVE
+key pair that all daemons share: a connection is refused unless the other end proves that it has it.
+Without a key the network between the daemons is trusted.
 
 A ``tell`` may be lost; an ``ask`` has a deadline.  Nothing here repeats a message.
 """
@@ -78,8 +79,10 @@
     secret: bytes
 
 
-def derive_keys(fleet_key: bytes) -> FleetKeys:
-    """Make the CURVE key pair from the 32 bytes of the fleet's key."""
+def derive_keys(fleet_key: bytes) -> FleetKeys | None:
+    """Make the CURVE key pair from the 32 bytes of the fleet's key; none without a key."""
+    if not fleet_key:
+        return None
     secret = zmq.utils.z85.encode(fleet_key)
     return FleetKeys(zmq.curve_public(secret), secret)
 
@@ -96,7 +99,7 @@
         self,
         vm: str,
         address: str,
-        keys: FleetKeys,
+        keys: FleetKeys | None,
         types_by_tag: dict[str, type],
         clock: Clock,
         journal: Journal,
@@ -123,20 +126,21 @@
 
         :raises zmq.ZMQError: the address cannot be bound
         """
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
-        self._authenticator.start()
-        self._authenticator.configure_curve_callback(ZAP_DOMAIN, credentials_provider=self)
         socket = self._context.socket(zmq.ROUTER)
         self._configure(socket)
-        socket.curve_server = True
-        socket.zap_domain = ZAP_DOMAIN.encode()
+        if self._keys is not None:
+            self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback(ZAP_DOMAIN, credentials_provider=self)
+            socket.curve_server = True
+            socket.zap_domain = ZAP_DOMAIN.encode()
         socket.bind(f"tcp://{self._address}")
         self._keep(self._serve(socket))
         self._keep(self._close_idle())
 
     def callback(self, _domain: str, key: bytes) -> bool:
         """Tell the authenticator whether a client's public key is the fleet's."""
-        return key == self._keys.public
+        return self._keys is not None and key == self._keys.public
 
     async def close(self) -> None:
         """Close all sockets and end all tasks."""
@@ -183,13 +187,15 @@
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.heartbeat_ivl = HEARTBEAT_MS
         socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
-        socket.curve_publickey = self._keys.public
-        socket.curve_secretkey = self._keys.secret
+        if self._keys is not None:
+            socket.curve_publickey = self._keys.public
+            socket.curve_secretkey = self._keys.secret
 
     def _connect(self, address: str) -> _Connection:
         socket = self._context.socket(zmq.DEALER)
         self._configure(socket)
-        socket.curve_serverkey = self._keys.public
+        if self._keys is not None:
+            socket.curve_serverkey = self._keys.public
         # A connection that was never made must not queue what is old by the time it is made.
         socket.immediate = False
         socket.connect(f"tcp://{address}")
--- /dev/null
+++ b/kingcuppond/platform/configuration.py
@@ -0,0 +1,119 @@
+"""The operators' configuration as the platform's store holds it.
+
+``config/main`` holds all routes and services, each as a table of ``Columns`` and ``Rows``; a route
+becomes a class of work.  ``evacuations/ZONE`` exists as long as the data centre is out of service.
+"""
+
+from typing import Any, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from kingcuppond.configuration.objects import (
+    AllClasses,
+    ClassOfWork,
+    ConfigurationChange,
+    ConfigurationFormat,
+    DataCentreState,
+    ObjectError,
+    ServiceShare,
+    ServiceTerms,
+)
+from kingcuppond.platform.durations import read_ms
+
+CONFIG_KIND: Final = "config"
+CONFIG_NAME: Final = "main"
+EVACUATIONS_KIND: Final = "evacuations"
+REPEATABLE_KIND: Final = "safe"
+
+
+class _Table(msgspec.Struct):
+    columns: list[str] = msgspec.field(name="Columns")
+    rows: list[list[Any]] = msgspec.field(name="Rows")
+
+    def records(self) -> list[dict[str, Any]]:
+        return [
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=False)
+                if value is not None
+            }
+            for row in self.rows
+        ]
+
+
+class _Share(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    weight: int = msgspec.field(name="Weight")
+
+
+class _Route(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    host: str = msgspec.field(name="Host")
+    path_prefix: str = msgspec.field(name="PathPrefix")
+    kind: str = msgspec.field(name="Kind")
+    timeout: str = msgspec.field(name="Timeout")
+    target_latency: str = msgspec.field(name="TargetLatency")
+    priority: int = msgspec.field(name="Priority", default=0)
+    service: str = msgspec.field(name="Service", default="")
+    max_attempts: int | None = msgspec.field(name="MaxAttempts", default=None)
+    split: list[_Share] = msgspec.field(name="TrafficSplit", default_factory=list)
+
+
+class _Service(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    health_path: str = msgspec.field(name="HealthPath", default="")
+    cold_per_second: float | None = msgspec.field(name="ColdPerS", default=None)
+
+
+class _Main(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+    routes: _Table = msgspec.field(name="Routes")
+    services: _Table = msgspec.field(name="Services")
+
+
+def _class_of_work(route: _Route) -> ClassOfWork:
+    split = tuple(ServiceShare(part.service, part.weight) for part in route.split)
+    return ClassOfWork(
+        name=route.name,
+        service=route.service or split[0].service,
+        path_prefix=route.path_prefix,
+        answer_within_ms=read_ms(route.target_latency),
+        # Uploads and all kinds that are not known here may run once at most.
+        at_most_once=route.kind != REPEATABLE_KIND,
+        host=route.host.lower(),
+        split=split,
+        timeout_ms=read_ms(route.timeout),
+        max_attempts=route.max_attempts,
+        priority=route.priority,
+    )
+
+
+def _decode_main(body: bytes) -> Result[ConfigurationChange, ObjectError]:
+    try:
+        main = msgspec.json.decode(body, type=_Main)
+        routes = msgspec.convert(main.routes.records(), list[_Route])
+        services = msgspec.convert(main.services.records(), list[_Service])
+        classes = tuple(_class_of_work(route) for route in routes)
+    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+        return Error(ObjectError(CONFIG_NAME, str(exc)))
+    terms = tuple(ServiceTerms(it.name, it.health_path, it.cold_per_second) for it in services)
+    return Ok(AllClasses(main.version, classes, terms))
+
+
+def _decode(kind: str, name: str, body: bytes | None) -> Result[ConfigurationChange, ObjectError]:
+    if kind == EVACUATIONS_KIND:
+        try:
+            return Ok(DataCentreState(name, "in" if body is None else "out"))
+        except ValueError as exc:
+            return Error(ObjectError(name, str(exc)))
+    if body is None or name != CONFIG_NAME:
+        return Error(ObjectError(name, "is not an object of configuration"))
+    return _decode_main(body)
+
+
+PLATFORM_FORMAT: Final = ConfigurationFormat(
+    kinds=(CONFIG_KIND, EVACUATIONS_KIND),
+    decode=_decode,
+    required=(CONFIG_KIND, CONFIG_NAME),
+)
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from kingcuppond.program.output import EXIT_USAGE, fail
+from kingcuppond.program.reload import reload_forever
 from kingcuppond.settings.daemon import DaemonSettings, load
 
 LOG_LEVELS: Final = {
@@ -43,7 +44,7 @@
     logging.set_verbosity(LOG_LEVELS[checked.log_level])
     import uvloop
 
-    error = uvloop.run(_run(checked, key, policy, hedging))
+    error = uvloop.run(_run(settings, checked, key, policy, hedging))
     if error:
         raise fail(f"{settings}: {error}", EXIT_USAGE)
 
@@ -61,7 +62,9 @@
     print(f"{file}: good; daemon {loaded.ok[0].vm} in {loaded.ok[0].data_centre}")
 
 
-async def _run(settings: DaemonSettings, key: bytes, policy: str, is_hedging: bool) -> str:
+async def _run(
+    path: Path, settings: DaemonSettings, key: bytes, policy: str, is_hedging: bool
+) -> str:
     from kingcuppond.daemon import Daemon
 
     service = Daemon(settings, key, policy=policy, is_hedging=is_hedging)
@@ -75,8 +78,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    changed = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
     await service.start()
+    reloading = asyncio.create_task(reload_forever(path, service, changed))
     await stopping.wait()
+    reloading.cancel()
     await service.drain()
     await service.stop()
     return ""
--- a/kingcuppond/program/fleet_commands.py
+++ b/kingcuppond/program/fleet_commands.py
@@ -22,7 +22,7 @@
     with_store,
 )
 from kingcuppond.program.output import EXIT_UNREACHABLE, fail, show, show_progress, table
-from kingcuppond.store.client import Store
+from kingcuppond.store.port import Store
 
 T = TypeVar("T")
 
--- a/kingcuppond/program/operator_commands.py
+++ b/kingcuppond/program/operator_commands.py
@@ -25,6 +25,7 @@
 )
 from kingcuppond.operators.changes import Changed, ChangeError, change
 from kingcuppond.operators.reading import find_members
+from kingcuppond.platform.store import PlatformStore
 from kingcuppond.program.output import (
     EXIT_REFUSED,
     EXIT_UNREACHABLE,
@@ -35,7 +36,7 @@
 )
 from kingcuppond.settings.daemon import DaemonSettings, OperatorSettings
 from kingcuppond.settings.jsonc import read_file
-from kingcuppond.store.client import Store
+from kingcuppond.store.port import Store
 
 SETTINGS_VARIABLE: Final = "KINGCUPPOND_SETTINGS"
 
@@ -59,7 +60,7 @@
     address = _platform_address(settings)
 
     async def run() -> T:
-        store = Store(address)
+        store = PlatformStore(address)
         try:
             return await work(store)
         finally:
@@ -240,13 +241,8 @@
             return listed.error.message
         found = []
         for item in listed.ok.items:
-            if not item.name.startswith(prefix):
-                continue
-            body = await store.get(KIND, item.name)
-            if body.is_error():
-                return body.error.message
-            if body.ok is not None:
-                found.append(_decode(item.name, body.ok.body, type_))
+            if item.name.startswith(prefix):
+                found.append(_decode(item.name, item.body, type_))
         return found
 
     result = with_store(settings, read)
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -4,6 +4,7 @@
 be sent a second time.
 """
 
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from hashlib import blake2b
 from typing import Any, Final
@@ -65,6 +66,11 @@
     :param deadline: reading of this process's monotonic clock
     :param retry_budget: how many further attempts the call and its nested calls may make
     :param is_on_trial: the request is suspected of taking servers down
+    :param request_id: the caller's own id of the request, empty if it gave none
+    :param caller_service: service of the VM where the request began
+    :param target_at: when the class's target is over; a reading of the monotonic clock
+    :param priority: rank of its class; a larger number is shed first
+    :param is_last_resort: no other server takes it, so one that is late is better than none
     """
 
     id: str
@@ -80,6 +86,11 @@
     at_most_once: bool
     fingerprint: str
     is_on_trial: bool = False
+    request_id: str = ""
+    caller_service: str = ""
+    target_at: float = math.inf
+    priority: int = 0
+    is_last_resort: bool = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/kingcuppond/routing/choice.py
+++ b/kingcuppond/routing/choice.py
@@ -23,21 +23,29 @@
 
     :param vm: name of its VM
     :param is_local: whether it stands beside this daemon, so that no second hop is needed
+    :param detour_seconds: how much longer an answer may take in this daemon's own data centre
+        before another one is worth its traffic; 0 there
     """
 
     vm: str
     view: ServerView
     is_local: bool = False
+    detour_seconds: float = 0.0
 
 
 Policy = Callable[[Sequence[Candidate], float, Random], Candidate]
 
 
 def least_expected(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
-    """Draw a few and take the one with the least expected time, the local one always among them."""
+    """Draw a few and take the one with the least expected time.
+
+    The local one is always among them, and so are as many of this data centre as are drawn of all.
+    """
     drawn = list(candidates)
     if len(drawn) > DRAWN:
+        near = [c for c in candidates if c.detour_seconds == 0.0]
         drawn = rng.sample(drawn, DRAWN)
+        drawn.extend(c for c in rng.sample(near, min(DRAWN, len(near))) if c not in drawn)
         drawn.extend(c for c in candidates if c.is_local and c not in drawn)
     rng.shuffle(drawn)
     return min(drawn, key=lambda c: _expected(c, now))
@@ -89,7 +97,7 @@
 
 def _expected(candidate: Candidate, now: float) -> float:
     hop = 0.0 if candidate.is_local else HOP_SECONDS
-    return candidate.view.expected_seconds(now) + hop
+    return candidate.view.expected_seconds(now) + hop + candidate.detour_seconds
 
 
 def _reported(candidate: Candidate) -> float:
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
 import aiohttp
@@ -23,11 +23,24 @@
 from kingcuppond.settings.checks import split_address
 
 CONNECT_SECONDS: Final = 0.5
-ENDING_SECONDS: Final = 0.05
-POOL_IDLE_SECONDS: Final = 15.0
+"""Longest wait for a connection: a lost first packet is sent again only after a second."""
+
+ENDING_SECONDS: Final = (0.05, 0.1, 0.2)
+"""Waits before each question: a process that was killed has closed all its sockets by then."""
+
+CLOSED_SECONDS: Final = 0.05
+"""How long after its last byte the end of a connection may be seen."""
+
+POOL_IDLE_SECONDS: Final = 4.0
+"""Below the idle time after which servers close a connection."""
+
 WHOLE_ANSWER_BYTES: Final = 65_536
 CHUNK_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 32_768
+
+MAX_UNFRAMED_BYTES: Final = 8_388_608
+"""An answer without a length is held whole, since only its end shows whether it is complete."""
+
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -39,9 +52,19 @@
     answer: Answer
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Make a session whose connections are reused and whose requests are sent once."""
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_SECONDS)
+Accept = Callable[[int, Any], bool]
+"""Tells by its status and headers whether an answer belongs to the request."""
+
+
+def open_session(is_reusing: bool = True) -> aiohttp.ClientSession:
+    """Make a session whose requests are sent once.
+
+    :param is_reusing: whether its connections are reused
+    """
+    if is_reusing:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_SECONDS)
+    else:
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -66,12 +89,14 @@
     body: Body,
     deadline: float,
     expect_continue: bool = False,
+    accept: Accept = lambda status, headers: True,
 ) -> Result[Exchanged, Failure]:
     """Send a request and receive the head of its answer.
 
     :param address: IP number and port
     :param deadline: reading of the monotonic clock after which the exchange is given up
     :param expect_continue: let the other end refuse before the body is sent
+    :param accept: an answer that it refuses breaks the connection and leaves the outcome unknown
     """
     if body.is_whole:
         data: Any = body.first or None
@@ -89,6 +114,8 @@
                 allow_redirects=False,
                 expect100=expect_continue,
             )
+            if not accept(response.status, response.headers):
+                raise BrokenAnswerError("the answer does not belong to the request")
             return Ok(await _receive(response, method, deadline))
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
@@ -97,7 +124,7 @@
         return Error(Unknown(Reason.DEADLINE, f"{address} gave no whole answer in time"))
     except (aiohttp.ClientError, BrokenAnswerError, OSError, ValueError) as exc:
         _abort(response)
-        detail = f"{address}: {type(exc).__name__}"
+        detail = f"{address}: {type(exc).__name__} {exc}".rstrip()
         return Error(Unknown(Reason.CONNECTION_LOST, detail))
     except asyncio.CancelledError:
         _abort(response)
@@ -105,21 +132,28 @@
 
 
 async def is_gone(address: str) -> bool:
-    """Tell whether nothing listens at an address any more, by a connection of its own.
+    """Tell whether nothing listens at an address any more, by connections of its own.
 
     A connection that broke may have been at fault alone; this tells it from a process that ended.
-    A process that ends closes its sockets one after another, so the question is asked a moment
-    later.
+    A process that ends closes its sockets one after another, and later on a busy machine, so the
+    question is asked a few times.
     """
-    await asyncio.sleep(ENDING_SECONDS)
+    for wait in ENDING_SECONDS:
+        await asyncio.sleep(wait)
+        if not await _accepts(address):
+            return True
+    return False
+
+
+async def _accepts(address: str) -> bool:
     host, port = split_address(address)
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
             _, writer = await asyncio.open_connection(host, port)
     except (OSError, TimeoutError):
-        return True
+        return False
     writer.close()
-    return False
+    return True
 
 
 async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Exchanged:
@@ -132,11 +166,38 @@
         if method != "HEAD" and response.status not in (204, 304) and len(whole) != length:
             raise BrokenAnswerError("the answer is shorter than it said")
         return Exchanged(response.headers, Answer(response.status, headers, whole))
+    if length is None and "chunked" not in response.headers.get("Transfer-Encoding", "").lower():
+        whole = await _read_to_close(response)
+        return Exchanged(response.headers, Answer(response.status, headers, whole))
     answer = Answer(response.status, headers, chunks=_stream(response, deadline))
     answer.close = lambda: _finish(response)
     return Exchanged(response.headers, answer)
 
 
+async def _read_to_close(response: aiohttp.ClientResponse) -> bytes:
+    """Read an answer that ends with its connection.
+
+    :raises BrokenAnswerError: the connection was reset, so that the end of the answer is missing
+    """
+    connection = response.connection
+    protocol = None if connection is None else connection.protocol
+    whole = await response.content.read(MAX_UNFRAMED_BYTES + 1)
+    while not response.content.at_eof() and len(whole) <= MAX_UNFRAMED_BYTES:
+        whole += await response.content.readany()
+    if len(whole) > MAX_UNFRAMED_BYTES:
+        raise BrokenAnswerError("an answer without a length is too large to be held")
+    # The library takes a reset for the end of such an answer; how the connection ended, it keeps.
+    closed = None if protocol is None else protocol.closed
+    if closed is not None:
+        try:
+            await asyncio.wait_for(asyncio.shield(closed), CLOSED_SECONDS)
+        except (aiohttp.ClientError, OSError) as exc:
+            raise BrokenAnswerError(f"the answer broke off: {type(exc).__name__}") from exc
+        except TimeoutError as exc:
+            raise BrokenAnswerError("the answer's connection did not end") from exc
+    return whole
+
+
 async def _stream(response: aiohttp.ClientResponse, deadline: float) -> AsyncIterator[bytes]:
     try:
         while True:
--- a/kingcuppond/routing/headers.py
+++ b/kingcuppond/routing/headers.py
@@ -8,10 +8,6 @@
 from kingcuppond.outcomes import OUTCOME_HEADER
 from kingcuppond.routing.call import HeaderPairs
 
-KEY_HEADER: Final = "Idempotency-Key"
-DEADLINE_HEADER: Final = "Kingcuppond-Deadline-Ms"
-DEPTH_HEADER: Final = "Kingcuppond-Depth"
-RETRY_BUDGET_HEADER: Final = "Kingcuppond-Retry-Budget"
 RELAY_HEADER: Final = "Kingcuppond-Relay"
 MAC_HEADER: Final = "Kingcuppond-Mac"
 GATE_HEADER: Final = "Kingcuppond-Gate"
@@ -30,10 +26,7 @@
         "expect",
     }
 )
-OWN_REQUEST_HEADERS: Final = frozenset(
-    name.lower()
-    for name in (DEADLINE_HEADER, DEPTH_HEADER, RETRY_BUDGET_HEADER, RELAY_HEADER, MAC_HEADER)
-)
+RELAY_HEADERS: Final = frozenset(name.lower() for name in (RELAY_HEADER, MAC_HEADER))
 OWN_ANSWER_HEADERS: Final = frozenset(name.lower() for name in (OUTCOME_HEADER, GATE_HEADER))
 
 
--- a/kingcuppond/routing/relay.py
+++ b/kingcuppond/routing/relay.py
@@ -29,6 +29,7 @@
     :param to: VM whose gate is meant
     :param left_ms: time left to answer
     :param stamp: the sender's hybrid logical clock
+    :param target_left_ms: time left until the class's target is over
     """
 
     call: str
@@ -42,6 +43,11 @@
     fingerprint: str
     is_on_trial: bool
     stamp: int
+    request_id: str = ""
+    caller_service: str = ""
+    target_left_ms: int | None = None
+    priority: int = 0
+    is_last_resort: bool = False
 
 
 def encode(relay: Relay) -> str:
@@ -50,7 +56,9 @@
 
 
 def sign(key: bytes, method: str, target: str, head: str) -> str:
-    """Return the keyed digest of a head and its request line."""
+    """Return the keyed digest of a head and its request line, empty if the fleet has no key."""
+    if not key:
+        return ""
     text = f"{method}\n{target}\n{head}".encode("utf-8", "surrogateescape")
     return blake2b(text, key=key, digest_size=MAC_BYTES).hexdigest()
 
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -3,12 +3,14 @@
 Only two kinds of attempts are repeated: those that were certainly not run, and those of a
 repeatable call.  Every further attempt takes one from the call's own retry budget, which travels
 with it and is split with the nested calls (so a call tree of depth d with budget b makes at most d
-* (1 + b) attempts along any chain), and one from the daemon's, which is a share of its calls.
+* (1 + b) attempts along any chain), and one from the daemon's budget for the service, which is a
+share of its calls and an equal part of what the fleet may spend besides.
 
 A refusal by a gate costs no server anything and takes nothing from these budgets; its bounds are
 the few gates that are asked in a round and, if all are full, a backlog that holds few calls, none
-of them for longer than half of its time.  So a short burst is ridden out, and a long overload is
-shed.
+of them for longer than an eighth of its class's target.  So a short burst is ridden out, and a long
+overload is shed at once.  If all gates asked would answer too late for the target, the best of them
+is asked again to take the call as it is.
 
 A repeatable call that takes much longer than others of its class is hedged: it runs a second time
 at another server, and the first whole answer wins; the other attempt is cancelled.
@@ -19,35 +21,33 @@
 from random import Random
 from typing import Final
 
-import aiohttp
 import attrs
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.gate.gate import Gate
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member, ServerState
-from kingcuppond.outcomes import OUTCOME_HEADER, Failure, NotRun, Outcome, Reason, Unknown
-from kingcuppond.routing import relay
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.budgets import HEDGE_SHARE, RETRY_SHARE, ShareBudget
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, least_expected
-from kingcuppond.routing.exchange import Exchanged, exchange
-from kingcuppond.routing.headers import GATE_HEADER, MAC_HEADER, RELAY_HEADER, to_multidict
-from kingcuppond.routing.view import ServerView, parse_report
+from kingcuppond.routing.hedging import discard, first_answer
+from kingcuppond.routing.sender import Sender
+from kingcuppond.routing.view import ServerView
 
 HEDGE_LATENCY_RATIO: Final = 4.0
 HEDGE_MIN_SECONDS: Final = 0.010
-TYPICAL_WEIGHT: Final = 0.05
 ASKED_IN_A_ROUND: Final = 4
 MAX_BACKLOG: Final = 32
+BACKLOG_SHARE_OF_TARGET: Final = 0.125
 FIRST_PAUSE_SECONDS: Final = 0.004
 MAX_PAUSE_SECONDS: Final = 0.064
 REFUSED_BY_GATE: Final = (
     Reason.FULL,
+    Reason.SLOW,
     Reason.LEAVING,
     Reason.OUT_OF_SERVICE,
     Reason.NO_SERVER,
@@ -57,72 +57,129 @@
 NOT_ELSEWHERE: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
 
+@attrs.define
+class _Progress:
+    """How far a call has come.
+
+    :param retries_left: further attempts that may reach a server
+    :param tried: VMs that were asked in this round
+    :param slow: servers that would answer, but too late for the target
+    :param failed: an answer that says that the server failed, kept in case no better one comes
+    """
+
+    retries_left: int
+    tried: set[str] = attrs.field(factory=set)
+    slow: list[Candidate] = attrs.field(factory=list)
+    failed: Answer | None = None
+
+
 @attrs.define
 class Router:
     """The state of routing.
 
+    :param detour_seconds: how much longer an answer may take in this daemon's own data centre
+        before another one is preferred
+    :param fleet_retries: retries that the whole fleet may spend on a service beyond the share of
+        its calls, in the time that the budget is counted over
     :param next_id: makes the id of a new attempt
     """
 
     directory: Directory
     configuration: Configuration
-    gate: Gate
-    session: aiohttp.ClientSession
-    fleet_key: bytes
+    sender: Sender
     clock: Clock
     journal: Journal
     rng: Random
     next_id: Callable[[], str]
+    detour_seconds: float
+    fleet_retries: float
     policy: Policy = least_expected
     is_hedging: bool = True
-    attempts: int = 0
     backlog: int = 0
-    retries: ShareBudget = attrs.field(factory=lambda: ShareBudget(RETRY_SHARE))
     hedges: ShareBudget = attrs.field(factory=lambda: ShareBudget(HEDGE_SHARE))
+    retries_by_service: dict[str, ShareBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
-    _typical_by_class: dict[str, float] = attrs.field(factory=dict)
 
     async def run(self, call: Call) -> Result[Answer, Failure]:
         """Run a call at some server.
 
         The caller must call ``close`` on the answer.
         """
-        self.retries.earn()
+        self._retries(call.service).earn()
         self.hedges.earn()
-        give_up_at = call.deadline - (call.deadline - self.clock.monotonic()) / 2
+        now = self.clock.monotonic()
+        patience = min(call.deadline - now, call.target_at - now) * BACKLOG_SHARE_OF_TARGET
         pause = FIRST_PAUSE_SECONDS
+        progress = _Progress(call.retry_budget)
         while True:
-            got = await self._run_round(call)
+            got = await self._run_round(call, progress)
             if got.is_ok() or got.error.reason is not Reason.FULL or call.body.is_taken:
-                return got
-            if self.backlog >= MAX_BACKLOG or self.clock.monotonic() + pause > give_up_at:
-                return got
+                break
+            if self.backlog >= MAX_BACKLOG or self.clock.monotonic() + pause > now + patience:
+                break
             await self._wait_in_backlog(pause)
             pause = min(pause * 2, MAX_PAUSE_SECONDS)
             call = attrs.evolve(call, id=self.next_id())
+            progress = _Progress(progress.retries_left, failed=progress.failed)
+        if got.is_error() and progress.failed is not None:
+            return Result.Ok(progress.failed)
+        return got
 
-    async def _run_round(self, call: Call) -> Result[Answer, Failure]:
+    async def _run_round(self, call: Call, progress: _Progress) -> Result[Answer, Failure]:
         """Try a few servers, each once."""
-        tried: set[str] = set()
         failure: Failure | None = None
         while True:
-            candidate = self._choose(call, tried)
-            if candidate is None:
+            candidate = self._choose(call, progress.tried)
+            is_last = len(progress.tried) >= ASKED_IN_A_ROUND or candidate is None
+            if is_last and progress.slow and not call.body.is_taken:
+                candidate = self._least_slow(progress)
+                call = attrs.evolve(call, id=self.next_id(), is_last_resort=True)
+            elif is_last or candidate is None:
                 return Error(failure or self._no_candidate(call))
-            tried.add(candidate.vm)
-            got = await self._run_hedged(call, candidate, tried)
+            progress.tried.add(candidate.vm)
+            call = attrs.evolve(call, retry_budget=progress.retries_left)
+            got = await self._run_hedged(call, candidate, progress)
             if got.is_ok():
-                return got
-            failure = got.error
-            if failure.reason in REFUSED_BY_GATE:
-                if len(tried) >= ASKED_IN_A_ROUND or call.body.is_taken:
+                if not self._may_better(call, got.ok, progress):
+                    return got
+                progress.failed = got.ok
+            else:
+                failure = got.error
+                if call.body.is_taken or not self._may_go_on(call, candidate, failure, progress):
                     return got
-                call = attrs.evolve(call, id=self.next_id())
-                continue
-            if not self._may_repeat(call, failure):
-                return got
-            self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=failure.reason.value)
-            call = attrs.evolve(call, id=self.next_id(), retry_budget=call.retry_budget - 1)
+            call = attrs.evolve(call, id=self.next_id())
+
+    def _may_go_on(
+        self, call: Call, candidate: Candidate, failure: Failure, progress: _Progress
+    ) -> bool:
+        """Tell whether a call that failed at one server may go to another one."""
+        if failure.reason in REFUSED_BY_GATE and isinstance(failure, NotRun):
+            if failure.reason is Reason.SLOW and not call.is_last_resort:
+                progress.slow.append(candidate)
+            return not call.is_last_resort
+        if not self._may_repeat(call, failure, progress):
+            return False
+        progress.retries_left -= 1
+        self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=failure.reason.value)
+        return True
+
+    def _may_better(self, call: Call, answer: Answer, progress: _Progress) -> bool:
+        """Tell whether another server may be asked, since this one said that it failed."""
+        if answer.status < 500 or answer.whole is None or not call.is_repeatable:
+            return False
+        if progress.retries_left < 1 or progress.failed is not None or call.is_last_resort:
+            return False
+        if not self._retries(call.service).take():
+            return False
+        progress.retries_left -= 1
+        self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=f"status {answer.status}")
+        return True
+
+    def _least_slow(self, progress: _Progress) -> Candidate:
+        now = self.clock.monotonic()
+        best = min(progress.slow, key=lambda it: it.view.expected_seconds(now))
+        progress.slow.clear()
+        return best
 
     def _no_candidate(self, call: Call) -> NotRun:
         members = self.directory.members_by_service.get(call.service, {}).values()
@@ -140,9 +197,14 @@
     def candidates(self, service: str, tried: set[str]) -> list[Candidate]:
         """Return the servers that may run a call of a service now."""
         now = self.clock.monotonic()
-        local = self.directory.me.vm
+        me = self.directory.me
         eligible = [
-            Candidate(vm, self._view(vm), vm == local)
+            Candidate(
+                vm,
+                self._view(vm),
+                vm == me.vm,
+                0.0 if member.data_centre == me.data_centre else self.detour_seconds,
+            )
             for vm, member in self.directory.members_by_service.get(service, {}).items()
             if vm not in tried and self._takes_work(member)
         ]
@@ -166,166 +228,51 @@
             view = self.views_by_vm[vm] = ServerView()
         return view
 
+    def _retries(self, service: str) -> ShareBudget:
+        budget = self.retries_by_service.get(service)
+        if budget is None:
+            budget = self.retries_by_service[service] = ShareBudget(RETRY_SHARE)
+        budget.reserve = self.fleet_retries / max(1, len(self.directory.living()))
+        return budget
+
     def _choose(self, call: Call, tried: set[str]) -> Candidate | None:
         candidates = self.candidates(call.service, tried)
         if not candidates or self.clock.monotonic() >= call.deadline:
             return None
         return self.policy(candidates, self.clock.monotonic(), self.rng)
 
-    def _may_repeat(self, call: Call, failure: Failure) -> bool:
-        if failure.reason in NOT_ELSEWHERE or call.retry_budget < 1 or call.body.is_taken:
+    def _may_repeat(self, call: Call, failure: Failure, progress: _Progress) -> bool:
+        if failure.reason in NOT_ELSEWHERE or progress.retries_left < 1:
             return False
         if isinstance(failure, Unknown) and not call.is_repeatable:
             return False
-        return self.retries.take()
+        return self._retries(call.service).take()
 
     async def _run_hedged(
-        self, call: Call, candidate: Candidate, tried: set[str]
+        self, call: Call, candidate: Candidate, progress: _Progress
     ) -> Result[Answer, Failure]:
         wait = self._hedge_delay(call)
         if wait is None:
-            return await self._attempt(call, candidate)
-        first = asyncio.create_task(self._attempt(call, candidate))
+            return await self.sender.attempt(call, candidate)
+        first = asyncio.create_task(self.sender.attempt(call, candidate))
         try:
             await asyncio.wait({first}, timeout=wait)
         except asyncio.CancelledError:
-            await _discard({first})
+            await discard({first})
             raise
-        second = None if first.done() else self._choose(call, tried)
+        second = None if first.done() else self._choose(call, progress.tried)
         if second is None or not self.hedges.take():
             return await first
-        tried.add(second.vm)
+        progress.tried.add(second.vm)
+        progress.retries_left -= 1
         self.journal.record(catalogue.CALL_HEDGED, call=call.id, member=second.vm)
-        hedge = attrs.evolve(call, id=self.next_id(), retry_budget=call.retry_budget - 1)
-        return await _first_answer({first, asyncio.create_task(self._attempt(hedge, second))})
+        hedge = attrs.evolve(call, id=self.next_id(), retry_budget=progress.retries_left)
+        return await first_answer({first, asyncio.create_task(self.sender.attempt(hedge, second))})
 
     def _hedge_delay(self, call: Call) -> float | None:
-        typical = self._typical_by_class.get(call.class_name)
+        typical = self.sender.typical_by_class.get(call.class_name)
         if not self.is_hedging or typical is None or not call.is_repeatable:
             return None
         if call.retry_budget < 1 or call.is_on_trial:
             return None
         return max(HEDGE_MIN_SECONDS, HEDGE_LATENCY_RATIO * typical)
-
-    async def _attempt(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
-        self.attempts += 1
-        view = candidate.view
-        started = self.clock.monotonic()
-        view.start(call.id, started)
-        # Half of what is left of the retry budget goes with the call, to be spent by nested calls.
-        sent = attrs.evolve(call, retry_budget=call.retry_budget // 2)
-        try:
-            if candidate.is_local:
-                got = await self.gate.run(sent)
-            else:
-                got = await self._send(sent, candidate)
-        except BaseException:
-            view.started_by_call.pop(call.id, None)
-            raise
-        now = self.clock.monotonic()
-        if got.is_error() and isinstance(got.error, NotRun):
-            view.refuse(call.id, now, got.error.reason is Reason.FULL)
-            return got
-        is_good = got.is_ok() and got.ok.status < 500
-        view.end(call.id, now, is_good)
-        if is_good:
-            self._learn(call.class_name, now - started)
-        if got.is_ok():
-            status = got.ok.status
-            self.journal.record(
-                catalogue.CALL_ANSWERED, call=call.id, status=status, member=candidate.vm
-            )
-        return got
-
-    def _learn(self, class_name: str, seconds: float) -> None:
-        typical = self._typical_by_class.get(class_name, seconds)
-        self._typical_by_class[class_name] = typical + TYPICAL_WEIGHT * (seconds - typical)
-
-    async def _send(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
-        member = self.directory.members_by_vm[candidate.vm]
-        head = relay.encode(self._head(call, member.vm))
-        headers = to_multidict(call.headers)
-        headers[RELAY_HEADER] = head
-        headers[MAC_HEADER] = relay.sign(self.fleet_key, call.method, call.target, head)
-        got = await exchange(
-            self.session,
-            member.caller_address,
-            call.method,
-            call.target,
-            headers,
-            call.body,
-            call.deadline,
-            expect_continue=not call.body.is_whole,
-        )
-        return await self._read(got, candidate)
-
-    def _head(self, call: Call, vm: str) -> relay.Relay:
-        return relay.Relay(
-            call=call.id,
-            to=vm,
-            class_name=call.class_name,
-            service=call.service,
-            left_ms=max(1, int((call.deadline - self.clock.monotonic()) * 1000)),
-            depth=call.depth,
-            retry_budget=call.retry_budget,
-            at_most_once=call.at_most_once,
-            fingerprint=call.fingerprint,
-            is_on_trial=call.is_on_trial,
-            stamp=self.clock.stamp(),
-        )
-
-    async def _read(
-        self, got: Result[Exchanged, Failure], candidate: Candidate
-    ) -> Result[Answer, Failure]:
-        if got.is_error():
-            return Error(got.error)
-        head = got.ok.headers
-        answer = got.ok.answer
-        candidate.view.hear(parse_report(head.get(GATE_HEADER, "")), self.clock.monotonic())
-        outcome = head.get(OUTCOME_HEADER)
-        if outcome == Outcome.ANSWERED:
-            return Ok(answer)
-        await answer.close()
-        reason = _reason_of(answer)
-        detail = f"said by the gate of {candidate.vm}"
-        if outcome == Outcome.NOT_RUN:
-            return Error(NotRun(reason, detail))
-        return Error(Unknown(reason, detail))
-
-
-def _reason_of(answer: Answer) -> Reason:
-    # The gate's problem details carry the reason at the end of their type.
-    text = (answer.whole or b"").decode("utf-8", "replace")
-    _, _, rest = text.partition('"urn:kingcuppond:')
-    try:
-        return Reason(rest.partition('"')[0])
-    except ValueError:
-        return Reason.CONNECTION_LOST
-
-
-async def _first_answer(
-    tasks: "set[asyncio.Task[Result[Answer, Failure]]]",
-) -> Result[Answer, Failure]:
-    """Return the first answer; if there is none, the worst failure: unknown before not run."""
-    failures: list[Failure] = []
-    pending = set(tasks)
-    try:
-        while pending:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                if task.result().is_ok():
-                    tasks.discard(task)
-                    return task.result()
-                failures.append(task.result().error)
-    finally:
-        await _discard(tasks)
-    return Error(next((f for f in failures if isinstance(f, Unknown)), failures[0]))
-
-
-async def _discard(tasks: "set[asyncio.Task[Result[Answer, Failure]]]") -> None:
-    """Cancel the attempts that lost, and close the answers that came after all."""
-    for task in tasks:
-        task.cancel()
-    for ended in await asyncio.gather(*tasks, return_exceptions=True):
-        if isinstance(ended, Result) and ended.is_ok():
-            await ended.ok.close()
--- /dev/null
+++ b/kingcuppond/routing/sender.py
@@ -0,0 +1,156 @@
+"""One attempt: a call goes to the gate of one server, here or over another daemon.
+
+The view of the server is fed by how the attempt went and by what its gate wrote on the answer.
+"""
+
+from typing import Final
+
+import aiohttp
+import attrs
+from expression import Error, Ok, Result
+
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+from kingcuppond.gate.gate import Gate
+from kingcuppond.membership.directory import Directory
+from kingcuppond.outcomes import OUTCOME_HEADER, Failure, NotRun, Outcome, Reason, Unknown
+from kingcuppond.routing import relay
+from kingcuppond.routing.call import Answer, Call
+from kingcuppond.routing.choice import Candidate
+from kingcuppond.routing.exchange import Exchanged, exchange
+from kingcuppond.routing.headers import GATE_HEADER, MAC_HEADER, RELAY_HEADER, to_multidict
+from kingcuppond.routing.view import parse_report
+
+TYPICAL_WEIGHT: Final = 0.05
+"""Of one answer in the mean of its class: some twenty answers change it."""
+
+EXPECT_BYTES: Final = 8192
+"""A longer body is sent only after the gate let the call in: it costs more than the round trip."""
+
+
+@attrs.define
+class Sender:
+    """Sends calls to gates.
+
+    :param typical_by_class: usual seconds of a good answer, wherever it came from
+    """
+
+    directory: Directory
+    gate: Gate
+    session: aiohttp.ClientSession
+    fleet_key: bytes
+    clock: Clock
+    journal: Journal
+    attempts: int = 0
+    typical_by_class: dict[str, float] = attrs.field(factory=dict)
+
+    async def attempt(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
+        """Send a call to one server."""
+        self.attempts += 1
+        view = candidate.view
+        started = self.clock.monotonic()
+        view.start(call.id, started)
+        # Half of what is left of the retry budget goes with the call, to be spent by nested calls.
+        sent = attrs.evolve(call, retry_budget=max(0, call.retry_budget) // 2)
+        try:
+            if candidate.is_local:
+                got = await self.gate.run(sent)
+                view.hear(self.gate.report(), self.clock.monotonic())
+            else:
+                got = await self._send(sent, candidate)
+        except BaseException:
+            view.started_by_call.pop(call.id, None)
+            raise
+        now = self.clock.monotonic()
+        if got.is_error() and isinstance(got.error, NotRun):
+            if got.error.reason is Reason.SLOW:
+                view.started_by_call.pop(call.id, None)
+            else:
+                view.refuse(call.id, now, got.error.reason is Reason.FULL)
+            return got
+        is_good = got.is_ok() and got.ok.status < 500
+        view.end(call.id, now, is_good)
+        if is_good:
+            self._learn(call.class_name, now - started)
+        if got.is_ok():
+            status = got.ok.status
+            self.journal.record(
+                catalogue.CALL_ANSWERED, call=call.id, status=status, member=candidate.vm
+            )
+        return got
+
+    def _learn(self, class_name: str, seconds: float) -> None:
+        typical = self.typical_by_class.get(class_name, seconds)
+        self.typical_by_class[class_name] = typical + TYPICAL_WEIGHT * (seconds - typical)
+
+    async def _send(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
+        member = self.directory.members_by_vm.get(candidate.vm)
+        if member is None:
+            return Error(NotRun(Reason.NO_SERVER, f"{candidate.vm} is no longer known"))
+        head = relay.encode(self._head(call, member.vm))
+        headers = to_multidict(call.headers)
+        headers[RELAY_HEADER] = head
+        headers[MAC_HEADER] = relay.sign(self.fleet_key, call.method, call.target, head)
+        is_long = not call.body.is_whole or len(call.body.first) > EXPECT_BYTES
+        got = await exchange(
+            self.session,
+            member.relay_address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            call.deadline,
+            expect_continue=is_long,
+        )
+        return await self._read(got, candidate)
+
+    def _head(self, call: Call, vm: str) -> relay.Relay:
+        now = self.clock.monotonic()
+        target_left = call.target_at - now
+        return relay.Relay(
+            call=call.id,
+            to=vm,
+            class_name=call.class_name,
+            service=call.service,
+            left_ms=max(1, int((call.deadline - now) * 1000)),
+            depth=call.depth,
+            retry_budget=call.retry_budget,
+            at_most_once=call.at_most_once,
+            fingerprint=call.fingerprint,
+            is_on_trial=call.is_on_trial,
+            stamp=self.clock.stamp(),
+            request_id=call.request_id,
+            caller_service=call.caller_service,
+            target_left_ms=int(target_left * 1000),
+            priority=call.priority,
+            is_last_resort=call.is_last_resort,
+        )
+
+    async def _read(
+        self, got: Result[Exchanged, Failure], candidate: Candidate
+    ) -> Result[Answer, Failure]:
+        if got.is_error():
+            return Error(got.error)
+        head = got.ok.headers
+        answer = got.ok.answer
+        candidate.view.hear(parse_report(head.get(GATE_HEADER, "")), self.clock.monotonic())
+        outcome = head.get(OUTCOME_HEADER)
+        if outcome == Outcome.ANSWERED:
+            return Ok(answer)
+        await answer.close()
+        reason = _reason_of(answer)
+        detail = f"said by the gate of {candidate.vm}"
+        if outcome == Outcome.NOT_RUN:
+            return Error(NotRun(reason, detail))
+        return Error(Unknown(reason, detail))
+
+
+def _reason_of(answer: Answer) -> Reason:
+    # The gate's problem details carry the reason at the end of their type.
+    text = (answer.whole or b"").decode("utf-8", "replace")
+    _, _, rest = text.partition('"urn:kingcuppond:')
+    try:
+        return Reason(rest.partition('"')[0])
+    except ValueError:
+        return Reason.CONNECTION_LOST
--- /dev/null
+++ b/kingcuppond/routing/split.py
@@ -0,0 +1,44 @@
+"""Dividing the requests of a class among several services by weight.
+
+Smooth weighted round robin: each request adds every service's weight to its credit, and the service
+with the most credit gets the request and pays the sum of all weights.  So any run of requests is
+divided as the weights say, to within one request.  The credits start at random, so that daemons
+with few requests each do not all begin with the same service.
+"""
+
+from random import Random
+
+import attrs
+
+from kingcuppond.configuration.objects import ClassOfWork, ServiceShare
+
+
+@attrs.define
+class _Credits:
+    split: tuple[ServiceShare, ...]
+    credit_by_service: dict[str, float]
+
+
+@attrs.define
+class SplitChooser:
+    """The credits of all classes that are divided."""
+
+    rng: Random
+    _credits_by_class: dict[str, _Credits] = attrs.field(factory=dict)
+
+    def choose(self, class_of_work: ClassOfWork) -> str:
+        """Return the service for the next request of a class."""
+        split = class_of_work.split
+        total = sum(part.weight for part in split)
+        if total <= 0:
+            return class_of_work.service
+        credits = self._credits_by_class.get(class_of_work.name)
+        if credits is None or credits.split != split:
+            start = {part.service: self.rng.uniform(0, total) for part in split}
+            credits = self._credits_by_class[class_of_work.name] = _Credits(split, start)
+        for part in split:
+            credits.credit_by_service[part.service] += part.weight
+        eligible = [part.service for part in split if part.weight > 0]
+        chosen = max(eligible, key=credits.credit_by_service.__getitem__)
+        credits.credit_by_service[chosen] -= total
+        return chosen
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -13,6 +13,11 @@
 LATENCY_WEIGHT: Final = 0.2
 ERROR_WEIGHT: Final = 0.2
 REPORT_SECONDS: Final = 0.5
+SLOWDOWN_SECONDS: Final = 0.25
+"""Half of the time for which a machine's speed usually stays the same."""
+
+PER_CENT: Final = 100
+MAX_REPORT: Final = 16
 FORGET_SECONDS: Final = 5.0
 PAUSE_SECONDS: Final = 0.005
 FULL_PAUSE_SECONDS: Final = 0.080
@@ -26,22 +31,29 @@
 
     :param in_flight: calls that run or wait there
     :param limit: calls that may run at once
+    :param slowdown: how long work takes there, as a multiple of the usual
     """
 
     in_flight: int
     limit: int
+    slowdown: float = 1.0
 
     def encode(self) -> str:
         """Return the header's value."""
-        return f"{self.in_flight}/{self.limit}"
+        if self.slowdown == 1.0:
+            return f"{self.in_flight}/{self.limit}"
+        return f"{self.in_flight}/{self.limit}/{round(self.slowdown * PER_CENT)}"
 
 
 def parse_report(text: str) -> GateReport | None:
     """Read a header's value; ``None`` if it is not a report."""
-    in_flight, _, limit = text.partition("/")
-    if not (in_flight.isdecimal() and limit.isdecimal()) or len(text) > 16:
+    parts = text.split("/")
+    if len(text) > MAX_REPORT or not all(part.isdecimal() for part in parts):
+        return None
+    if len(parts) not in (2, 3):
         return None
-    return GateReport(int(in_flight), max(1, int(limit)))
+    slowdown = int(parts[2]) / PER_CENT if len(parts) == 3 else 1.0
+    return GateReport(int(parts[0]), max(1, int(parts[1])), slowdown)
 
 
 @attrs.define
@@ -68,7 +80,7 @@
         self.last_used = now
 
     def end(self, call_id: str, now: float, is_good: bool) -> None:
-        """Note that a call ended there.
+        """Note that a call ended there; what its gate wrote on the answer must be heard before.
 
         The latency of an error teaches nothing about speed: a server that fails fast is not a fast
         one.
@@ -76,7 +88,8 @@
         started = self.started_by_call.pop(call_id, now)
         if is_good:
             self.error_rate -= ERROR_WEIGHT * self.error_rate
-            self.latency += LATENCY_WEIGHT * (now - started - self.latency)
+            usual = (now - started) / self._slowdown(now)
+            self.latency += LATENCY_WEIGHT * (usual - self.latency)
             self.refusals = 0
         else:
             self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
@@ -104,7 +117,7 @@
 
     def expected_seconds(self, now: float) -> float:
         """Estimate how long one more call would take there."""
-        latency = self._current_latency(now)
+        latency = self._current_latency(now) * self._slowdown(now)
         limit = 1 if self.report is None else self.report.limit
         others = self.in_flight
         if self.report is not None and now - self.reported_at < REPORT_SECONDS:
@@ -112,6 +125,11 @@
         errors = self._fading(self.error_rate, now)
         return latency * (1 + others / limit) * (1 + 50 * errors)
 
+    def _slowdown(self, now: float) -> float:
+        if self.report is None or now - self.reported_at > SLOWDOWN_SECONDS:
+            return 1.0
+        return max(1.0, self.report.slowdown)
+
     def _current_latency(self, now: float) -> float:
         fading = DEFAULT_LATENCY_SECONDS + self._fading(
             max(0.0, self.latency - DEFAULT_LATENCY_SECONDS), now
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -1,22 +1,42 @@
 """The settings of one daemon.
 
-A daemon learns from its file only who it is and where the platform is.  Classes of work, states of
-data centres and the measuring budget are in the platform's store and never here.
+A daemon learns from its file only who it is, where the platform is and what the platform asks of
+it.  Classes of work, states of data centres and the measuring budget are in the platform's store
+and never here.
 """
 
 from pathlib import Path
-from typing import Final
+from typing import Final, Literal
 
 import attrs
 from expression import Error, Ok, Result
 
-from kingcuppond.settings.checks import check_address, check_name, one_of
+from kingcuppond.settings.checks import check_address, check_name, in_range, one_of
 from kingcuppond.settings.jsonc import FileError, read_file
 
 DEFAULT_LOG_LEVEL: Final = "info"
+DEFAULT_SERVER_SILENT_MS: Final = 2000
+DEFAULT_WATCH_WAIT_MS: Final = 1000
+DEFAULT_SUSPECT_HOLD_MS: Final = 250
+DEFAULT_FLEET_RETRIES: Final = 100
+MAX_MS: Final = 600_000
 FLEET_KEY_BYTES: Final = 32
 
 
+def _check_optional_address(
+    instance: object, attribute: "attrs.Attribute[str]", value: str
+) -> None:
+    if value:
+        check_address(instance, attribute, value)
+
+
+def _check_addresses(
+    instance: object, attribute: "attrs.Attribute[tuple[str, ...]]", value: tuple[str, ...]
+) -> None:
+    for address in value:
+        check_address(instance, attribute, address)
+
+
 @attrs.frozen
 class DaemonSettings:
     """One attribute for each key of the settings file."""
@@ -31,7 +51,7 @@
     """Service of the server beside this daemon."""
 
     caller_address: str = attrs.field(validator=check_address)
-    """IP number and port for callers and for calls from other daemons."""
+    """IP number and port for callers."""
 
     peer_address: str = attrs.field(validator=check_address)
     """IP number and port for control messages from other daemons."""
@@ -45,8 +65,50 @@
     platform_address: str = attrs.field(validator=check_address)
     """IP number and port of the platform's store."""
 
-    fleet_key_file: str
-    """File with the fleet's key: 64 hexadecimal digits."""
+    protocol: Literal["kingcuppond", "platform"] = "kingcuppond"
+    """How callers, the server and operators speak: the product's own way or the platform's."""
+
+    relay_address: str = attrs.field(default="", validator=_check_optional_address)
+    """IP number and port for calls from other daemons; empty: the callers' address."""
+
+    ready_address: str = attrs.field(default="", validator=_check_optional_address)
+    """IP number and port where the platform asks for readiness; empty: nowhere."""
+
+    application_address: str = attrs.field(default="", validator=_check_optional_address)
+    """IP number and port of the server beside this daemon; empty: what it announces."""
+
+    seeds: tuple[str, ...] = attrs.field(default=(), validator=_check_addresses)
+    """Addresses of a few other VMs, at any port; their daemons are asked first."""
+
+    is_first_start: bool = True
+    """Whether the whole fleet starts for the first time, so that no daemon was here before."""
+
+    fleet_key_file: str = ""
+    """File with the fleet's key: 64 hexadecimal digits; empty: the network is trusted."""
+
+    server_silent_ms: int = attrs.field(
+        default=DEFAULT_SERVER_SILENT_MS, validator=in_range(100, MAX_MS)
+    )
+    """A server that says nothing for so long is taken for gone."""
+
+    suspect_hold_ms: int = attrs.field(
+        default=DEFAULT_SUSPECT_HOLD_MS, validator=in_range(0, MAX_MS)
+    )
+    """How long the failure of a call that may have taken a server down is held back."""
+
+    watch_wait_ms: int = attrs.field(default=DEFAULT_WATCH_WAIT_MS, validator=in_range(100, MAX_MS))
+    """How long the store may hold a watch that has nothing to tell."""
+
+    grace_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
+    """Time from a planned stop to the process's end; 0: until all work has ended."""
+
+    detour_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
+    """How much longer an answer may take in this data centre before another one is preferred."""
+
+    fleet_retries: int = attrs.field(
+        default=DEFAULT_FLEET_RETRIES, validator=in_range(0, 1_000_000)
+    )
+    """Retries that all daemons together may spend on a service beyond a tenth of its calls."""
 
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
@@ -67,8 +129,10 @@
 
     :param settings: the daemon's settings
     :param base: the folder that a relative file name starts from
-    :return: 32 bytes, or why the file is refused
+    :return: 32 bytes, none if the settings name no file, or why the file is refused
     """
+    if not settings.fleet_key_file:
+        return Ok(b"")
     path = base / settings.fleet_key_file
     try:
         key = bytes.fromhex(path.read_text().strip())
--- /dev/null
+++ b/kingcuppond/store/port.py
@@ -0,0 +1,147 @@
+"""The port to the platform's store: objects with versions, conditional updates and watches.
+
+A write ends in one of three ways, as a call does: done, refused (the object was at another
+version), or ``StoreError`` with ``is_unknown`` set, when the answer was lost and the write may have
+taken effect or may still do so. Nothing is retried here: what to do after a lost answer depends on
+what was written.
+
+Versions come from one counter of the whole store, so they order the changes of all objects.  The
+body of an object is JSON text; the store may write it with other spacing.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Any, Final, Protocol, TypeVar
+
+import attrs
+import msgspec
+from expression import Error, Ok, Result
+
+ABSENT: Final = 0
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class StoreError:
+    """A call to the store failed.
+
+    :param message: what happened
+    :param is_conflict: the object was not at the version that the caller named
+    :param is_unknown: a write may or may not have taken effect
+    :param is_gone: the version to watch from is too old
+    """
+
+    message: str
+    is_conflict: bool = False
+    is_unknown: bool = False
+    is_gone: bool = False
+
+
+@attrs.frozen
+class Stored:
+    """An object as read."""
+
+    version: int
+    body: bytes
+
+
+@attrs.frozen
+class Item:
+    """An object in a listing."""
+
+    name: str
+    version: int
+    body: bytes
+
+
+@attrs.frozen
+class Listing:
+    """All objects of a kind, and the store's version before the first of them was read."""
+
+    items: list[Item]
+    version: int
+
+
+@attrs.frozen
+class Change:
+    """A change that a watch tells; no body means that the object was deleted."""
+
+    name: str
+    version: int
+    body: bytes | None
+
+
+@attrs.frozen
+class Changes:
+    """What a watch answers."""
+
+    changes: list[Change]
+    version: int
+
+
+class Store(Protocol):
+    """What the product asks of a store."""
+
+    calls_by_sort: dict[str, int]
+    """Calls made so far: ``read``, ``watch``, ``write``."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+    async def get(self, kind: str, name: str) -> Result[Stored | None, StoreError]:
+        """Read an object; ``None`` if there is none."""
+
+    async def list(self, kind: str) -> Result[Listing, StoreError]:
+        """Read all objects of a kind."""
+
+    async def put(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Result[int, StoreError]:
+        """Write an object if it still has the expected version.
+
+        :param expected: the version read before, or ``ABSENT`` to create
+        :return: the new version
+        """
+
+    async def delete(self, kind: str, name: str, expected: int) -> Result[int, StoreError]:
+        """Delete an object if it still has the expected version.
+
+        :return: a version that is not older than the deletion's predecessor
+        """
+
+    async def watch(self, kind: str, after: int, wait_ms: int) -> Result[Changes, StoreError]:
+        """Wait for changes of a kind.
+
+        :param after: the version that the caller has seen
+        :param wait_ms: how long the store may hold the call
+        """
+
+
+async def watch_forever(
+    store: Store, kind: str, after: int, wait_ms: int
+) -> AsyncIterator[Result[Changes, StoreError]]:
+    """Yield the answers of one watch after another, until the first failure."""
+    while True:
+        answer = await store.watch(kind, after, wait_ms)
+        yield answer
+        if answer.is_error():
+            return
+        after = max(after, answer.ok.version)
+
+
+def is_same_json(one: bytes, other: bytes) -> bool:
+    """Tell whether two bodies hold the same value, whatever their spacing."""
+    return one == other or bool(msgspec.json.decode(one) == msgspec.json.decode(other))
+
+
+def decode_body(body: bytes, type_: type[T]) -> Result[T, StoreError]:
+    """Decode the body of an object."""
+    try:
+        return Ok(msgspec.json.decode(body, type=type_))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return Error(StoreError(f"the object is not what was expected: {exc}"))
+
+
+def encode_body(value: Any) -> bytes:
+    """Encode a value as the body of an object."""
+    return msgspec.json.encode(value)
--- a/packaging/launcher.c
+++ b/packaging/launcher.c
@@ -1,5 +1,5 @@
 /*
- * The head of the one-file program.  It unpacks what is appended to itself into a memory file system, once for
+ * The head of the one-file program.  It unpacks what is appended to itself into a temporary folder, once for
  * each version, and then becomes the unpacked program by execv: it starts no other process.
  *
  * Layout of the file: this program, then records (name length, mode, size, name, content), then a trailer (offset
@@ -94,10 +94,12 @@
     if (fread(&trailer, sizeof trailer, 1, self) != 1 || trailer.magic != MAGIC)
         fail("damaged file");
     const char *base = getenv("KINGCUPPOND_RUN_DIR");
+    if (base == NULL)
+        base = getenv("TMPDIR");
     char folder[NAME_MAX_BYTES];
     char fresh[NAME_MAX_BYTES];
     char program[NAME_MAX_BYTES + 32];
-    snprintf(folder, sizeof folder, "%.1000s/kingcuppond-%u-%016llx", base ? base : "/dev/shm",
+    snprintf(folder, sizeof folder, "%.1000s/kingcuppond-%u-%016llx", base ? base : "/tmp",
              (unsigned)getuid(), (unsigned long long)trailer.digest);
     snprintf(program, sizeof program, "%s/kingcuppond", folder);
     struct stat status;
--- a/tests/claims/test_log.py
+++ b/tests/claims/test_log.py
@@ -12,7 +12,7 @@
 from kingcuppond.claims.messages import ClaimReply, Record, Verdict
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
-from kingcuppond.store.client import Store
+from kingcuppond.store.port import Store
 from tests.claims.fakes import FakeStore
 
 KEYS = [bytes([i]) * 16 for i in range(3)]
--- /dev/null
+++ b/tests/gate/test_departures.py
@@ -0,0 +1,49 @@
+"""A departure is remembered across restarts of the daemon, also through a store that fails."""
+
+from typing import cast
+
+import pytest
+
+from kingcuppond.events.journal import Journal
+from kingcuppond.gate.departures import Departures
+from kingcuppond.gate.incarnation import Incarnation
+from kingcuppond.store.port import Store
+from tests.claims.fakes import FakeStore
+
+LEAVING = Incarnation("i-1", 100)
+
+
+def make_departures(store: FakeStore, journal: Journal) -> Departures:
+    return Departures("vm-1", cast(Store, store), journal)
+
+
+async def test_a_later_process_finds_it(journal: Journal) -> None:
+    store = FakeStore()
+    await make_departures(store, journal).record(LEAVING)
+    assert (await make_departures(store, journal).load()).ok == LEAVING
+
+
+async def test_a_repeated_announcement_costs_no_call(journal: Journal) -> None:
+    store = FakeStore()
+    departures = make_departures(store, journal)
+    for _ in range(5):
+        await departures.record(LEAVING)
+    assert store.writes == 1
+
+
+async def test_the_next_departure_replaces_it(journal: Journal) -> None:
+    store = FakeStore()
+    departures = make_departures(store, journal)
+    await departures.record(LEAVING)
+    await departures.record(Incarnation("i-2", 200))
+    assert (await departures.load()).ok == Incarnation("i-2", 200)
+
+
+@pytest.mark.parametrize("fault", ["lost", "dropped", "refused"])
+async def test_a_write_that_failed_is_made_again(fault: str, journal: Journal) -> None:
+    store = FakeStore(faults=[fault])
+    departures = make_departures(store, journal)
+    await departures.record(LEAVING)
+    assert journal.entries[-1].number == 407
+    await departures.record(LEAVING)
+    assert (await make_departures(store, journal).load()).ok == LEAVING
