--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,86 @@
+"""The headers of the users' platform, decoded and encoded."""
+
+import pytest
+
+from kingcuppond.dialect import AnswerKind, ServerLoad, ServerRequest
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
+from kingcuppond.platform.calls import PLATFORM_DIALECT, read_load
+
+ID = "X-Kingcuppond-Attempt-Id"
+SEAL = {"X-Kingcuppond-Server-Seal": "3e1b"}
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("3,0,8", ServerLoad(3, 0, 8)),
+        ("0,0,6,700", ServerLoad(0, 0, 6, 7.0)),
+        ("0, 1, 6", ServerLoad(0, 1, 6)),
+        ("", None),
+        ("3,0", None),
+        ("3,x,8", None),
+        ("-1,0,8", None),
+    ],
+)
+def test_load(text: str, expected: ServerLoad | None) -> None:
+    assert read_load(text) == expected
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {**SEAL, ID: "a"}, AnswerKind.ANSWERED),
+        (500, {**SEAL, ID: "a"}, AnswerKind.ANSWERED),
+        (200, {ID: "a"}, AnswerKind.UNUSABLE),
+        (200, {**SEAL, ID: "b"}, AnswerKind.UNUSABLE),
+        (503, {"X-Kingcuppond-Not-Executed": "1", ID: "b"}, AnswerKind.UNUSABLE),
+        (200, {**SEAL, ID: "a", "Content-Encoding": "gzip"}, AnswerKind.UNUSABLE),
+        (503, {"X-Kingcuppond-Not-Executed": "1"}, AnswerKind.NOT_RUN),
+        (421, {"X-Kingcuppond-Instance-Id": "i"}, AnswerKind.OTHER_INSTANCE),
+        (502, {}, AnswerKind.UNUSABLE),
+    ],
+    ids=[
+        "success",
+        "the server's own failure",
+        "success without a seal",
+        "late answer to another request",
+        "late refusal of another request",
+        "encoded on the way",
+        "refused by the server",
+        "another incarnation",
+        "failure without a seal",
+    ],
+)
+def test_kind_of_answer(status: int, headers: dict[str, str], expected: AnswerKind) -> None:
+    assert PLATFORM_DIALECT.kind_of_answer(status, headers, {ID: "a"}) is expected
+
+
+@pytest.mark.parametrize(
+    ("failure", "status", "is_welcome_again"),
+    [
+        (NotRun(Reason.FULL, ""), 503, True),
+        (NotRun(Reason.SLOW, ""), 503, True),
+        (NotRun(Reason.HARMFUL, ""), 503, False),
+        (NotRun(Reason.NO_CLASS, ""), 404, False),
+        (NotRun(Reason.NOT_READY, ""), 503, True),
+        (Unknown(Reason.DEADLINE, ""), 504, False),
+        (Unknown(Reason.CONNECTION_LOST, ""), 502, False),
+    ],
+)
+def test_failures_promise_only_what_is_true(
+    failure: Failure, status: int, is_welcome_again: bool
+) -> None:
+    """503 promises that the request did not run; 502 and 504 promise nothing."""
+    assert PLATFORM_DIALECT.failure_status(failure) == status
+    headers = PLATFORM_DIALECT.failure_headers(failure, 0.125)
+    assert headers.get("Retry-After") == ("0.125" if is_welcome_again else None)
+    assert "X-Kingcuppond-Server-Seal" not in headers
+
+
+def test_a_server_is_told_who_asks_and_who_is_meant() -> None:
+    headers = PLATFORM_DIALECT.server_headers(ServerRequest(250, 1, 1, "shop", "i-1"))
+    assert headers == {
+        "X-Kingcuppond-Deadline-Ms": "250",
+        "X-Kingcuppond-Caller-Service": "shop",
+        "X-Kingcuppond-Target-Instance": "i-1",
+    }
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,108 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from kingcuppond.clock import Clock
+from kingcuppond.configuration.objects import AllClasses, DataCentreState, ServiceShare
+from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.events.journal import Journal
+from kingcuppond.platform.configuration import PLATFORM_FORMAT
+
+COLUMNS = [
+    *("Name", "Host", "PathPrefix", "Kind", "Timeout", "TargetLatency", "Priority", "Service"),
+    *("MaxAttempts", "TrafficSplit"),
+]
+SPLIT = [{"Service": "b", "Weight": 90}, {"Service": "c", "Weight": 10}]
+ROWS: list[list[Any]] = [
+    ["r1", "H.example", "/a/", "safe", "500ms", "200ms", 2, "b", 2, None],
+    ["r2", "h.example", "/a/b/", "unsafe", "2.5s", "250ms", 1, None, 2, SPLIT],
+    ["r3", "h.example", "/up/", "upload", "800ms", "300ms", 0, "c", 1, None],
+]
+
+
+def encode(rows: list[list[Any]], version: int = 7) -> bytes:
+    services = {"Columns": ["Name", "HealthPath", "ColdPerS"], "Rows": [["b", "/health", 19.0]]}
+    routes = {"Columns": COLUMNS, "Rows": rows}
+    return msgspec.json.encode({"Version": version, "Routes": routes, "Services": services})
+
+
+def decode(rows: list[list[Any]]) -> AllClasses:
+    decoded = PLATFORM_FORMAT.decode("config", "main", encode(rows)).ok
+    assert isinstance(decoded, AllClasses)
+    return decoded
+
+
+def test_a_route_becomes_a_class_of_work() -> None:
+    found = decode(ROWS)
+    first, second, third = found.classes
+    assert found.release == 7
+    assert (first.host, first.path_prefix, first.service) == ("h.example", "/a/", "b")
+    assert (first.timeout_ms, first.answer_within_ms, first.priority) == (500, 200, 2)
+    assert (first.at_most_once, first.max_attempts) == (False, 2)
+    assert (second.timeout_ms, second.at_most_once) == (2500, True)
+    assert second.split == (ServiceShare("b", 90), ServiceShare("c", 10))
+    assert third.at_most_once, "an upload may run once at most"
+    assert found.services[0].cold_per_second == 19.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{4: "soon"}, {0: 5}, {7: None, 9: None}, {2: "no-slash"}],
+    ids=["a time without a unit", "a name that is a number", "no service", "no path"],
+)
+def test_a_route_that_cannot_be_read_refuses_the_version(change: dict[int, Any]) -> None:
+    row = [change.get(i, value) for i, value in enumerate(ROWS[0])]
+    assert PLATFORM_FORMAT.decode("config", "main", encode([row])).is_error()
+
+
+def test_an_evacuation_lasts_as_long_as_its_object() -> None:
+    decoded = [PLATFORM_FORMAT.decode("evacuations", "dc-1", body).ok for body in (b"{}", None)]
+    assert decoded == [DataCentreState("dc-1", "out"), DataCentreState("dc-1", "in")]
+
+
+def make_configuration() -> Configuration:
+    return Configuration(Journal("vm", Clock()), PLATFORM_FORMAT)
+
+
+def test_nothing_is_decided_without_a_configuration() -> None:
+    configuration = make_configuration()
+    configuration.is_complete = True
+    assert not configuration.is_ready
+    configuration.merge([VersionedObject("main", 2, encode(ROWS), "config")])
+    assert configuration.is_ready
+
+
+def test_host_and_longest_prefix_decide() -> None:
+    configuration = make_configuration()
+    configuration.merge([VersionedObject("main", 2, encode(ROWS), "config")])
+    found = [
+        getattr(configuration.match("GET", path, host), "name", None)
+        for path, host in [
+            ("/a/x", "h.example"),
+            ("/a/b/x", "h.example"),
+            ("/a/x", "other.example"),
+            ("/none/", "h.example"),
+        ]
+    ]
+    assert found == ["r1", "r2", None, None]
+
+
+def test_a_new_version_replaces_all_routes() -> None:
+    configuration = make_configuration()
+    configuration.merge([VersionedObject("main", 2, encode(ROWS), "config")])
+    configuration.merge([VersionedObject("main", 5, encode(ROWS[:1], 9), "config")])
+    configuration.merge([VersionedObject("main", 4, encode(ROWS, 8), "config")])
+    assert configuration.release == 9
+    assert set(configuration.classes_by_name) == {"r1"}
+
+
+def test_objects_of_two_kinds_may_have_one_name() -> None:
+    configuration = make_configuration()
+    configuration.is_complete = True
+    configuration.merge([VersionedObject("main", 2, encode(ROWS), "config")])
+    configuration.merge([VersionedObject("main", 3, b"{}", "evacuations")])
+    assert configuration.is_ready
+    assert configuration.is_out("main")
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,80 @@
+"""Heartbeats: the server's own are decoded, those of other writers name no server."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from kingcuppond.gate.announcements import Announcement, ServerPlace, Withdrawal
+from kingcuppond.platform.heartbeats import read_heartbeat
+
+PLACE = ServerPlace("shop", "10.0.0.1:8080")
+BEAT: dict[str, Any] = {
+    "Service": "shop",
+    "Address": "10.0.0.1:8080",
+    "Zone": "dc-1",
+    "Version": "v1",
+    "Slots": 6,
+    "State": "ready",
+    "ColdRemaining": "0ms",
+    "Sequence": 4,
+    "born": 1778063521000,
+}
+
+
+def read(**changes: Any) -> Any:
+    body = msgspec.json.encode({**BEAT, **changes})
+    return read_heartbeat("PUT", "/instances/i-1", body, PLACE)
+
+
+@pytest.mark.parametrize(
+    ("changes", "state", "cold_ms"),
+    [
+        ({}, "warm", 0),
+        ({"ColdRemaining": "2.5s"}, "cold", 2500),
+        ({"State": "draining"}, "draining", 0),
+        ({"State": "draining", "ColdRemaining": "1s"}, "draining", 1000),
+    ],
+)
+def test_a_heartbeat(changes: dict[str, Any], state: str, cold_ms: int) -> None:
+    found = read(**changes).ok
+    assert isinstance(found, Announcement)
+    assert (found.state, found.cold_ms, found.load.slots) == (state, cold_ms, 6)
+    assert (found.instance, found.born_ms, found.sequence) == ("i-1", 1778063521000, 4)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Slots": "6"},
+        {"Slots": 0},
+        {"State": "happy"},
+        {"born": 1.5},
+        {"Sequence": None},
+        {"ColdRemaining": "soon"},
+        {"Service": "other"},
+        {"Address": "10.0.0.2:8080"},
+    ],
+    ids=str,
+)
+def test_another_writer(changes: dict[str, Any]) -> None:
+    assert read(**changes).is_error()
+
+
+@pytest.mark.parametrize("missing", ["Service", "Address", "Slots", "State", "Sequence", "born"])
+def test_a_missing_field(missing: str) -> None:
+    body = msgspec.json.encode({name: value for name, value in BEAT.items() if name != missing})
+    assert read_heartbeat("PUT", "/instances/i-1", body, PLACE).is_error()
+
+
+def test_bytes_that_cannot_be_read() -> None:
+    assert read_heartbeat("PUT", "/instances/i-1", b"\xff{", PLACE).is_error()
+
+
+def test_leaving_needs_no_body() -> None:
+    assert read_heartbeat("DELETE", "/instances/i-1", b"", PLACE).ok == Withdrawal("i-1")
+
+
+@pytest.mark.parametrize("path", ["/instances/", "/instances/a/b", "/other/i-1"])
+def test_another_path(path: str) -> None:
+    assert read_heartbeat("DELETE", path, b"", PLACE).is_error()
--- a/tests/settings/test_jsonc.py
+++ b/tests/settings/test_jsonc.py
@@ -30,7 +30,11 @@
     ("old", "new", "expected"),
     [
         ('"10.0.0.1:8003"', "8003", "s.json:7: key 'metrics_address': Expected `str`, got `int`"),
-        ('"vm"', '"vn"', "s.json:3: unknown key 'vn'; allowed: caller_address, data_centre"),
+        (
+            '"vm"',
+            '"vn"',
+            "s.json:3: unknown key 'vn'; allowed: application_address, caller_address",
+        ),
         (
             '"10.0.0.1:8001"',
             '"host:8001"',
