--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -193,6 +193,8 @@
         while True:
             await asyncio.sleep(CHECK_SECONDS)
             self._note_isolation()
+            # The others may have been asked after the last answer of the store.
+            self._note_ready()
 
     def _note_isolation(self) -> None:
         # A watch that waits tells nothing meanwhile; only one that failed shows an outage earlier.
--- a/kingcuppond/entry/port.py
+++ b/kingcuppond/entry/port.py
@@ -116,6 +116,11 @@
             self.next_id,
         )
         if read.is_error():
+            self.journal.record(
+                catalogue.REQUEST_REFUSED,
+                request=request.headers.get(self.dialect.request_id_header, "without id"),
+                reason=f"{read.error.reason.value}: {read.error.detail}",
+            )
             return self._refuse(request, read.error)
         wanted = read.ok
         got = await self._run(wanted)
@@ -177,7 +182,7 @@
         answer = got.ok
         try:
             # Relays close their connections themselves when this daemon has left the fleet.
-            return await send_answer(request, answer, self._report(), False)
+            return await send_answer(request, answer, self._report(answer.begun_slowdown), False)
         except BrokenAnswerError as exc:
             raise ConnectionResetError(str(exc)) from exc
         finally:
@@ -207,9 +212,9 @@
             is_last_resort=head.is_last_resort,
         )
 
-    def _report(self) -> dict[str, str]:
+    def _report(self, begun_slowdown: float = 1.0) -> dict[str, str]:
         """Return the header that reports the gate's load, if the measuring budget allows it."""
-        text = self.gate.report().encode()
+        text = self.gate.report(begun_slowdown).encode()
         if not self.measuring.take(REPORT_OVERHEAD_BYTES + len(text)):
             return {}
         return {GATE_HEADER: text}
--- a/kingcuppond/gate/estimate.py
+++ b/kingcuppond/gate/estimate.py
@@ -30,8 +30,3 @@
         self.seconds_by_class[class_name] = (
             usual if known is None else known + WEIGHT * (usual - known)
         )
-
-    def expect(self, class_name: str, slowdown: float) -> float | None:
-        """Return the seconds that a call would take, ``None`` if its class is not known yet."""
-        usual = self.seconds_by_class.get(class_name)
-        return None if usual is None else usual * slowdown
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -44,6 +44,15 @@
 
 MAX_SEEN: Final = 50_000
 
+SPELL_SECONDS: Final = 0.5
+"""For so long a machine's speed usually stays the same; a spell has half of it left in the mean."""
+
+UNKNOWN_SHARE_OF_TARGET: Final = 0.33
+"""What a class that was never answered here is taken to need of the time that is left."""
+
+SPEED_CHECK_SECONDS: Final = 0.03
+"""Time between two looks at the speed while calls wait for it."""
+
 
 @attrs.define
 class Gate:
@@ -85,6 +94,7 @@
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
     _was_out: bool = False
+    _waiting_for_speed: int = 0
     _seen_by_call: dict[str, float] = attrs.field(factory=dict)
     _tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
@@ -108,11 +118,13 @@
         """How many calls the server runs now."""
         return self.admission.in_flight
 
-    def report(self) -> GateReport:
-        """Return the load that other daemons are told."""
-        admission = self.admission
-        waiting = admission.in_flight + admission.waiting
-        return GateReport(waiting, self.limit.limit, self.observer.slowdown)
+    def report(self, begun_slowdown: float = 1.0) -> GateReport:
+        """Return the load that other daemons are told.
+
+        :param begun_slowdown: the slowdown when the call began that the report goes with
+        """
+        load = self.admission.in_flight + self.admission.waiting + self._waiting_for_speed
+        return GateReport(load, self.limit.limit, self.observer.slowdown, begun_slowdown)
 
     def refusal(self) -> NotRun | None:
         """Tell why no call may run at the server now, or ``None``."""
@@ -206,7 +218,7 @@
         refusal = self.refusal()
         if refusal is None:
             await self.observer.freshen()
-            refusal = self._find_late(call)
+            refusal = await self._wait_for_speed(call) or self._find_late(call)
         if refusal is not None:
             return Error(self._refuse(call, refusal))
         is_on_trial = call.is_on_trial or level is Level.SUSPECTED
@@ -228,21 +240,22 @@
         if got.is_error():
             await self._judge_failure(call, ticket, got.error)
             return got
-        answer = got.ok
+        answer = attrs.evolve(got.ok, begun_slowdown=slowdown)
         if answer.chunks is None:
-            self._judge_answer(call, ticket, answer, started, slowdown)
+            self._judge_answer(call, ticket, answer, started)
             self.admission.leave(ticket)
-            return got
-        return Ok(self._guard(call, ticket, answer, started, slowdown))
+            return Ok(answer)
+        return Ok(self._guard(call, ticket, answer, started))
 
     def _find_late(self, call: Call) -> NotRun | None:
-        """Tell whether a call would come too late here while another server may be in time."""
+        """Tell whether another server may serve a call sooner than this one."""
+        is_full = self.in_flight >= self.limit.limit
+        if is_full and not call.is_last_resort:
+            return NotRun(Reason.FULL, f"all slots beside {self.directory.me.vm} are in use")
         if self.observer.load is None:
             return None
-        expected = self.estimate.expect(call.class_name, self.observer.slowdown)
-        if expected is None:
-            return None
-        if self.in_flight >= self.limit.limit:
+        expected = self._usual_seconds(call) * self.observer.slowdown
+        if is_full:
             expected *= 1 + (self.admission.waiting + 1) / self.limit.limit
         due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
         if self.clock.monotonic() + expected <= due:
@@ -250,6 +263,37 @@
         detail = f"an answer would take {expected * 1000:.0f} ms at {self.directory.me.vm}"
         return NotRun(Reason.SLOW, detail)
 
+    async def _wait_for_speed(self, call: Call) -> NotRun | None:
+        """Let a call that no other server takes wait until the machine is as fast as usual.
+
+        How long work takes is decided when it begins: what begins in a slow spell stays slow after
+        it.  So a call that would take longer than the rest of the spell is better begun after it.
+        """
+        if not call.is_last_resort or self.observer.load is None:
+            return None
+        usual = self._usual_seconds(call)
+        last_start = min(call.deadline - usual, self.clock.monotonic() + SPELL_SECONDS)
+        while self._is_spell_shorter(usual) and self.clock.monotonic() < last_start:
+            if self._waiting_for_speed >= self.limit.limit:
+                return NotRun(Reason.FULL, "too many calls wait for a slow server")
+            self._waiting_for_speed += 1
+            try:
+                await asyncio.sleep(SPEED_CHECK_SECONDS)
+            finally:
+                self._waiting_for_speed -= 1
+            await self.observer.freshen()
+        return self.refusal()
+
+    def _usual_seconds(self, call: Call) -> float:
+        known = self.estimate.seconds_by_class.get(call.class_name)
+        if known is not None:
+            return known
+        left = min(call.target_at, call.deadline) - self.clock.monotonic()
+        return max(0.0, left) * UNKNOWN_SHARE_OF_TARGET
+
+    def _is_spell_shorter(self, usual: float) -> bool:
+        return usual * (self.observer.slowdown - 1.0) > SPELL_SECONDS / 2
+
     async def _exchange(self, call: Call) -> Result[Answer, Failure]:
         headers = to_multidict(call.headers)
         left_ms = int((call.deadline - time.monotonic()) * 1000)
@@ -285,9 +329,7 @@
             return Error(NotRun(Reason.NO_SERVER, "another server has the address now"))
         return Error(NotRun(Reason.SHED, f"the server beside {self.directory.me.vm} shed it"))
 
-    def _guard(
-        self, call: Call, ticket: Ticket, answer: Answer, started: float, slowdown: float
-    ) -> Answer:
+    def _guard(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> Answer:
         # The call stays in flight until its streamed answer has ended.
         source = answer.chunks
         close = answer.close
@@ -301,7 +343,7 @@
                 lost = Unknown(Reason.CONNECTION_LOST, str(exc))
                 await self._judge_failure(call, ticket, lost)
                 raise
-            self._judge_answer(call, ticket, answer, started, slowdown)
+            self._judge_answer(call, ticket, answer, started)
 
         async def close_and_leave() -> None:
             self.admission.leave(ticket)
@@ -309,16 +351,14 @@
 
         return attrs.evolve(answer, chunks=guarded(), close=close_and_leave)
 
-    def _judge_answer(
-        self, call: Call, ticket: Ticket, answer: Answer, started: float, slowdown: float
-    ) -> None:
+    def _judge_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
         self.answered += 1
         self.suspects.answered(call.fingerprint)
         if answer.status >= 500:
             self._note_cold(self.limit.failed(), "it answers with errors")
             return
         seconds = self.clock.monotonic() - started
-        self.estimate.learn(call.class_name, seconds, slowdown)
+        self.estimate.learn(call.class_name, seconds, answer.begun_slowdown)
         is_cold = self.limit.answered(call.class_name, seconds, ticket.was_full)
         self._note_cold(is_cold, "its answers became slow")
 
--- a/kingcuppond/membership/contacts.py
+++ b/kingcuppond/membership/contacts.py
@@ -13,7 +13,7 @@
 
 from kingcuppond.membership.messages import Member
 
-MESH_MEMBERS: Final = 16
+MESH_MEMBERS: Final = 6
 RING_BASE: Final = 4
 PING_SECONDS: Final = 0.5
 PINGS_PER_SECOND: Final = 20.0
--- a/kingcuppond/routing/budgets.py
+++ b/kingcuppond/routing/budgets.py
@@ -13,6 +13,7 @@
 RETRY_SHARE: Final = 0.1
 HEDGE_SHARE: Final = 0.05
 RETRY_RESERVE: Final = 10.0
+HEDGE_RESERVE: Final = 2.0
 
 
 @attrs.define
@@ -54,7 +55,7 @@
 
     share: float
     reserve: float = RETRY_RESERVE
-    tokens: float = RETRY_RESERVE
+    tokens: float = 1.0
 
     def earn(self) -> None:
         """Count a call."""
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -107,6 +107,7 @@
     """A server's answer; its body is in ``whole``, or comes from ``chunks``.
 
     :param close: ends the exchange; called exactly once, also after a failure
+    :param begun_slowdown: how slow the server's machine was when the call began there
     """
 
     status: int
@@ -114,6 +115,7 @@
     whole: bytes | None = None
     chunks: AsyncIterator[bytes] | None = None
     close: Callable[[], Awaitable[None]] = _close_nothing
+    begun_slowdown: float = 1.0
 
 
 class BrokenAnswerError(Exception):
--- a/kingcuppond/routing/choice.py
+++ b/kingcuppond/routing/choice.py
@@ -33,10 +33,22 @@
     detour_seconds: float = 0.0
 
 
-Policy = Callable[[Sequence[Candidate], float, Random], Candidate]
+@attrs.frozen
+class Moment:
+    """What a choice is made for.
+
+    :param now: monotonic time
+    :param usual: seconds that a good answer of the call's class usually takes
+    """
+
+    now: float
+    usual: float
+
+
+Policy = Callable[[Sequence[Candidate], Moment, Random], Candidate]
 
 
-def least_expected(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+def least_expected(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Draw a few and take the one with the least expected time.
 
     The local one is always among them, and so are as many of this data centre as are drawn of all.
@@ -48,10 +60,10 @@
         drawn.extend(c for c in rng.sample(near, min(DRAWN, len(near))) if c not in drawn)
         drawn.extend(c for c in candidates if c.is_local and c not in drawn)
     rng.shuffle(drawn)
-    return min(drawn, key=lambda c: _expected(c, now))
+    return min(drawn, key=lambda c: _expected(c, moment))
 
 
-def random_choice(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+def random_choice(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Baseline: any."""
     return rng.choice(candidates)
 
@@ -60,7 +72,7 @@
     """Baseline: one after another."""
     count = 0
 
-    def choose(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+    def choose(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
         nonlocal count
         count += 1
         ordered = sorted(candidates, key=lambda c: c.vm)
@@ -69,17 +81,17 @@
     return choose
 
 
-def least_in_flight(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+def least_in_flight(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Baseline: the fewest calls of this daemon's own in flight."""
     return min(candidates, key=lambda c: (c.view.in_flight, rng.random()))
 
 
-def least_reported(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+def least_reported(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Baseline: the least load by the last report, however old."""
     return min(candidates, key=lambda c: (_reported(c), rng.random()))
 
 
-def power_of_two(candidates: Sequence[Candidate], now: float, rng: Random) -> Candidate:
+def power_of_two(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Baseline: the better of two by own calls in flight."""
     drawn = rng.sample(list(candidates), min(2, len(candidates)))
     return min(drawn, key=lambda c: c.view.in_flight)
@@ -95,9 +107,11 @@
 }
 
 
-def _expected(candidate: Candidate, now: float) -> float:
+def _expected(candidate: Candidate, moment: Moment) -> float:
     hop = 0.0 if candidate.is_local else HOP_SECONDS
-    return candidate.view.expected_seconds(now) + hop + candidate.detour_seconds
+    return (
+        candidate.view.expected_seconds(moment.now, moment.usual) + hop + candidate.detour_seconds
+    )
 
 
 def _reported(candidate: Candidate) -> float:
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -9,10 +9,12 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from typing import Any, Final
 
 import aiohttp
 import attrs
+from aiohttp.client_proto import ResponseHandler
 from expression import Error, Ok, Result
 from multidict import CIMultiDict
 from yarl import URL
@@ -28,9 +30,6 @@
 ENDING_SECONDS: Final = (0.05, 0.1, 0.2)
 """Waits before each question: a process that was killed has closed all its sockets by then."""
 
-CLOSED_SECONDS: Final = 0.05
-"""How long after its last byte the end of a connection may be seen."""
-
 POOL_IDLE_SECONDS: Final = 4.0
 """Below the idle time after which servers close a connection."""
 
@@ -56,6 +55,22 @@
 """Tells by its status and headers whether an answer belongs to the request."""
 
 
+class _WatchedHandler(ResponseHandler):
+    """Keeps how a connection ended.
+
+    The library takes a reset for the end of an answer that has no length.
+    """
+
+    is_lost = False
+    lost_by: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the end of the connection."""
+        self.is_lost = True
+        self.lost_by = exc
+        super().connection_lost(exc)
+
+
 def open_session(is_reusing: bool = True) -> aiohttp.ClientSession:
     """Make a session whose requests are sent once.
 
@@ -65,6 +80,8 @@
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_SECONDS)
     else:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    factory: Any = partial(_WatchedHandler, loop=asyncio.get_running_loop())
+    connector._factory = factory
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -179,22 +196,16 @@
 
     :raises BrokenAnswerError: the connection was reset, so that the end of the answer is missing
     """
-    connection = response.connection
-    protocol = None if connection is None else connection.protocol
+    protocol = response._protocol
     whole = await response.content.read(MAX_UNFRAMED_BYTES + 1)
     while not response.content.at_eof() and len(whole) <= MAX_UNFRAMED_BYTES:
         whole += await response.content.readany()
     if len(whole) > MAX_UNFRAMED_BYTES:
         raise BrokenAnswerError("an answer without a length is too large to be held")
-    # The library takes a reset for the end of such an answer; how the connection ended, it keeps.
-    closed = None if protocol is None else protocol.closed
-    if closed is not None:
-        try:
-            await asyncio.wait_for(asyncio.shield(closed), CLOSED_SECONDS)
-        except (aiohttp.ClientError, OSError) as exc:
-            raise BrokenAnswerError(f"the answer broke off: {type(exc).__name__}") from exc
-        except TimeoutError as exc:
-            raise BrokenAnswerError("the answer's connection did not end") from exc
+    if not isinstance(protocol, _WatchedHandler) or not protocol.is_lost:
+        raise BrokenAnswerError("the answer's connection did not end")
+    if protocol.lost_by is not None:
+        raise BrokenAnswerError(f"the answer broke off: {protocol.lost_by!r}")
     return whole
 
 
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -9,8 +9,10 @@
 A refusal by a gate costs no server anything and takes nothing from these budgets; its bounds are
 the few gates that are asked in a round and, if all are full, a backlog that holds few calls, none
 of them for longer than an eighth of its class's target.  So a short burst is ridden out, and a long
-overload is shed at once.  If all gates asked would answer too late for the target, the best of them
-is asked again to take the call as it is.
+overload is shed at once.  If all gates asked are full or would answer too late for the target, the
+best of them is asked again to take the call as it is, or to let it wait for a slot.
+
+A server of this data centre is preferred as long as it has room and would be in time.
 
 A repeatable call that takes much longer than others of its class is hedged: it runs a second time
 at another server, and the first whole answer wins; the other attempt is cancelled.
@@ -31,9 +33,9 @@
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
-from kingcuppond.routing.budgets import HEDGE_SHARE, RETRY_SHARE, ShareBudget
+from kingcuppond.routing.budgets import HEDGE_RESERVE, HEDGE_SHARE, RETRY_SHARE, ShareBudget
 from kingcuppond.routing.call import Answer, Call
-from kingcuppond.routing.choice import Candidate, Policy, least_expected
+from kingcuppond.routing.choice import Candidate, Moment, Policy, least_expected
 from kingcuppond.routing.hedging import discard, first_answer
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
@@ -42,6 +44,9 @@
 HEDGE_MIN_SECONDS: Final = 0.010
 ASKED_IN_A_ROUND: Final = 4
 MAX_BACKLOG: Final = 32
+
+NEAR_LOAD_SHARE: Final = 0.8
+"""Servers become slower when they are nearly full; then those farther off are compared too."""
 BACKLOG_SHARE_OF_TARGET: Final = 0.125
 FIRST_PAUSE_SECONDS: Final = 0.004
 MAX_PAUSE_SECONDS: Final = 0.064
@@ -54,6 +59,7 @@
     Reason.NOT_READY,
     Reason.ISOLATED,
 )
+TAKES_IT_LATE: Final = (Reason.FULL, Reason.SLOW)
 NOT_ELSEWHERE: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
 
@@ -63,7 +69,7 @@
 
     :param retries_left: further attempts that may reach a server
     :param tried: VMs that were asked in this round
-    :param slow: servers that would answer, but too late for the target
+    :param slow: servers that would take the call, but perhaps too late for the target
     :param failed: an answer that says that the server failed, kept in case no better one comes
     """
 
@@ -96,7 +102,7 @@
     policy: Policy = least_expected
     is_hedging: bool = True
     backlog: int = 0
-    hedges: ShareBudget = attrs.field(factory=lambda: ShareBudget(HEDGE_SHARE))
+    hedges: ShareBudget = attrs.field(factory=lambda: ShareBudget(HEDGE_SHARE, HEDGE_RESERVE))
     retries_by_service: dict[str, ShareBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
 
@@ -154,7 +160,7 @@
     ) -> bool:
         """Tell whether a call that failed at one server may go to another one."""
         if failure.reason in REFUSED_BY_GATE and isinstance(failure, NotRun):
-            if failure.reason is Reason.SLOW and not call.is_last_resort:
+            if failure.reason in TAKES_IT_LATE and not call.is_last_resort:
                 progress.slow.append(candidate)
             return not call.is_last_resort
         if not self._may_repeat(call, failure, progress):
@@ -239,7 +245,22 @@
         candidates = self.candidates(call.service, tried)
         if not candidates or self.clock.monotonic() >= call.deadline:
             return None
-        return self.policy(candidates, self.clock.monotonic(), self.rng)
+        now = self.clock.monotonic()
+        usual = self.sender.usual_seconds(call.class_name)
+        near = [it for it in candidates if self._is_near_enough(it, now, call.target_at, usual)]
+        return self.policy(near or candidates, Moment(now, usual), self.rng)
+
+    def _is_near_enough(
+        self, candidate: Candidate, now: float, target_at: float, usual: float
+    ) -> bool:
+        """Tell whether a server of this data centre has room and would be in time.
+
+        Then no other data centre is asked: what crosses between them is paid for.
+        """
+        view = candidate.view
+        if candidate.detour_seconds or view.load_share(now) >= NEAR_LOAD_SHARE:
+            return False
+        return now + view.expected_seconds(now, usual) <= target_at
 
     def _may_repeat(self, call: Call, failure: Failure, progress: _Progress) -> bool:
         if failure.reason in NOT_ELSEWHERE or progress.retries_left < 1:
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -20,11 +20,14 @@
 from kingcuppond.routing.choice import Candidate
 from kingcuppond.routing.exchange import Exchanged, exchange
 from kingcuppond.routing.headers import GATE_HEADER, MAC_HEADER, RELAY_HEADER, to_multidict
-from kingcuppond.routing.view import parse_report
+from kingcuppond.routing.view import DEFAULT_LATENCY_SECONDS, parse_report
 
 TYPICAL_WEIGHT: Final = 0.05
 """Of one answer in the mean of its class: some twenty answers change it."""
 
+LEAST_SECONDS: Final = 0.0001
+"""No answer counts as faster, so that ratios of times stay finite."""
+
 EXPECT_BYTES: Final = 8192
 """A longer body is sent only after the gate let the call in: it costs more than the round trip."""
 
@@ -33,7 +36,7 @@
 class Sender:
     """Sends calls to gates.
 
-    :param typical_by_class: usual seconds of a good answer, wherever it came from
+    :param typical_by_class: usual seconds of a good answer at the usual speed of the machines
     """
 
     directory: Directory
@@ -70,9 +73,10 @@
                 view.refuse(call.id, now, got.error.reason is Reason.FULL)
             return got
         is_good = got.is_ok() and got.ok.status < 500
-        view.end(call.id, now, is_good)
+        slowdown = got.ok.begun_slowdown if got.is_ok() else 1.0
+        view.end(call.id, now, is_good, self.usual_seconds(call.class_name), slowdown)
         if is_good:
-            self._learn(call.class_name, now - started)
+            self._learn(call.class_name, now - started, slowdown)
         if got.is_ok():
             status = got.ok.status
             self.journal.record(
@@ -80,9 +84,14 @@
             )
         return got
 
-    def _learn(self, class_name: str, seconds: float) -> None:
-        typical = self.typical_by_class.get(class_name, seconds)
-        self.typical_by_class[class_name] = typical + TYPICAL_WEIGHT * (seconds - typical)
+    def usual_seconds(self, class_name: str) -> float:
+        """Return how long a good answer of a class usually takes."""
+        return self.typical_by_class.get(class_name, DEFAULT_LATENCY_SECONDS)
+
+    def _learn(self, class_name: str, seconds: float, slowdown: float) -> None:
+        usual = max(seconds / max(1.0, slowdown), LEAST_SECONDS)
+        typical = self.typical_by_class.get(class_name, usual)
+        self.typical_by_class[class_name] = typical + TYPICAL_WEIGHT * (usual - typical)
 
     async def _send(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
         member = self.directory.members_by_vm.get(candidate.vm)
@@ -134,10 +143,12 @@
             return Error(got.error)
         head = got.ok.headers
         answer = got.ok.answer
-        candidate.view.hear(parse_report(head.get(GATE_HEADER, "")), self.clock.monotonic())
+        report = parse_report(head.get(GATE_HEADER, ""))
+        candidate.view.hear(report, self.clock.monotonic())
         outcome = head.get(OUTCOME_HEADER)
         if outcome == Outcome.ANSWERED:
-            return Ok(answer)
+            slowdown = 1.0 if report is None else report.begun_slowdown
+            return Ok(attrs.evolve(answer, begun_slowdown=slowdown))
         await answer.close()
         reason = _reason_of(answer)
         detail = f"said by the gate of {candidate.vm}"
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -4,6 +4,9 @@
 in flight there, which is exact, from how its own calls went, and from what the gate wrote on its
 last answer, which is free.  A call that is still unanswered is evidence too: the age of the oldest
 one is a lower bound of the latency, and shows a straggler before any answer or report can.
+
+Classes take different times, so the view keeps how much longer than usual for its class an answer
+took.  A server that was not used for a while counts as usual, and not as fast.
 """
 
 from typing import Final
@@ -12,6 +15,11 @@
 
 LATENCY_WEIGHT: Final = 0.2
 ERROR_WEIGHT: Final = 0.2
+
+ERROR_FACTOR: Final = 100
+"""With the third power of the error rate: one error nearly doubles a server's expected time, and a
+row of them keeps all calls away."""
+
 REPORT_SECONDS: Final = 0.5
 SLOWDOWN_SECONDS: Final = 0.25
 """Half of the time for which a machine's speed usually stays the same."""
@@ -31,18 +39,21 @@
 
     :param in_flight: calls that run or wait there
     :param limit: calls that may run at once
-    :param slowdown: how long work takes there, as a multiple of the usual
+    :param slowdown: how long work that begins now takes there, as a multiple of the usual
+    :param begun_slowdown: what the slowdown was when the answered call began
     """
 
     in_flight: int
     limit: int
     slowdown: float = 1.0
+    begun_slowdown: float = 1.0
 
     def encode(self) -> str:
         """Return the header's value."""
-        if self.slowdown == 1.0:
+        if self.slowdown == self.begun_slowdown == 1.0:
             return f"{self.in_flight}/{self.limit}"
-        return f"{self.in_flight}/{self.limit}/{round(self.slowdown * PER_CENT)}"
+        speeds = [round(it * PER_CENT) for it in (self.slowdown, self.begun_slowdown)]
+        return f"{self.in_flight}/{self.limit}/{speeds[0]}/{speeds[1]}"
 
 
 def parse_report(text: str) -> GateReport | None:
@@ -50,17 +61,17 @@
     parts = text.split("/")
     if len(text) > MAX_REPORT or not all(part.isdecimal() for part in parts):
         return None
-    if len(parts) not in (2, 3):
+    if len(parts) not in (2, 4):
         return None
-    slowdown = int(parts[2]) / PER_CENT if len(parts) == 3 else 1.0
-    return GateReport(int(parts[0]), max(1, int(parts[1])), slowdown)
+    speeds = [int(part) / PER_CENT for part in parts[2:]] or [1.0, 1.0]
+    return GateReport(int(parts[0]), max(1, int(parts[1])), *speeds)
 
 
 @attrs.define
 class ServerView:
     """The view of one server."""
 
-    latency: float = DEFAULT_LATENCY_SECONDS
+    latency_ratio: float = 1.0
     error_rate: float = 0.0
     report: GateReport | None = None
     reported_at: float = 0.0
@@ -79,8 +90,18 @@
         self.started_by_call[call_id] = now
         self.last_used = now
 
-    def end(self, call_id: str, now: float, is_good: bool) -> None:
-        """Note that a call ended there; what its gate wrote on the answer must be heard before.
+    def end(
+        self,
+        call_id: str,
+        now: float,
+        is_good: bool,
+        usual: float = DEFAULT_LATENCY_SECONDS,
+        begun_slowdown: float = 1.0,
+    ) -> None:
+        """Note that a call ended there.
+
+        :param usual: seconds that a good answer of its class usually takes
+        :param begun_slowdown: the slowdown there when the call began
 
         The latency of an error teaches nothing about speed: a server that fails fast is not a fast
         one.
@@ -88,8 +109,8 @@
         started = self.started_by_call.pop(call_id, now)
         if is_good:
             self.error_rate -= ERROR_WEIGHT * self.error_rate
-            usual = (now - started) / self._slowdown(now)
-            self.latency += LATENCY_WEIGHT * (usual - self.latency)
+            ratio = (now - started) / max(1.0, begun_slowdown) / usual
+            self.latency_ratio += LATENCY_WEIGHT * (ratio - self.latency_ratio)
             self.refusals = 0
         else:
             self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
@@ -115,30 +136,37 @@
             self.report = report
             self.reported_at = now
 
-    def expected_seconds(self, now: float) -> float:
-        """Estimate how long one more call would take there."""
-        latency = self._current_latency(now) * self._slowdown(now)
+    def expected_seconds(self, now: float, usual: float = DEFAULT_LATENCY_SECONDS) -> float:
+        """Estimate how long one more call would take there.
+
+        :param usual: seconds that a good answer of its class usually takes
+        """
+        latency = self._current_latency(now, usual) * self.slowdown(now)
+        errors = self._fading(self.error_rate, now)
+        return latency * (1 + self.load_share(now)) * (1 + ERROR_FACTOR * errors**3)
+
+    def load_share(self, now: float) -> float:
+        """Return the calls that are known to run or wait there, as a share of its limit."""
         limit = 1 if self.report is None else self.report.limit
         others = self.in_flight
         if self.report is not None and now - self.reported_at < REPORT_SECONDS:
             others = max(others, self.report.in_flight)
-        errors = self._fading(self.error_rate, now)
-        return latency * (1 + others / limit) * (1 + 50 * errors)
+        return others / limit
 
-    def _slowdown(self, now: float) -> float:
+    def slowdown(self, now: float) -> float:
+        """Return how long work takes there now, as a multiple of the usual; 1 if unknown."""
         if self.report is None or now - self.reported_at > SLOWDOWN_SECONDS:
             return 1.0
         return max(1.0, self.report.slowdown)
 
-    def _current_latency(self, now: float) -> float:
-        fading = DEFAULT_LATENCY_SECONDS + self._fading(
-            max(0.0, self.latency - DEFAULT_LATENCY_SECONDS), now
-        )
+    def _current_latency(self, now: float, usual: float) -> float:
+        latency = usual * (1.0 + self._fading(self.latency_ratio - 1.0, now))
         if not self.started_by_call:
-            return min(self.latency, fading)
-        # Calls are kept in the order of their start, so the first one is the oldest.
-        oldest = now - next(iter(self.started_by_call.values()))
-        return max(self.latency, oldest)
+            return latency
+        # Calls are kept in the order of their start, so the first one is the oldest.  It tells of a
+        # straggler only if the gate has not spoken since.
+        oldest = next(iter(self.started_by_call.values()))
+        return latency if oldest < self.reported_at else max(latency, now - oldest)
 
     def _fading(self, value: float, now: float) -> float:
         idle = now - self.last_used
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -1,5 +1,6 @@
 """What a daemon may believe of the store when it starts anew."""
 
+import asyncio
 from random import Random
 from typing import Any, cast
 
@@ -22,6 +23,9 @@
 
     configuration: Configuration
 
+    def hears_majority(self) -> bool:
+        return True
+
     def spread_objects(self, objects: list[VersionedObject]) -> None:
         self.configuration.merge(objects)
 
@@ -55,6 +59,21 @@
     assert configuration.is_ready
 
 
+async def test_asking_the_others_after_the_listing_makes_it_ready(
+    journal: Journal, clock: Clock
+) -> None:
+    """A watch may then wait for long without an answer."""
+    asked = [False]
+    watcher, configuration = make_watcher(FakeStore(), journal, clock, asked)
+    await watcher.refresh(KIND)
+    asked[0] = True
+    checking = asyncio.create_task(watcher.loops()["isolation"]())
+    async with asyncio.timeout(2):
+        while not configuration.is_ready:
+            await asyncio.sleep(0.01)
+    checking.cancel()
+
+
 async def test_a_stale_listing_neither_reverts_nor_deletes(journal: Journal, clock: Clock) -> None:
     store = FakeStore({("configuration", "data-centre/b"): Stored(3, OUT)}, version=3)
     watcher, configuration = make_watcher(store, journal, clock, [True])
