--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 import attrs
+from aiohttp import web
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
@@ -24,7 +25,6 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.announcements import Announcement
-from kingcuppond.gate.estimate import WorkEstimate
 from kingcuppond.gate.incarnation import Incarnation, IncarnationLog
 from kingcuppond.gate.limit import ConcurrencyLimit
 from kingcuppond.gate.observer import ServerObserver
@@ -38,6 +38,7 @@
 from kingcuppond.routing.exchange import exchange, is_gone
 from kingcuppond.routing.headers import to_multidict
 from kingcuppond.routing.view import GateReport
+from kingcuppond.usual import UsualTimes
 
 SEEN_SECONDS: Final = 60.0
 """Longer than any call may take, so that a doubled message is still known."""
@@ -89,7 +90,7 @@
     refused: int = 0
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     incarnations: IncarnationLog = attrs.field(factory=IncarnationLog)
-    estimate: WorkEstimate = attrs.field(factory=WorkEstimate)
+    usual: UsualTimes = attrs.field(factory=UsualTimes)
     pace: ColdPace = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
@@ -285,7 +286,7 @@
         return self.refusal()
 
     def _usual_seconds(self, call: Call) -> float:
-        known = self.estimate.seconds_by_class.get(call.class_name)
+        known = self.usual.seconds_by_class.get(call.class_name)
         if known is not None:
             return known
         left = min(call.target_at, call.deadline) - self.clock.monotonic()
@@ -295,6 +296,11 @@
         return usual * (self.observer.slowdown - 1.0) > SPELL_SECONDS / 2
 
     async def _exchange(self, call: Call) -> Result[Answer, Failure]:
+        if call.at_most_once:
+            try:
+                await call.body.hold()
+            except (OSError, TimeoutError, aiohttp.ClientError, web.RequestPayloadError) as exc:
+                return Error(NotRun(Reason.BAD_REQUEST, f"the body broke off: {exc!r}"))
         headers = to_multidict(call.headers)
         left_ms = int((call.deadline - time.monotonic()) * 1000)
         sent = ServerRequest(
@@ -358,7 +364,7 @@
             self._note_cold(self.limit.failed(), "it answers with errors")
             return
         seconds = self.clock.monotonic() - started
-        self.estimate.learn(call.class_name, seconds, answer.begun_slowdown)
+        self.usual.learn(call.class_name, seconds, answer.begun_slowdown)
         is_cold = self.limit.answered(call.class_name, seconds, ticket.was_full)
         self._note_cold(is_cold, "its answers became slow")
 
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -18,8 +18,8 @@
 from kingcuppond.clock import Clock
 from kingcuppond.dialect import Headers, ServerLoad, ServerWord
 
-FRESH_SECONDS: Final = 0.06
-"""An eighth of the half second for which a machine's speed usually stays the same."""
+FRESH_SECONDS: Final = 0.03
+"""A sixteenth of the half second for which a machine's speed usually stays the same."""
 
 REPEAT_SECONDS: Final = 0.5
 """Time between two questions while nothing else is heard; 2 of the 60 a second that are allowed."""
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -48,6 +48,18 @@
                 self._hash.update(chunk)
                 yield chunk
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether bytes were sent on that are no longer held, so that no other server gets all."""
+        return self.is_taken and not self.is_whole
+
+    async def hold(self) -> None:
+        """Read a short body into memory, so that the call begins only when it is complete."""
+        if self.rest is None or self.length is None or self.length > BODY_MEMORY_BYTES:
+            return
+        self.first = b"".join([chunk async for chunk in self.stream()])
+        self.rest = None
+
     async def digest(self) -> str:
         """Return the digest of all bytes after ``first``, reading what was not streamed yet."""
         if not self.is_whole and not self.is_taken:
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -97,6 +97,30 @@
     return session
 
 
+@attrs.define
+class _BodyMark:
+    """Whether the other end is still to ask for the body."""
+
+    is_awaited: bool
+
+
+def _body_data(body: Body, mark: _BodyMark, interim: asyncio.Timeout) -> Any:
+    if body.is_whole and not mark.is_awaited:
+        return body.first or None
+
+    async def data() -> AsyncIterator[bytes]:
+        if mark.is_awaited:
+            mark.is_awaited = False
+            interim.reschedule(None)
+        if body.is_whole:
+            yield body.first
+            return
+        async for chunk in body.stream():
+            yield chunk
+
+    return data()
+
+
 async def exchange(
     session: aiohttp.ClientSession,
     address: str,
@@ -105,32 +129,32 @@
     headers: CIMultiDict[str],
     body: Body,
     deadline: float,
-    expect_continue: bool = False,
+    continue_seconds: float | None = None,
     accept: Accept = lambda status, headers: True,
 ) -> Result[Exchanged, Failure]:
     """Send a request and receive the head of its answer.
 
     :param address: IP number and port
     :param deadline: reading of the monotonic clock after which the exchange is given up
-    :param expect_continue: let the other end refuse before the body is sent
+    :param continue_seconds: send the body only after the other end asked for it, and give up if it
+        does not within this time; until then the request is certainly not run there
     :param accept: an answer that it refuses breaks the connection and leaves the outcome unknown
     """
-    if body.is_whole:
-        data: Any = body.first or None
-    else:
-        data = body.stream()
     timer = asyncio.timeout_at(asyncio.get_running_loop().time() + deadline - time.monotonic())
+    interim = asyncio.timeout(continue_seconds)
+    mark = _BodyMark(is_awaited=continue_seconds is not None)
     response: aiohttp.ClientResponse | None = None
     try:
-        async with timer:
+        async with timer, interim:
             response = await session.request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
                 headers=headers,
-                data=data,
+                data=_body_data(body, mark, interim),
                 allow_redirects=False,
-                expect100=expect_continue,
+                expect100=continue_seconds is not None,
             )
+            interim.reschedule(None)
             if not accept(response.status, response.headers):
                 raise BrokenAnswerError("the answer does not belong to the request")
             return Ok(await _receive(response, method, deadline))
@@ -138,10 +162,14 @@
         return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
     except TimeoutError:
         _abort(response)
+        if mark.is_awaited and response is None:
+            return Error(NotRun(Reason.UNREACHABLE, f"{address} did not ask for the body"))
         return Error(Unknown(Reason.DEADLINE, f"{address} gave no whole answer in time"))
     except (aiohttp.ClientError, BrokenAnswerError, OSError, ValueError) as exc:
         _abort(response)
         detail = f"{address}: {type(exc).__name__} {exc}".rstrip()
+        if mark.is_awaited and response is None:
+            return Error(NotRun(Reason.UNREACHABLE, detail))
         return Error(Unknown(Reason.CONNECTION_LOST, detail))
     except asyncio.CancelledError:
         _abort(response)
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -50,7 +50,7 @@
 BACKLOG_SHARE_OF_TARGET: Final = 0.125
 FIRST_PAUSE_SECONDS: Final = 0.004
 MAX_PAUSE_SECONDS: Final = 0.064
-REFUSED_BY_GATE: Final = (
+NOT_AT_A_SERVER: Final = (
     Reason.FULL,
     Reason.SLOW,
     Reason.LEAVING,
@@ -58,7 +58,10 @@
     Reason.NO_SERVER,
     Reason.NOT_READY,
     Reason.ISOLATED,
+    Reason.UNREACHABLE,
 )
+"""No server had the call, so that it may go on without a share of the budgets."""
+
 TAKES_IT_LATE: Final = (Reason.FULL, Reason.SLOW)
 NOT_ELSEWHERE: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
@@ -119,7 +122,7 @@
         progress = _Progress(call.retry_budget)
         while True:
             got = await self._run_round(call, progress)
-            if got.is_ok() or got.error.reason is not Reason.FULL or call.body.is_taken:
+            if got.is_ok() or got.error.reason is not Reason.FULL or call.body.is_spent:
                 break
             if self.backlog >= MAX_BACKLOG or self.clock.monotonic() + pause > now + patience:
                 break
@@ -137,7 +140,7 @@
         while True:
             candidate = self._choose(call, progress.tried)
             is_last = len(progress.tried) >= ASKED_IN_A_ROUND or candidate is None
-            if is_last and progress.slow and not call.body.is_taken:
+            if is_last and progress.slow and not call.body.is_spent:
                 candidate = self._least_slow(progress)
                 call = attrs.evolve(call, id=self.next_id(), is_last_resort=True)
             elif is_last or candidate is None:
@@ -151,7 +154,7 @@
                 progress.failed = got.ok
             else:
                 failure = got.error
-                if call.body.is_taken or not self._may_go_on(call, candidate, failure, progress):
+                if call.body.is_spent or not self._may_go_on(call, candidate, failure, progress):
                     return got
             call = attrs.evolve(call, id=self.next_id())
 
@@ -159,7 +162,7 @@
         self, call: Call, candidate: Candidate, failure: Failure, progress: _Progress
     ) -> bool:
         """Tell whether a call that failed at one server may go to another one."""
-        if failure.reason in REFUSED_BY_GATE and isinstance(failure, NotRun):
+        if failure.reason in NOT_AT_A_SERVER and isinstance(failure, NotRun):
             if failure.reason in TAKES_IT_LATE and not call.is_last_resort:
                 progress.slow.append(candidate)
             return not call.is_last_resort
@@ -291,7 +294,7 @@
         return await first_answer({first, asyncio.create_task(self.sender.attempt(hedge, second))})
 
     def _hedge_delay(self, call: Call) -> float | None:
-        typical = self.sender.typical_by_class.get(call.class_name)
+        typical = self.sender.usual.seconds_by_class.get(call.class_name)
         if not self.is_hedging or typical is None or not call.is_repeatable:
             return None
         if call.retry_budget < 1 or call.is_on_trial:
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -21,12 +21,10 @@
 from kingcuppond.routing.exchange import Exchanged, exchange
 from kingcuppond.routing.headers import GATE_HEADER, MAC_HEADER, RELAY_HEADER, to_multidict
 from kingcuppond.routing.view import DEFAULT_LATENCY_SECONDS, parse_report
+from kingcuppond.usual import UsualTimes
 
-TYPICAL_WEIGHT: Final = 0.05
-"""Of one answer in the mean of its class: some twenty answers change it."""
-
-LEAST_SECONDS: Final = 0.0001
-"""No answer counts as faster, so that ratios of times stay finite."""
+CONTINUE_SECONDS: Final = 0.25
+"""A gate that is not the last resort decides within milliseconds, on a busy machine later."""
 
 EXPECT_BYTES: Final = 8192
 """A longer body is sent only after the gate let the call in: it costs more than the round trip."""
@@ -36,7 +34,7 @@
 class Sender:
     """Sends calls to gates.
 
-    :param typical_by_class: usual seconds of a good answer at the usual speed of the machines
+    :param usual: how long good answers take, wherever they come from
     """
 
     directory: Directory
@@ -46,7 +44,7 @@
     clock: Clock
     journal: Journal
     attempts: int = 0
-    typical_by_class: dict[str, float] = attrs.field(factory=dict)
+    usual: UsualTimes = attrs.field(factory=UsualTimes)
 
     async def attempt(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
         """Send a call to one server."""
@@ -76,7 +74,7 @@
         slowdown = got.ok.begun_slowdown if got.is_ok() else 1.0
         view.end(call.id, now, is_good, self.usual_seconds(call.class_name), slowdown)
         if is_good:
-            self._learn(call.class_name, now - started, slowdown)
+            self.usual.learn(call.class_name, now - started, slowdown)
         if got.is_ok():
             status = got.ok.status
             self.journal.record(
@@ -86,12 +84,7 @@
 
     def usual_seconds(self, class_name: str) -> float:
         """Return how long a good answer of a class usually takes."""
-        return self.typical_by_class.get(class_name, DEFAULT_LATENCY_SECONDS)
-
-    def _learn(self, class_name: str, seconds: float, slowdown: float) -> None:
-        usual = max(seconds / max(1.0, slowdown), LEAST_SECONDS)
-        typical = self.typical_by_class.get(class_name, usual)
-        self.typical_by_class[class_name] = typical + TYPICAL_WEIGHT * (usual - typical)
+        return self.usual.seconds_by_class.get(class_name, DEFAULT_LATENCY_SECONDS)
 
     async def _send(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
         member = self.directory.members_by_vm.get(candidate.vm)
@@ -101,7 +94,6 @@
         headers = to_multidict(call.headers)
         headers[RELAY_HEADER] = head
         headers[MAC_HEADER] = relay.sign(self.fleet_key, call.method, call.target, head)
-        is_long = not call.body.is_whole or len(call.body.first) > EXPECT_BYTES
         got = await exchange(
             self.session,
             member.relay_address,
@@ -110,10 +102,23 @@
             headers,
             call.body,
             call.deadline,
-            expect_continue=is_long,
+            continue_seconds=self._continue_seconds(call),
         )
         return await self._read(got, candidate)
 
+    def _continue_seconds(self, call: Call) -> float | None:
+        """Return how long a gate may take to ask for the body; ``None`` to send it at once.
+
+        A body is held back if it is long, and if the call must not run twice: until the gate asks
+        for it, the call has certainly not run, whatever becomes of the connection.
+        """
+        has_body = not call.body.is_whole or bool(call.body.first)
+        is_long = not call.body.is_whole or len(call.body.first) > EXPECT_BYTES
+        if not has_body or not (is_long or call.at_most_once):
+            return None
+        left = call.deadline - self.clock.monotonic()
+        return left if call.is_last_resort else min(left, CONTINUE_SECONDS)
+
     def _head(self, call: Call, vm: str) -> relay.Relay:
         now = self.clock.monotonic()
         target_left = call.target_at - now
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -14,6 +14,10 @@
 import attrs
 
 LATENCY_WEIGHT: Final = 0.2
+
+MOST_RATIO: Final = 4.0
+"""No single answer counts as slower: its machine may have been slow when the call began."""
+
 ERROR_WEIGHT: Final = 0.2
 
 ERROR_FACTOR: Final = 100
@@ -110,7 +114,7 @@
         if is_good:
             self.error_rate -= ERROR_WEIGHT * self.error_rate
             ratio = (now - started) / max(1.0, begun_slowdown) / usual
-            self.latency_ratio += LATENCY_WEIGHT * (ratio - self.latency_ratio)
+            self.latency_ratio += LATENCY_WEIGHT * (min(ratio, MOST_RATIO) - self.latency_ratio)
             self.refusals = 0
         else:
             self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -57,6 +57,7 @@
     server_port: str
     metrics: str
     server: str
+    ready: str
     settings: Path
     processes_by_role: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
 
@@ -67,6 +68,7 @@
 
     :param linked_stores: VMs whose daemon reaches the store over a link of its own
     :param linked_servers: VMs whose daemon reaches its server over a link of its own
+    :param is_on_platform: daemons and servers speak the users' platform's protocol
     """
 
     plans: Sequence[VmPlan]
@@ -75,6 +77,8 @@
     linked_servers: tuple[str, ...] = ()
     platform_options: tuple[str, ...] = ()
     log_level: str = "info"
+    is_on_platform: bool = False
+    first_start: bool = True
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
@@ -85,13 +89,13 @@
     def __enter__(self) -> "Fleet":
         self.folder = Path(tempfile.mkdtemp(prefix="kingcuppond-"))
         (self.folder / "fleet.key").write_text(secrets.token_hex(32))
-        ports = free_ports(1 + 5 * len(self.plans))
+        ports = free_ports(1 + 7 * len(self.plans))
         self.platform = f"{HOST}:{ports.pop()}"
         self.operator_settings.write_text(json.dumps({"platform_address": self.platform}))
         try:
             self.start_platform()
             for plan in self.plans:
-                self._add(plan, [f"{HOST}:{ports.pop()}" for _ in range(5)])
+                self._add(plan, [f"{HOST}:{ports.pop()}" for _ in range(7)])
             for name in self.vms_by_name:
                 self.start(name)
         except BaseException:
@@ -128,6 +132,16 @@
     def start_server(self, name: str, options: Sequence[str] = ()) -> None:
         """Start the server of a VM."""
         vm = self.vms_by_name[name]
+        if self.is_on_platform:
+            vm.processes_by_role["server"] = self._spawn(
+                f"{name}-server",
+                [
+                    *("standins.platform_server", "--service", vm.plan.service),
+                    *("--address", vm.server, "--daemon-server-address", vm.server_port),
+                    *("--data-centre", vm.plan.data_centre, *vm.plan.server_options, *options),
+                ],
+            )
+            return
         arguments = ["standins.server", "--service", vm.plan.service, "--address", vm.server]
         if name in self.server_links_by_name:
             link = self.server_links_by_name[name]
@@ -259,7 +273,7 @@
         return Link(port, int(target.rpartition(":")[2])).start()
 
     def _add(self, plan: VmPlan, addresses: list[str]) -> None:
-        caller, peer, server_port, metrics, server = addresses
+        caller, peer, server_port, metrics, server, relay, ready = addresses
         settings = self.folder / f"{plan.name}.json"
         store = self.platform
         if plan.name in self.linked_stores:
@@ -267,7 +281,7 @@
             store = f"{HOST}:{link.listen}"
         if plan.name in self.linked_servers:
             self.server_links_by_name[plan.name] = self._link(server)
-        values = {
+        values: dict[str, object] = {
             "vm": plan.name,
             "data_centre": plan.data_centre,
             "service": plan.service,
@@ -276,11 +290,25 @@
             "server_address": server_port,
             "metrics_address": metrics,
             "platform_address": store,
-            "fleet_key_file": "fleet.key",
             "log_level": self.log_level,
         }
+        if self.is_on_platform:
+            values |= {
+                "protocol": "platform",
+                "relay_address": relay,
+                "ready_address": ready,
+                "application_address": server,
+                "is_first_start": self.first_start,
+                "grace_ms": 6000,
+                "suspect_hold_ms": 0,
+                "watch_wait_ms": 20_000,
+            }
+        else:
+            values["fleet_key_file"] = "fleet.key"
         settings.write_text("// one VM of a test fleet\n" + json.dumps(values, indent=2))
-        self.vms_by_name[plan.name] = Vm(plan, caller, peer, server_port, metrics, server, settings)
+        self.vms_by_name[plan.name] = Vm(
+            plan, caller, peer, server_port, metrics, server, ready, settings
+        )
 
     def _spawn(self, name: str, arguments: Sequence[str]) -> subprocess.Popen[bytes]:
         with (self.folder / f"{name}.log").open("ab") as log:
@@ -338,9 +366,9 @@
         answer.read()
 
 
-def put_json(url: str, value: object) -> None:
-    """Put a JSON value."""
-    request = urllib.request.Request(url, json.dumps(value).encode(), method="PUT")
+def put_json(url: str, value: object, method: str = "PUT") -> None:
+    """Send a JSON value."""
+    request = urllib.request.Request(url, json.dumps(value).encode(), method=method)
     with urllib.request.urlopen(request, timeout=5) as answer:
         answer.read()
 
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,219 @@
+"""A stand-in for a server of the users' platform.
+
+It sends heartbeats to its daemon, answers its health path, and runs requests in its slots:
+
+* the query may say ``ms=`` (service time) and ``crash=1`` (the process dies);
+* each answer has a seal, the id of its request, and the load with a fourth figure;
+* ``PUT /_/faults`` sets the faults, ``GET /_/runs`` tells what ran.  Both bypass the slots.
+"""
+
+import argparse
+import asyncio
+import os
+import time
+from collections import Counter
+from typing import Any, Final
+
+import aiohttp
+import attrs
+import msgspec
+from aiohttp import web
+
+HEARTBEAT_SECONDS: Final = 0.3
+REQUEST_ID: Final = "X-Kingcuppond-Attempt-Id"
+INSTANCE: Final = "X-Kingcuppond-Instance-Id"
+LOAD: Final = "X-Kingcuppond-Server-Load"
+
+
+@attrs.define
+class Faults:
+    """The faults that are on.
+
+    :param state: what heartbeats say
+    :param is_withdrawn: say once that it leaves, and send no heartbeats any more
+    :param is_silent: send no heartbeats
+    :param slowdown_percent: how long work takes, and what the load says of it
+    :param cold_ms: how much longer it says that it is cold
+    :param is_ill: answer the health path with 503
+    :param lose_seal: answer successes without a seal
+    :param late_id: answer with the id of another request
+    :param old_heartbeat: also send a heartbeat of an earlier incarnation each time
+    """
+
+    state: str = "ready"
+    is_withdrawn: bool = False
+    is_silent: bool = False
+    slowdown_percent: int = 100
+    cold_ms: int = 0
+    is_ill: bool = False
+    lose_seal: bool = False
+    late_id: bool = False
+    old_heartbeat: bool = False
+
+
+@attrs.frozen
+class Options:
+    """How the server behaves when nothing is wrong."""
+
+    service: str
+    address: str
+    daemon_server_address: str
+    data_centre: str
+    slots: int = 6
+    service_ms: float = 5.0
+
+
+@attrs.define
+class ServerState:
+    """What the server knows of itself."""
+
+    options: Options
+    slots: asyncio.Semaphore
+    born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    faults: Faults = attrs.field(factory=Faults)
+    sequence: int = 0
+    in_flight: int = 0
+    acknowledged: list[str] = attrs.field(factory=list)
+    runs_by_id: Counter[str] = attrs.field(factory=Counter)
+    callers_by_id: dict[str, str] = attrs.field(factory=dict)
+
+    @property
+    def instance(self) -> str:
+        """The id of this incarnation."""
+        return f"i-{self.born_ms}"
+
+    def load(self) -> str:
+        """Return the load as the header says it."""
+        running = min(self.in_flight, self.options.slots)
+        waiting = self.in_flight - running
+        return f"{running},{waiting},{self.options.slots},{self.faults.slowdown_percent}"
+
+
+def make_app(state: ServerState) -> web.Application:
+    """Make the server's HTTP application."""
+
+    async def serve(request: web.Request) -> web.StreamResponse:
+        return await _serve(state, request)
+
+    async def health(_request: web.Request) -> web.Response:
+        leaving = state.faults.is_withdrawn or state.faults.state != "ready"
+        headers = {INSTANCE: state.instance, LOAD: state.load()}
+        if state.faults.cold_ms:
+            headers["X-Kingcuppond-Cold-Ms"] = str(state.faults.cold_ms)
+        status = 503 if state.faults.is_ill or leaving else 200
+        return web.Response(status=status, headers=headers)
+
+    async def set_faults(request: web.Request) -> web.Response:
+        state.faults = msgspec.json.decode(await request.read(), type=Faults)
+        async with aiohttp.ClientSession() as session:
+            if state.faults.is_withdrawn:
+                await _send(state, session, "DELETE", "withdrawn")
+            else:
+                await _beat(state, session)
+        return web.Response()
+
+    async def runs(_request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "runs_by_id": state.runs_by_id,
+                "callers_by_id": state.callers_by_id,
+                "acknowledged": state.acknowledged,
+                "in_flight": state.in_flight,
+            }
+        )
+
+    app = web.Application(client_max_size=2**40)
+    app.router.add_put("/_/faults", set_faults)
+    app.router.add_get("/_/runs", runs)
+    app.router.add_get("/health", health)
+    app.router.add_route("*", "/{path:.*}", serve)
+    return app
+
+
+async def _serve(state: ServerState, request: web.Request) -> web.StreamResponse:
+    wanted = request.headers.get("X-Kingcuppond-Target-Instance", state.instance)
+    if wanted != state.instance:
+        return web.Response(status=421, headers={INSTANCE: state.instance})
+    name = request.headers[REQUEST_ID]
+    body = await request.read()
+    state.runs_by_id[name] += 1
+    state.callers_by_id[name] = request.headers.get("X-Kingcuppond-Caller-Service", "")
+    if request.query.get("crash"):
+        os._exit(1)
+    state.in_flight += 1
+    try:
+        async with state.slots:
+            ms = float(request.query.get("ms", state.options.service_ms))
+            await asyncio.sleep(ms * state.faults.slowdown_percent / 100 / 1000)
+    finally:
+        state.in_flight -= 1
+    headers = {REQUEST_ID: "another" if state.faults.late_id else name, LOAD: state.load()}
+    if not state.faults.lose_seal:
+        headers["X-Kingcuppond-Server-Seal"] = "seal"
+    return web.json_response({"id": name, "size": len(body)}, headers=headers)
+
+
+async def _beat(state: ServerState, session: aiohttp.ClientSession) -> None:
+    if state.faults.is_silent or state.faults.is_withdrawn:
+        return
+    state.sequence += 1
+    await _send(state, session, "PUT", state.faults.state)
+    if state.faults.old_heartbeat:
+        await _send(state, session, "PUT", "ready", state.born_ms - 1000)
+
+
+async def _send(
+    state: ServerState,
+    session: aiohttp.ClientSession,
+    method: str,
+    said: str,
+    born_ms: int | None = None,
+) -> None:
+    born = state.born_ms if born_ms is None else born_ms
+    heartbeat: dict[str, Any] = {
+        "Service": state.options.service,
+        "Address": state.options.address,
+        "Zone": state.options.data_centre,
+        "Version": "v1",
+        "Slots": state.options.slots,
+        "State": said,
+        "ColdRemaining": f"{state.faults.cold_ms}ms",
+        "Sequence": state.sequence,
+        "born": born,
+    }
+    url = f"http://{state.options.daemon_server_address}/instances/i-{born}"
+    body = heartbeat if method == "PUT" else None
+    try:
+        async with asyncio.timeout(1), session.request(method, url, json=body) as answer:
+            if answer.status == 200:
+                state.acknowledged.append(said)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return
+
+
+async def _main(options: Options) -> None:
+    state = ServerState(options, asyncio.Semaphore(options.slots))
+    runner = web.AppRunner(make_app(state), handler_cancellation=True, access_log=None)
+    await runner.setup()
+    host, _, port = options.address.rpartition(":")
+    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    async with aiohttp.ClientSession() as session:
+        while True:
+            await _beat(state, session)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+
+def main() -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    for field in attrs.fields(Options):
+        kind: Any = field.type
+        required = field.default is attrs.NOTHING
+        default = None if required else field.default
+        name = "--" + field.name.replace("_", "-")
+        parser.add_argument(name, type=kind, default=default, required=required)
+    asyncio.run(_main(Options(**vars(parser.parse_args()))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/failures/test_platform.py
@@ -0,0 +1,259 @@
+"""The users' platform's protocol from end to end, with real processes and the stand-ins."""
+
+import asyncio
+import itertools
+import signal
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from typing import Any
+
+import aiohttp
+import attrs
+import pytest
+
+from standins.fleet import Fleet, get_json, plan_service, put_json
+
+HOST = "shop.example"
+PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1})
+NAMES = [plan.name for plan in PLANS]
+DRAIN_SECONDS = 2.0
+RECOVERY_SECONDS = 15.0
+_IDS = itertools.count(1)
+
+
+@attrs.frozen
+class Reply:
+    """What a client got; status 0 if the connection broke."""
+
+    id: str
+    status: int
+    headers: dict[str, str]
+    seconds: float
+
+
+def configure(fleet: Fleet, version: int = 1, **changes: Any) -> None:
+    """Write the operators' configuration into the store."""
+    route = {
+        "Host": HOST,
+        "Kind": "safe",
+        "Timeout": "2000ms",
+        "TargetLatency": "500ms",
+        "Priority": 1,
+        "Service": "shop",
+        "MaxAttempts": 2,
+    }
+    routes = [
+        {**route, "Name": "read", "PathPrefix": "/read/", **changes},
+        {**route, "Name": "book", "PathPrefix": "/book/", "Kind": "unsafe"},
+    ]
+    columns = list(routes[0])
+    rows = [[it[name] for name in columns] for it in routes]
+    services = {
+        "Columns": ["Name", "HealthPath", "ColdPerS"],
+        "Rows": [["shop", "/health", 10.0]],
+    }
+    spec = {"Version": version, "Routes": {"Columns": columns, "Rows": rows}, "Services": services}
+    put_object(fleet, "config", "main", spec)
+
+
+def put_object(fleet: Fleet, kind: str, name: str, spec: Any) -> None:
+    """Create an object, or replace it whatever its version."""
+    body = {"Metadata": {"Name": name}, "Spec": spec}
+    url = f"http://{fleet.platform}/objects/{kind}"
+    try:
+        put_json(f"{url}/{name}", body)
+    except OSError:
+        put_json(url, body, "POST")
+
+
+async def send(address: str, path: str, method: str = "GET", deadline_ms: int = 2000) -> Reply:
+    name = f"a{next(_IDS)}"
+    headers = {
+        "Host": HOST,
+        "X-Kingcuppond-Attempt-Id": name,
+        "X-Kingcuppond-Deadline-Ms": str(deadline_ms),
+        "X-Kingcuppond-Caller-Service": "forged",
+    }
+    started = time.monotonic()
+    data = b"body" if method == "POST" else None
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10)) as session,
+            session.request(method, f"http://{address}{path}", headers=headers, data=data) as got,
+        ):
+            await got.read()
+            status, answered = got.status, dict(got.headers)
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        status, answered = 0, {}
+    return Reply(name, status, answered, time.monotonic() - started)
+
+
+def runs_of(fleet: Fleet, request: str) -> int:
+    return sum(fleet.runs(name)["runs_by_id"].get(request, 0) for name in NAMES)
+
+
+async def wait_until(check: Callable[[], bool], seconds: float = 15.0) -> float:
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        if await asyncio.to_thread(check):
+            return time.monotonic() - started
+        await asyncio.sleep(0.05)
+    raise TimeoutError("not reached")
+
+
+def is_ready(fleet: Fleet, name: str) -> bool:
+    try:
+        get_json(f"http://{fleet.vms_by_name[name].ready}/ready")
+    except ValueError:
+        # Readiness is told by the status alone; there is no page.
+        return True
+    except OSError:
+        return False
+    return True
+
+
+def is_heard(fleet: Fleet, name: str) -> bool:
+    """Tell whether a server had a heartbeat acknowledged; it may not have started yet."""
+    try:
+        return fleet.runs(name)["acknowledged"] != []
+    except OSError:
+        return False
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    with ExitStack() as stack:
+        running = stack.enter_context(Fleet(PLANS, is_on_platform=True))
+        configure(running)
+        running.wait_until_ready()
+        yield running
+
+
+def caller(fleet: Fleet, index: int = 0) -> str:
+    return fleet.vms_by_name[NAMES[index]].caller
+
+
+async def test_a_request_is_served_from_end_to_end(fleet: Fleet) -> None:
+    for method, path in [("GET", "/read/1"), ("POST", "/book/1")]:
+        reply = await send(caller(fleet), path, method)
+        assert (reply.status, reply.headers["X-Kingcuppond-Attempt-Id"]) == (200, reply.id)
+        callers = [fleet.runs(name)["callers_by_id"].get(reply.id) for name in NAMES]
+        assert [it for it in callers if it is not None] == ["shop"], "set by the daemon"
+    assert (await send(caller(fleet), "/none/")).status == 404
+
+
+async def test_without_a_configuration_nothing_is_denied() -> None:
+    with Fleet(PLANS[:1], is_on_platform=True) as fleet:
+        await wait_until(lambda: is_heard(fleet, NAMES[0]))
+        assert not is_ready(fleet, NAMES[0])
+        assert (await send(caller(fleet), "/read/1")).status == 503
+        configure(fleet)
+        await wait_until(lambda: is_ready(fleet, NAMES[0]), 2.0)
+
+
+@pytest.mark.parametrize("fault", ["lose_seal", "late_id"])
+async def test_an_answer_that_is_not_the_servers_is_no_success(fleet: Fleet, fault: str) -> None:
+    for name in NAMES:
+        fleet.set_server_faults(name, **{fault: True})
+    reply = await send(caller(fleet), "/book/1", "POST")
+    assert reply.status == 502
+    assert "X-Kingcuppond-Server-Seal" not in reply.headers
+    assert await asyncio.to_thread(runs_of, fleet, reply.id) == 1
+
+
+@pytest.mark.parametrize("faults", [{"state": "draining"}, {"is_withdrawn": True}], ids=str)
+async def test_a_leaving_server_gets_nothing_also_after_its_daemon_restarts(
+    fleet: Fleet, faults: dict[str, object]
+) -> None:
+    """Some servers send heartbeats while they leave, others only say so once."""
+    leaver = NAMES[0]
+    await asyncio.to_thread(fleet.set_server_faults, leaver, **faults)
+    said = "draining" if "state" in faults else "withdrawn"
+    assert said in fleet.runs(leaver)["acknowledged"]
+    fleet.kill(leaver, "daemon")
+    fleet.first_start = False
+    settings = fleet.vms_by_name[leaver].settings
+    settings.write_text(settings.read_text().replace('first_start": true', 'first_start": false'))
+    fleet.start_daemon(leaver)
+    await wait_until(lambda: is_ready(fleet, leaver))
+    before = sum(fleet.runs(leaver)["runs_by_id"].values())
+    end = time.monotonic() + 3
+    while time.monotonic() < end:
+        assert (await send(caller(fleet), "/read/1")).status == 200
+    assert sum(fleet.runs(leaver)["runs_by_id"].values()) == before
+
+
+async def test_a_late_heartbeat_of_an_earlier_incarnation_changes_nothing(fleet: Fleet) -> None:
+    for name in NAMES:
+        await asyncio.to_thread(fleet.set_server_faults, name, old_heartbeat=True)
+    end = time.monotonic() + 2
+    while time.monotonic() < end:
+        assert (await send(caller(fleet), "/read/1")).status == 200
+
+
+async def test_a_slow_machine_is_noticed_before_a_call_begins_there(fleet: Fleet) -> None:
+    for i in range(30):
+        await send(caller(fleet, i % 3), "/read/1?ms=80")
+    await asyncio.to_thread(fleet.set_server_faults, NAMES[0], slowdown_percent=900)
+    before = sum(fleet.runs(NAMES[0])["runs_by_id"].values())
+    for _ in range(10):
+        assert (await send(caller(fleet), "/read/1?ms=80")).status == 200
+    assert sum(fleet.runs(NAMES[0])["runs_by_id"].values()) == before
+
+
+async def test_an_evacuated_data_centre_gets_nothing(fleet: Fleet) -> None:
+    put_object(fleet, "evacuations", "dc-1", {})
+    await asyncio.sleep(2.0)
+    before = [sum(fleet.runs(name)["runs_by_id"].values()) for name in NAMES[:2]]
+    for _ in range(20):
+        assert (await send(caller(fleet), "/read/1")).status == 200
+    assert [sum(fleet.runs(name)["runs_by_id"].values()) for name in NAMES[:2]] == before
+
+
+async def test_a_configuration_is_in_force_everywhere_in_time(fleet: Fleet) -> None:
+    configure(fleet, 5, PathPrefix="/other/")
+    await asyncio.sleep(2.0)
+    replies = [await send(caller(fleet, i), "/other/1") for i in range(len(NAMES))]
+    assert [reply.status for reply in replies] == [200] * len(NAMES)
+    replies = [await send(caller(fleet, i), "/read/1") for i in range(len(NAMES))]
+    assert [reply.status for reply in replies] == [404] * len(NAMES)
+
+
+async def test_all_daemons_are_killed_at_once(fleet: Fleet) -> None:
+    """They list the store before they could ask each other; nobody waits for a watch's answer."""
+    for name in NAMES:
+        fleet.kill(name, "daemon")
+        settings = fleet.vms_by_name[name].settings
+        settings.write_text(settings.read_text().replace('start": true', 'start": false'))
+    for name in NAMES:
+        fleet.start_daemon(name)
+    taken = await wait_until(lambda: all(is_ready(fleet, name) for name in NAMES))
+    assert taken < RECOVERY_SECONDS
+    await wait_until(lambda: fleet.status(NAMES[0])["server_state"] == "warm")
+    statuses = [(await send(caller(fleet), "/read/1")).status for _ in range(10)]
+    assert statuses.count(200) >= 5
+
+
+async def test_a_planned_stop_cuts_nothing(fleet: Fleet) -> None:
+    long = asyncio.create_task(send(caller(fleet), "/read/1?ms=1500"))
+    await asyncio.sleep(0.3)
+    fleet.signal(NAMES[0], "daemon", signal.SIGTERM)
+    await wait_until(lambda: not is_ready(fleet, NAMES[0]), 1.0)
+    replies = []
+    end = time.monotonic() + 2.5
+    while time.monotonic() < end:
+        replies.append(await send(caller(fleet), "/read/1"))
+    assert {reply.status for reply in replies} == {200}
+    assert (await long).status == 200
+    assert await asyncio.to_thread(fleet.wait_exit, NAMES[0], "daemon") == 0
+
+
+async def test_a_cut_off_server_leaves_a_booking_unknown(fleet: Fleet) -> None:
+    for name in NAMES:
+        await asyncio.to_thread(fleet.set_server_faults, name)
+    pending = asyncio.create_task(send(caller(fleet), "/book/1?ms=1000", "POST"))
+    await asyncio.sleep(0.4)
+    for name in NAMES:
+        fleet.kill(name, "server")
+    assert (await pending).status in (502, 504), "it may have run, so nothing is promised"
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -111,3 +111,34 @@
             )
             assert got.ok.answer.whole == b"hello"
         await session.close()
+
+
+async def send_body(address: str) -> object:
+    session = open_session()
+    try:
+        headers = CIMultiDict({"Content-Length": "4"})
+        end = time.monotonic() + 2
+        got = await exchange(
+            session, address, "POST", "/", headers, Body(b"body"), end, continue_seconds=0.2
+        )
+        return got.ok.answer.whole if got.is_ok() else got.error
+    finally:
+        await session.close()
+
+
+@pytest.mark.parametrize("end", ["reset", "close", "stay"])
+async def test_until_the_body_is_asked_for_the_request_is_not_run(end: str) -> None:
+    """Also if the connection breaks, or the other end says nothing."""
+    async with serving(b"", end) as address:
+        assert isinstance(await send_body(address), NotRun)
+
+
+@pytest.mark.parametrize("end", ["reset", "close"])
+async def test_after_the_body_was_asked_for_the_outcome_is_unknown(end: str) -> None:
+    async with serving(b"HTTP/1.1 100 Continue\r\n\r\n", end, wait=0.05) as address:
+        assert isinstance(await send_body(address), Unknown)
+
+
+async def test_a_refusal_needs_no_body() -> None:
+    async with serving(FRAMED.replace(b"200 OK", b"503 No"), "stay") as address:
+        assert await send_body(address) == b"hello"
