--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -32,6 +32,7 @@
 from kingcuppond.entry.stop import StopPlan, wait_for_end
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.events.log import make_log_writer
 from kingcuppond.gate.announcements import ServerPlace
 from kingcuppond.gate.departures import Departures
 from kingcuppond.gate.gate import Gate
@@ -97,6 +98,8 @@
         self.rng = rng or Random()
         self.protocol = PROTOCOLS_BY_NAME[settings.protocol]
         self.journal = Journal(settings.vm, self.clock)
+        self.log_writer = make_log_writer(self.clock.monotonic, self._record_dropped)
+        self.journal.log = self.log_writer.log
         self.registry = CollectorRegistry()
         self.configuration = Configuration(self.journal, self.protocol.format)
         self.suspects = SuspectTable(settings.vm, self.clock, self.journal)
@@ -141,6 +144,7 @@
             "registration": self.registration.run,
             "silence": self._check_silence,
             "observer": self.gate.observer.run,
+            "log": self.log_writer.run,
             **self.watcher.loops(),
         }
         loops.update({loop.__name__: loop for loop in self.gossip.tasks()})
@@ -186,6 +190,7 @@
         await self.fresh_session.close()
         await self.store.close()
         self.journal.record(catalogue.DAEMON_STOPPED, vm=self.settings.vm)
+        self.log_writer.stream.flush_lines()
 
     def take_settings(self, settings: DaemonSettings) -> None:
         """Take up settings that can change while the daemon runs."""
@@ -373,6 +378,9 @@
         if self._caller_runner is not None:
             await stop_accepting(self._caller_runner)
 
+    def _record_dropped(self, count: int, kinds: str) -> None:
+        self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
+
     def _note_earlier_self(self, member: Member) -> None:
         if member.state is ServerState.DRAINING:
             self.gate.note_left(Incarnation(member.instance, member.born_ms))
--- a/kingcuppond/entry/port.py
+++ b/kingcuppond/entry/port.py
@@ -134,13 +134,28 @@
         try:
             response = await send_answer(request, answer, {}, self._is_closing())
         except BrokenAnswerError as exc:
-            self.journal.record(catalogue.CALL_UNKNOWN, call=wanted.call.id, reason=str(exc))
+            self.journal.record(
+                catalogue.CALL_UNKNOWN,
+                call=wanted.call.id,
+                request=wanted.call.request_id,
+                reason=str(exc),
+            )
             raise ConnectionResetError(str(exc)) from exc
         finally:
             await answer.close()
         seconds = self.clock.monotonic() - wanted.started
         target_ms = wanted.class_of_work.answer_within_ms
         self.counts.count_answer(name, answer.status, seconds, target_ms)
+        self.journal.record(
+            catalogue.REQUEST_ANSWERED,
+            call=wanted.call.id,
+            request=wanted.call.request_id,
+            status=answer.status,
+            ms=round(seconds * 1000),
+            class_of_work=name,
+            target_ms=target_ms,
+            configuration=self.configuration.version,
+        )
         return response
 
     async def _run(self, wanted: Request) -> Result[Answer, Failure]:
@@ -242,4 +257,13 @@
         if not isinstance(failure, NotRun):
             event = catalogue.CALL_UNKNOWN
         reason = f"{failure.reason.value}: {failure.detail}"
-        self.journal.record(event, call=wanted.call.id, reason=reason)
+        self.journal.record(
+            event,
+            call=wanted.call.id,
+            request=wanted.call.request_id,
+            reason=reason,
+            ms=round((self.clock.monotonic() - wanted.started) * 1000),
+            class_of_work=wanted.class_of_work.name,
+            service=wanted.call.service,
+            configuration=self.configuration.version,
+        )
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -32,6 +32,7 @@
     106, "error", "new settings are refused, the old ones stay: {error}"
 )
 TASK_FAILED: Final = Event(104, "error", "task {task} failed and starts again: {error}")
+LINES_DROPPED: Final = Event(107, "warning", "{count} log lines were dropped: {kinds}")
 MEMBER_JOINED: Final = Event(201, "info", "member {member} of {data_centre} is known")
 MEMBER_CHANGED: Final = Event(202, "info", "member {member} is {state}")
 MEMBER_SUSPECTED: Final = Event(203, "warning", "member {member} does not answer")
@@ -52,6 +53,7 @@
     407, "warning", "the store did not take that {instance} leaves: {error}"
 )
 SERVER_CONFIRMED: Final = Event(408, "info", "server {instance} is healthy after a restart here")
+CALL_RAN: Final = Event(409, "debug", "call {call} ended at the server with {status} after {ms} ms")
 CALL_ANSWERED: Final = Event(501, "debug", "call {call} answered {status} by {member}")
 CALL_NOT_RUN: Final = Event(502, "info", "call {call} not run: {reason}")
 CALL_UNKNOWN: Final = Event(503, "warning", "call {call} has an unknown outcome: {reason}")
@@ -61,6 +63,8 @@
 REQUEST_HELD: Final = Event(507, "error", "request {fingerprint} is held: it took down {server}")
 REQUEST_CLEARED: Final = Event(508, "info", "request {fingerprint} was answered and is cleared")
 REQUEST_REFUSED: Final = Event(509, "info", "request {request} is refused at the entry: {reason}")
+CALL_SENT: Final = Event(510, "debug", "call {call} goes to {member}")
+REQUEST_ANSWERED: Final = Event(511, "debug", "request {request} answered {status} after {ms} ms")
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
@@ -359,6 +360,15 @@
 
     def _judge_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
         self.answered += 1
+        self.journal.record(
+            catalogue.CALL_RAN,
+            call=call.id,
+            request=call.request_id,
+            status=answer.status,
+            ms=round((self.clock.monotonic() - started) * 1000),
+            begun_slowdown=answer.begun_slowdown,
+            **self._inputs(),
+        )
         self.suspects.answered(call.fingerprint)
         if answer.status >= 500:
             self._note_cold(self.limit.failed(), "it answers with errors")
@@ -438,9 +448,28 @@
 
     def _refuse(self, call: Call, refusal: NotRun) -> NotRun:
         self.refused += 1
-        self.journal.record(catalogue.GATE_REFUSED, call=call.id, reason=refusal.reason.value)
+        self.journal.record(
+            catalogue.GATE_REFUSED,
+            call=call.id,
+            request=call.request_id,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            **self._inputs(),
+        )
         return refusal
 
+    def _inputs(self) -> dict[str, int | float | None]:
+        """Return what admission decides by, and how old the server's word is."""
+        age = self.observer.age
+        return {
+            "in_flight": self.in_flight,
+            "waiting": self.admission.waiting,
+            "limit": self.limit.limit,
+            "slowdown": self.observer.slowdown,
+            "word_age_ms": round(age * 1000) if age < math.inf else None,
+            "configuration": self.configuration.version,
+        }
+
     def _lose_server(self) -> None:
         self.journal.record(catalogue.SERVER_SILENT, address=self.address)
         self.directory.update_me(state=ServerState.ABSENT)
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -4,22 +4,16 @@
 import logging as standard_logging
 import signal
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated
 
 import typer
 from absl import logging
 
+from kingcuppond.events.log import LEVELS_BY_NAME
 from kingcuppond.program.output import EXIT_USAGE, fail
 from kingcuppond.program.reload import reload_forever
 from kingcuppond.settings.daemon import DaemonSettings, load
 
-LOG_LEVELS: Final = {
-    "debug": logging.DEBUG,
-    "info": logging.INFO,
-    "warning": logging.WARNING,
-    "error": logging.ERROR,
-}
-
 SettingsFile = Annotated[Path, typer.Option("--settings", help="Settings file of the daemon.")]
 
 
@@ -38,10 +32,9 @@
     if loaded.is_error():
         raise fail(str(loaded.error), EXIT_USAGE)
     checked, key = loaded.ok
-    logging.use_absl_handler()
     # The service library logs each start and stop under the names of our modules.
     standard_logging.getLogger("kingcuppond").setLevel(standard_logging.WARNING)
-    logging.set_verbosity(LOG_LEVELS[checked.log_level])
+    logging.set_verbosity(LEVELS_BY_NAME[checked.log_level])
     import uvloop
 
     error = uvloop.run(_run(settings, checked, key, policy, hedging))
--- a/kingcuppond/program/reload.py
+++ b/kingcuppond/program/reload.py
@@ -9,8 +9,10 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
+from absl import logging
 
 from kingcuppond.events import catalogue
+from kingcuppond.events.log import LEVELS_BY_NAME
 from kingcuppond.settings.daemon import DaemonSettings, load
 
 if TYPE_CHECKING:
@@ -57,6 +59,7 @@
     differing = [name for name in names if getattr(new, name) != getattr(daemon.settings, name)]
     kept = {name: getattr(daemon.settings, name) for name in FIXED_KEYS}
     daemon.take_settings(attrs.evolve(new, **kept))
+    logging.set_verbosity(LEVELS_BY_NAME[new.log_level])
     what = ", ".join(
         f"{name} (at the next start)" if name in FIXED_KEYS else name for name in differing
     )
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -169,9 +169,18 @@
         if not self._may_repeat(call, failure, progress):
             return False
         progress.retries_left -= 1
-        self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=failure.reason.value)
+        self._record_retry(call, failure.reason.value, progress)
         return True
 
+    def _record_retry(self, call: Call, reason: str, progress: _Progress) -> None:
+        self.journal.record(
+            catalogue.CALL_RETRIED,
+            call=call.id,
+            request=call.request_id,
+            reason=reason,
+            retries_left=progress.retries_left,
+        )
+
     def _may_better(self, call: Call, answer: Answer, progress: _Progress) -> bool:
         """Tell whether another server may be asked, since this one said that it failed."""
         if answer.status < 500 or answer.whole is None or not call.is_repeatable:
@@ -181,7 +190,7 @@
         if not self._retries(call.service).take():
             return False
         progress.retries_left -= 1
-        self.journal.record(catalogue.CALL_RETRIED, call=call.id, reason=f"status {answer.status}")
+        self._record_retry(call, f"status {answer.status}", progress)
         return True
 
     def _least_slow(self, progress: _Progress) -> Candidate:
@@ -289,7 +298,9 @@
             return await first
         progress.tried.add(second.vm)
         progress.retries_left -= 1
-        self.journal.record(catalogue.CALL_HEDGED, call=call.id, member=second.vm)
+        self.journal.record(
+            catalogue.CALL_HEDGED, call=call.id, request=call.request_id, member=second.vm
+        )
         hedge = attrs.evolve(call, id=self.next_id(), retry_budget=progress.retries_left)
         return await first_answer({first, asyncio.create_task(self.sender.attempt(hedge, second))})
 
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -51,6 +51,7 @@
         self.attempts += 1
         view = candidate.view
         started = self.clock.monotonic()
+        self._record_sent(call, candidate, started)
         view.start(call.id, started)
         # Half of what is left of the retry budget goes with the call, to be spent by nested calls.
         sent = attrs.evolve(call, retry_budget=max(0, call.retry_budget) // 2)
@@ -78,10 +79,30 @@
         if got.is_ok():
             status = got.ok.status
             self.journal.record(
-                catalogue.CALL_ANSWERED, call=call.id, status=status, member=candidate.vm
+                catalogue.CALL_ANSWERED,
+                call=call.id,
+                request=call.request_id,
+                status=status,
+                member=candidate.vm,
+                ms=_ms(now - started),
             )
         return got
 
+    def _record_sent(self, call: Call, candidate: Candidate, now: float) -> None:
+        view = candidate.view
+        self.journal.record(
+            catalogue.CALL_SENT,
+            call=call.id,
+            request=call.request_id,
+            member=candidate.vm,
+            class_of_work=call.class_name,
+            expected_ms=_ms(view.expected_seconds(now, self.usual_seconds(call.class_name))),
+            load=round(view.load_share(now), 2),
+            word_age_ms=None if view.report is None else _ms(now - view.reported_at),
+            left_ms=_ms(call.deadline - now),
+            is_last_resort=call.is_last_resort,
+        )
+
     def usual_seconds(self, class_name: str) -> float:
         """Return how long a good answer of a class usually takes."""
         return self.usual.seconds_by_class.get(class_name, DEFAULT_LATENCY_SECONDS)
@@ -162,6 +183,10 @@
         return Error(Unknown(reason, detail))
 
 
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def _reason_of(answer: Answer) -> Reason:
     # The gate's problem details carry the reason at the end of their type.
     text = (answer.whole or b"").decode("utf-8", "replace")
