--- a/kingcuppond/program/fleet_commands.py
+++ b/kingcuppond/program/fleet_commands.py
@@ -15,6 +15,7 @@
 from kingcuppond.operators.messages import CountsPage, DaemonStatus, EventsPage
 from kingcuppond.operators.reading import FleetPages, ReadError, find_members, read_fleet
 from kingcuppond.operators.report import add_counts, describe, make_report
+from kingcuppond.program.log_commands import read_log_files
 from kingcuppond.program.operator_commands import (
     JsonOption,
     SettingsOption,
@@ -67,21 +68,25 @@
     request: Annotated[str, typer.Option(help="Only events of this call or request.")] = "",
     server: Annotated[str, typer.Option(help="Only events that concern this VM.")] = "",
     data_centre: Annotated[str, typer.Option(help="Only events of this data centre.")] = "",
+    log: Annotated[
+        list[Path] | None,
+        typer.Option("--log", help="Read log files instead of the daemons; - reads the input."),
+    ] = None,
     as_json: JsonOption = False,
 ) -> None:
     """Show the events of all daemons in one order, causes before effects.
 
     Example: kingcuppond timeline --server montevideo-1-booking-2
     """
-    fleet = _read_pages(settings, "/v1/events", EventsPage, data_centre)
+    if log:
+        events, silent = read_log_files(log).entries, []
+    else:
+        fleet = _read_pages(settings, "/v1/events", EventsPage, data_centre)
+        events = [entry for page in fleet.pages for entry in page.events]
+        silent = fleet.silent
     wanted = [word for word in (request, server) if word]
-    entries = [
-        entry
-        for page in fleet.pages
-        for entry in page.events
-        if all(_concerns(entry, word) for word in wanted)
-    ]
-    _show_entries(entries, fleet.silent, as_json)
+    entries = [entry for entry in events if all(_concerns(entry, word) for word in wanted)]
+    _show_entries(entries, silent, as_json)
 
 
 def events(
@@ -147,7 +152,7 @@
 
 
 def _concerns(entry: Entry, word: str) -> bool:
-    return entry.vm == word or word in entry.text or entry.call == word
+    return word in (entry.vm, entry.call, entry.request) or word in entry.text
 
 
 def _show_entries(entries: list[Entry], silent: list[str], as_json: bool) -> None:
--- a/kingcuppond/program/main.py
+++ b/kingcuppond/program/main.py
@@ -36,7 +36,7 @@
 
 
 def _add_commands() -> None:
-    from kingcuppond.program import fleet_commands, operator_commands
+    from kingcuppond.program import fleet_commands, log_commands, operator_commands
 
     classes = _group("class", "Classes of work and their targets.")
     classes.command("apply")(operator_commands.class_apply)
@@ -57,6 +57,7 @@
         fleet_commands.events,
     ):
         app.command()(command)
+    app.command("explain")(log_commands.explain_request)
 
 
 app.command()(daemon_command.daemon)
--- a/tests/program/test_program.py
+++ b/tests/program/test_program.py
@@ -23,6 +23,7 @@
     ["status"],
     ["report"],
     ["timeline"],
+    ["explain"],
     ["events"],
 ]
 
