--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -74,6 +74,7 @@
 
     :param is_complete: whether all objects of some moment were heard, and not only a few changes
     :param release: the operators' own number of the configuration, 0 if they give none
+    :param changed_at: monotonic time of the last change here
     """
 
     journal: Journal
@@ -87,6 +88,7 @@
     version: int = 0
     release: int = 0
     digest: int = 0
+    changed_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _classes_by_host: dict[str, list[ClassOfWork]] = attrs.field(factory=dict)
 
@@ -112,6 +114,7 @@
             self._apply(item)
             news.append(item)
         if news:
+            self.changed_at = self.journal.clock.monotonic()
             self._index_classes()
             self.call_changed()
         return news
--- a/kingcuppond/entry/counts.py
+++ b/kingcuppond/entry/counts.py
@@ -39,6 +39,7 @@
     calls: Counter = attrs.field(init=False)
     within_target: Counter = attrs.field(init=False)
     failed: Counter = attrs.field(init=False)
+    reasons: Counter = attrs.field(init=False)
     seconds: Histogram = attrs.field(init=False)
     _names: set[str] = attrs.field(factory=set)
 
@@ -61,6 +62,12 @@
             ["class_of_work"],
             registry=self.registry,
         )
+        self.reasons = Counter(
+            "kingcuppond_call_failures",
+            "Calls that got no answer of a server, by class, service and reason",
+            ["class_of_work", "service", "reason"],
+            registry=self.registry,
+        )
         self.seconds = Histogram(
             "kingcuppond_call_seconds",
             "Seconds from a call's arrival to its answer",
@@ -79,9 +86,10 @@
         elif seconds * 1000 <= target_ms:
             self.within_target.labels(name).inc()
 
-    def count_failure(self, name: str, failure: Failure) -> None:
+    def count_failure(self, name: str, service: str, failure: Failure) -> None:
         """Count a call that was not run or whose outcome is unknown."""
         self._names.add(name)
+        self.reasons.labels(name, service, failure.reason.value).inc()
         self.calls.labels(name, outcome_of(failure).value).inc()
 
     def read(self) -> list[ClassCounts]:
--- a/kingcuppond/entry/port.py
+++ b/kingcuppond/entry/port.py
@@ -252,7 +252,7 @@
         return self.gate.directory.me.is_leaving
 
     def _record_failure(self, wanted: Request, failure: Failure) -> None:
-        self.counts.count_failure(wanted.class_of_work.name, failure)
+        self.counts.count_failure(wanted.class_of_work.name, wanted.call.service, failure)
         event = catalogue.CALL_NOT_RUN
         if not isinstance(failure, NotRun):
             event = catalogue.CALL_UNKNOWN
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -110,6 +110,12 @@
         asks = [self._sync(address) for address in addresses]
         return any(await asyncio.gather(*asks))
 
+    def longest_silence(self) -> float:
+        """Return the seconds since the contact was heard that was silent for longest."""
+        now = self._clock.monotonic()
+        heard = [self.heard_at_by_vm[vm] for vm in self._contacts if vm in self.heard_at_by_vm]
+        return now - min(heard, default=now)
+
     def hears_majority(self) -> bool:
         """Tell whether the data centres heard lately hold more than half of all members.
 
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -55,6 +55,37 @@
         "claim_commits": ("Writes of claims to the store", lambda: daemon.home.commits),
         "control_bytes": ("Bytes of control sent", lambda: daemon.transport.bytes_sent),
         "measuring_bytes": ("Bytes of load reports sent", lambda: daemon.measuring.spent),
+        "gate_waiting": ("Calls that wait at the gate", lambda: daemon.gate.admission.waiting),
+        "gate_slowdown": (
+            "How long work takes at the server, as a multiple of the usual",
+            lambda: daemon.gate.observer.slowdown,
+        ),
+        "server_word_age_seconds": (
+            "Age of the server's newest word of its load",
+            lambda: daemon.gate.observer.age,
+        ),
+        "health_questions": (
+            "Questions to the health path",
+            lambda: daemon.gate.observer.questions,
+        ),
+        "retries_left": (
+            "Retries that the daemon may spend now, the least of all services",
+            daemon.router.least_retries,
+        ),
+        "backlog": ("Calls that wait for a slot anywhere", lambda: daemon.router.backlog),
+        "peer_word_age_seconds": (
+            "Age of the newest word of the contact that was silent for longest",
+            daemon.gossip.longest_silence,
+        ),
+        "configuration_age_seconds": (
+            "Time since the configuration changed here",
+            lambda: daemon.clock.monotonic() - daemon.configuration.changed_at,
+        ),
+        "store_reads": ("Reads of the store", lambda: daemon.store.calls_by_sort["read"]),
+        "store_watches": ("Watches of the store", lambda: daemon.store.calls_by_sort["watch"]),
+        "store_writes": ("Writes to the store", lambda: daemon.store.calls_by_sort["write"]),
+        "log_lines": ("Log lines written or waiting", lambda: daemon.log_writer.lines),
+        "log_lines_dropped": ("Log lines dropped", lambda: daemon.log_writer.dropped),
         "members": ("Members known", lambda: len(daemon.directory.members_by_vm)),
         "configuration_version": (
             "Newest version of the store heard of",
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -253,6 +253,10 @@
         budget.reserve = self.fleet_retries / max(1, len(self.directory.living()))
         return budget
 
+    def least_retries(self) -> float:
+        """Return the retries that are left for the service that has fewest; 0 before any call."""
+        return min((it.tokens for it in self.retries_by_service.values()), default=0.0)
+
     def _choose(self, call: Call, tried: set[str]) -> Candidate | None:
         candidates = self.candidates(call.service, tried)
         if not candidates or self.clock.monotonic() >= call.deadline:
