--- a/kingcuppond/gate/admission.py
+++ b/kingcuppond/gate/admission.py
@@ -22,8 +22,8 @@
 from kingcuppond.gate.pace import ColdPace
 from kingcuppond.outcomes import NotRun, Reason
 
-WAITING_PER_SLOT: Final = 1
-"""More would wait for longer than a call of their kind takes."""
+WAITING_PER_SLOT: Final = 0.5
+"""A call waits for half of the time that one takes at most; with more, overload makes all late."""
 
 COLD_REFUSAL: Final = NotRun(Reason.FULL, "the server is cold and had its calls of this second")
 
@@ -151,7 +151,7 @@
         self._waiting_by_class[ticket.class_name] += 1
 
     def _shed(self) -> None:
-        if self.waiting <= WAITING_PER_SLOT * self.limit.limit:
+        if self.waiting <= max(1.0, WAITING_PER_SLOT * self.limit.limit):
             return
         waiting = [entry[-1] for entry in self._heap if not entry[-1].granted.done()]
         last = max(
