--- a/kingcuppond/operators/logs.py
+++ b/kingcuppond/operators/logs.py
@@ -19,6 +19,9 @@
 AROUND_MS: Final = 5000
 """What a daemon lost so long before a request may have decided it."""
 
+MOST_CONTEXT: Final = 20
+"""More lines would hide the story; the time line has them all."""
+
 CONTEXT_EVENTS: Final = frozenset(
     event.number
     for event in (
@@ -123,8 +126,11 @@
     ends = [entry for entry in story if entry.number in LAST_EVENTS]
     lines.append(f"end: {ends[-1].text}" if ends else "end: not logged; the lines may be dropped")
     if context:
-        lines.append(f"at these daemons in the {AROUND_MS // 1000} s before:")
-        lines += [_tell(entry, first) for entry in context]
+        lines.append(f"at these daemons, from {AROUND_MS // 1000} s before until then:")
+        lines += [_tell(entry, first) for entry in context[-MOST_CONTEXT:]]
+        left_out = len(context) - MOST_CONTEXT
+        if left_out > 0:
+            lines.append(f"and {left_out} earlier ones; kingcuppond timeline shows all")
     return lines
 
 
--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -213,8 +213,8 @@
     Mechanism(
         "a cut-off daemon refuses",
         "configuration/watcher.py",
-        "not self._gossip.hears_majority()",
-        "False",
+        "and self._clock.monotonic() - self._heard_at > allowed",
+        "and False",
         FAILURES + "test_membership.py::test_a_daemon_that_hears_nobody_refuses_new_work",
     ),
     Mechanism(
