--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -117,7 +117,7 @@
     session = open_session()
     try:
         headers = CIMultiDict({"Content-Length": "4"})
-        end = time.monotonic() + 2
+        end = time.monotonic() + 20
         got = await exchange(
             session, address, "POST", "/", headers, Body(b"body"), end, continue_seconds=0.2
         )
@@ -130,7 +130,9 @@
 async def test_until_the_body_is_asked_for_the_request_is_not_run(end: str) -> None:
     """Also if the connection breaks, or the other end says nothing."""
     async with serving(b"", end) as address:
+        started = time.monotonic()
         assert isinstance(await send_body(address), NotRun)
+        assert time.monotonic() - started < 10, "half of the deadline: it was not waited for"
 
 
 @pytest.mark.parametrize("end", ["reset", "close"])
--- a/tests/test_usual.py
+++ b/tests/test_usual.py
@@ -15,7 +15,7 @@
     usual = UsualTimes()
     for i in range(100):
         usual.learn("c", 0.56 if i % 5 == 0 else 0.08, 1.0)
-    assert 0.07 < usual.seconds_by_class["c"] < 0.1
+    assert 0.07 < usual.seconds_by_class["c"] < 0.09
 
 
 def test_a_slow_machine_is_taken_out() -> None:
