--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -252,7 +252,8 @@
     def _find_late(self, call: Call) -> NotRun | None:
         """Tell whether another server may serve a call sooner than this one."""
         is_full = self.in_flight >= self.limit.limit
-        if is_full and not call.is_last_resort:
+        # A limit that is learnt starts at one call; a queue keeps such a server in use.
+        if is_full and not call.is_last_resort and not self.limit.is_learning:
             return NotRun(Reason.FULL, f"all slots beside {self.directory.me.vm} are in use")
         if self.observer.load is None:
             return None
--- a/kingcuppond/routing/budgets.py
+++ b/kingcuppond/routing/budgets.py
@@ -13,7 +13,8 @@
 RETRY_SHARE: Final = 0.1
 HEDGE_SHARE: Final = 0.05
 RETRY_RESERVE: Final = 10.0
-HEDGE_RESERVE: Final = 2.0
+HEDGE_RESERVE: Final = 10.0
+"""Calls that met a server which hangs before a daemon knew of it; one for each slot or so."""
 
 
 @attrs.define
@@ -55,7 +56,7 @@
 
     share: float
     reserve: float = RETRY_RESERVE
-    tokens: float = 1.0
+    tokens: float = attrs.field(default=attrs.Factory(lambda self: self.reserve, takes_self=True))
 
     def earn(self) -> None:
         """Count a call."""
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -40,7 +40,9 @@
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
 
-HEDGE_LATENCY_RATIO: Final = 4.0
+HEDGE_LATENCY_RATIO: Final = 6.0
+"""The usual time is that of short answers; half as much again and a busy machine are no trouble."""
+
 HEDGE_MIN_SECONDS: Final = 0.010
 ASKED_IN_A_ROUND: Final = 4
 MAX_BACKLOG: Final = 32
@@ -247,10 +249,11 @@
         return view
 
     def _retries(self, service: str) -> ShareBudget:
+        reserve = self.fleet_retries / max(1, len(self.directory.living()))
         budget = self.retries_by_service.get(service)
         if budget is None:
-            budget = self.retries_by_service[service] = ShareBudget(RETRY_SHARE)
-        budget.reserve = self.fleet_retries / max(1, len(self.directory.living()))
+            budget = self.retries_by_service[service] = ShareBudget(RETRY_SHARE, reserve)
+        budget.reserve = reserve
         return budget
 
     def least_retries(self) -> float:
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -15,6 +15,9 @@
 
 LATENCY_WEIGHT: Final = 0.2
 
+BEGUN_SLOW_RATIO: Final = 8.0
+"""A call that begins on a slow machine was seen to take seven times as long as usual."""
+
 MOST_RATIO: Final = 4.0
 """No single answer counts as slower: its machine may have been slow when the call began."""
 
@@ -167,10 +170,11 @@
         latency = usual * (1.0 + self._fading(self.latency_ratio - 1.0, now))
         if not self.started_by_call:
             return latency
-        # Calls are kept in the order of their start, so the first one is the oldest.  It tells of a
-        # straggler only if the gate has not spoken since.
-        oldest = next(iter(self.started_by_call.values()))
-        return latency if oldest < self.reported_at else max(latency, now - oldest)
+        # Calls are kept in the order of their start, so the first one is the oldest.  If the gate
+        # has spoken since, that call may only have begun while the machine was slow.
+        age = now - next(iter(self.started_by_call.values()))
+        has_spoken = now - age < self.reported_at
+        return max(latency, age / BEGUN_SLOW_RATIO if has_spoken else age)
 
     def _fading(self, value: float, now: float) -> float:
         idle = now - self.last_used
--- a/tests/routing/test_view.py
+++ b/tests/routing/test_view.py
@@ -20,6 +20,16 @@
     assert view.expected_seconds(0.7) > 20 * before
 
 
+def test_a_server_that_hangs_is_left_alone_although_its_gate_speaks() -> None:
+    """Its machine may have been slow when the call began, but not so slow."""
+    view = make_view()
+    before = view.expected_seconds(0.5)
+    view.start("stuck", 0.5)
+    view.hear(GateReport(1, 6), 0.51)
+    assert view.expected_seconds(0.53) < 2 * before
+    assert view.expected_seconds(1.5) > 10 * before
+
+
 def test_failing_fast_does_not_look_fast() -> None:
     good, bad = make_view(), make_view()
     for i in range(5):
