--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -20,7 +20,6 @@
 
 SEGMENT_BYTES: Final = 8192
 RETENTION_MS: Final = 86_400_000
-READ_TRIES: Final = 3
 
 
 @attrs.define
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,6 @@
 * ``PUT /_/faults`` sets the faults, ``GET /_/runs`` tells what ran.  Both bypass the slots.
 """
 
-import argparse
 import asyncio
 import os
 import time
@@ -19,6 +18,8 @@
 import msgspec
 from aiohttp import web
 
+from standins.options import read_options
+
 HEARTBEAT_SECONDS: Final = 0.3
 REQUEST_ID: Final = "X-Kingcuppond-Attempt-Id"
 INSTANCE: Final = "X-Kingcuppond-Instance-Id"
@@ -205,14 +206,7 @@
 
 def main() -> None:
     """Run the stand-in until it is ended."""
-    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
-    for field in attrs.fields(Options):
-        kind: Any = field.type
-        required = field.default is attrs.NOTHING
-        default = None if required else field.default
-        name = "--" + field.name.replace("_", "-")
-        parser.add_argument(name, type=kind, default=default, required=required)
-    asyncio.run(_main(Options(**vars(parser.parse_args()))))
+    asyncio.run(_main(read_options(__doc__, Options)))
 
 
 if __name__ == "__main__":
--- a/standins/server.py
+++ b/standins/server.py
@@ -11,18 +11,19 @@
 that gets more than ``cold_bears`` requests at once falls over: it answers 500 to all for a second.
 """
 
-import argparse
 import asyncio
 import os
 import random
 from collections import Counter
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 import attrs
 import msgspec
 from aiohttp import web
 
+from standins.options import read_options
+
 ANNOUNCE_SECONDS: Final = 0.5
 FALLEN_SECONDS: Final = 1.0
 CHUNK_BYTES: Final = 65_536
@@ -263,15 +264,7 @@
 
 def main() -> None:
     """Run the stand-in until it is ended."""
-    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
-    for field in attrs.fields(Options):
-        kind: Any = field.type
-        required = field.default is attrs.NOTHING
-        default = None if required else field.default
-        name = "--" + field.name.replace("_", "-")
-        parser.add_argument(name, type=kind, default=default, required=required)
-    options = Options(**vars(parser.parse_args()))
-    asyncio.run(_main(options))
+    asyncio.run(_main(read_options(__doc__, Options)))
 
 
 if __name__ == "__main__":
