A call waits at a gate for a bounded time; a call that was given up is evidence

Cause: six known red tests had two causes. (1) A nested chain came back to a gate whose slots its own callers held, and waited in its queue until the deadline, while other servers had room (trace: four attempts of one chain in flight at one gate, the fifth waiting 9.9 s). The same held for calls queued behind a server that hangs. (2) A hedge that won cancelled the slow attempt and with it the only evidence against the slow server, so the next call went there again until no hedge was left. Beside these, a gate with a learnt limit of one or two let only one call wait: a burst of 230 calls after a stall of the machine went round between full gates for two seconds.

Change: with a learnt limit a call waits for at most four usual times, and four calls may wait for each slot. A given up attempt counts with its age as a lower bound. Where servers name their slots, nothing changes at the gate.

Ruled out: lost wake-ups and leaked slots (read through, and the trace shows all in flight); the filter for near servers.

--- a/kingcuppond/gate/admission.py
+++ b/kingcuppond/gate/admission.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import heapq
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Final
@@ -25,6 +26,9 @@
 WAITING_PER_SLOT: Final = 0.5
 """A call waits for half of the time that one takes at most; with more, overload makes all late."""
 
+WAITING_PER_LEARNT_SLOT: Final = 4.0
+"""A learnt limit may be far below what the server bears: a burst is better off waiting for it."""
+
 COLD_REFUSAL: Final = NotRun(Reason.FULL, "the server is cold and had its calls of this second")
 
 
@@ -66,11 +70,18 @@
         return self._waiting_by_class.total()
 
     async def enter(
-        self, class_name: str, deadline: float, is_on_trial: bool, priority: int = 0
+        self,
+        class_name: str,
+        deadline: float,
+        is_on_trial: bool,
+        priority: int = 0,
+        patience: float = math.inf,
     ) -> Result[Ticket, NotRun]:
         """Wait until the call may run.
 
         :param deadline: monotonic time by which the answer is due
+        :param patience: longest wait in seconds; what holds the slots may never end, or may itself
+            wait for this call
         :return: a ticket, to be given back by :meth:`leave`, or why the call was not run
         """
         refusal = self.refusal()
@@ -86,10 +97,10 @@
         self._queue(ticket)
         self._shed()
         try:
-            async with asyncio.timeout(max(0.0, deadline - self.now())):
+            async with asyncio.timeout(max(0.0, min(patience, deadline - self.now()))):
                 refused = await future
         except TimeoutError:
-            refused = NotRun(Reason.DEADLINE, "the call waited at the gate past its deadline")
+            refused = self._waited_too_long(ticket)
         except asyncio.CancelledError:
             self._abandon(ticket)
             raise
@@ -136,6 +147,11 @@
             return False
         return self.in_flight < self.limit.limit
 
+    def _waited_too_long(self, ticket: Ticket) -> NotRun:
+        if self._is_late(ticket):
+            return NotRun(Reason.DEADLINE, "the call waited at the gate past its deadline")
+        return NotRun(Reason.FULL, "no slot became free for much longer than a call takes")
+
     def _is_late(self, ticket: Ticket) -> bool:
         return self.now() >= ticket.deadline
 
@@ -151,7 +167,8 @@
         self._waiting_by_class[ticket.class_name] += 1
 
     def _shed(self) -> None:
-        if self.waiting <= max(1.0, WAITING_PER_SLOT * self.limit.limit):
+        per_slot = WAITING_PER_LEARNT_SLOT if self.limit.is_learning else WAITING_PER_SLOT
+        if self.waiting <= max(1.0, per_slot * self.limit.limit):
             return
         waiting = [entry[-1] for entry in self._heap if not entry[-1].granted.done()]
         last = max(
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -52,6 +52,12 @@
 UNKNOWN_SHARE_OF_TARGET: Final = 0.33
 """What a class that was never answered here is taken to need of the time that is left."""
 
+PATIENCE_RATIO: Final = 4.0
+"""Usual times that a call waits for a slot: as many calls may wait for each slot."""
+
+LEAST_PATIENCE_SECONDS: Final = 0.1
+"""A daemon on a busy machine may be late by so much with calls that take no time at all."""
+
 SPEED_CHECK_SECONDS: Final = 0.03
 """Time between two looks at the speed while calls wait for it."""
 
@@ -225,7 +231,7 @@
             return Error(self._refuse(call, refusal))
         is_on_trial = call.is_on_trial or level is Level.SUSPECTED
         entered = await self.admission.enter(
-            call.class_name, call.deadline, is_on_trial, call.priority
+            call.class_name, call.deadline, is_on_trial, call.priority, self._patience(call)
         )
         if entered.is_error():
             return Error(self._refuse(call, entered.error))
@@ -294,6 +300,12 @@
         left = min(call.target_at, call.deadline) - self.clock.monotonic()
         return max(0.0, left) * UNKNOWN_SHARE_OF_TARGET
 
+    def _patience(self, call: Call) -> float:
+        """Return for how many seconds a call may wait for a slot."""
+        if not self.limit.is_learning:
+            return math.inf
+        return max(LEAST_PATIENCE_SECONDS, PATIENCE_RATIO * self._usual_seconds(call))
+
     def _is_spell_shorter(self, usual: float) -> bool:
         return usual * (self.observer.slowdown - 1.0) > SPELL_SECONDS / 2
 
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -62,7 +62,8 @@
             else:
                 got = await self._send(sent, candidate)
         except BaseException:
-            view.started_by_call.pop(call.id, None)
+            usual = self.usual_seconds(call.class_name)
+            view.abandon(call.id, self.clock.monotonic(), usual)
             raise
         now = self.clock.monotonic()
         if got.is_error() and isinstance(got.error, NotRun):
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -122,6 +122,20 @@
         else:
             self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
 
+    def abandon(self, call_id: str, now: float, usual: float) -> None:
+        """Note that this daemon gave up a call before its answer.
+
+        How long it went without one is a lower bound of the latency; were it forgotten, the next
+        call would go to the same hanging server.  A call that was given up early proves nothing.
+
+        :param usual: seconds that a good answer of its class usually takes
+        """
+        started = self.started_by_call.pop(call_id, now)
+        ratio = min((now - started) / self.slowdown(now) / usual, MOST_RATIO)
+        self.latency_ratio = max(
+            self.latency_ratio, self.latency_ratio + LATENCY_WEIGHT * (ratio - self.latency_ratio)
+        )
+
     def refuse(self, call_id: str, now: float, is_full: bool) -> None:
         """Note that the gate refused a call: leave it alone for a moment, longer each time.
 
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -23,10 +23,12 @@
         return self.reason
 
 
-def make_admission(limit: int, refusal: Refusal | None = None) -> Admission:
+def make_admission(
+    limit: int, refusal: Refusal | None = None, is_learning: bool = True
+) -> Admission:
     now = asyncio.get_running_loop().time
     pace = ColdPace(lambda: None, now)
-    concurrency = ConcurrencyLimit(slots=limit, limit=limit)
+    concurrency = ConcurrencyLimit(slots=limit, limit=limit, is_learning=is_learning)
     return Admission(concurrency, (refusal or Refusal()).read, now, pace)
 
 
@@ -86,7 +88,7 @@
 
 
 async def test_the_class_with_most_waiting_is_shed() -> None:
-    admission = make_admission(1)
+    admission = make_admission(1, is_learning=False)
     end = asyncio.get_running_loop().time() + 60
     first = await admission.enter("a", end, False)
     waiting_a = asyncio.create_task(admission.enter("a", end, False))
@@ -98,6 +100,37 @@
     assert (await waiting_a).is_ok()
 
 
+async def test_a_call_waits_no_longer_than_its_patience() -> None:
+    """What holds the slot may itself wait for the call that waits for it."""
+    admission = make_admission(1)
+    end = asyncio.get_running_loop().time() + 60
+    first = await admission.enter("a", end, False)
+    refused = await admission.enter("a", end, False, patience=0.01)
+    assert refused.error.reason is Reason.FULL
+    assert (admission.in_flight, admission.waiting) == (1, 0)
+    admission.leave(first.ok)
+    assert admission.in_flight == 0
+
+
+async def test_a_burst_waits_for_a_learnt_limit() -> None:
+    """The limit of a server that was little used is far below what it bears."""
+    admission = make_admission(1)
+    end = asyncio.get_running_loop().time() + 60
+    first = await admission.enter("a", end, False)
+    burst = [asyncio.create_task(admission.enter("a", end, False)) for _ in range(5)]
+    for _ in range(3):
+        await asyncio.sleep(0)
+    assert [task.done() for task in burst].count(True) == 1, "four wait for each slot"
+    admission.leave(first.ok)
+    served = 0
+    for task in burst:
+        got = await task
+        if got.is_ok():
+            admission.leave(got.ok)
+            served += 1
+    assert served == 4
+
+
 async def test_leaving_refuses_those_who_wait() -> None:
     refusal = Refusal()
     admission = make_admission(1, refusal)
--- a/tests/routing/test_view.py
+++ b/tests/routing/test_view.py
@@ -30,6 +30,24 @@
     assert view.expected_seconds(1.5) > 10 * before
 
 
+def test_a_call_that_was_given_up_is_evidence() -> None:
+    """A hedge that wins cancels the slow attempt, but its server must not look as before."""
+    view = make_view()
+    before = view.expected_seconds(0.5)
+    view.start("slow", 0.5)
+    view.abandon("slow", 0.6, 0.005)
+    assert view.expected_seconds(0.6) > 1.5 * before
+    assert view.in_flight == 0
+
+
+def test_a_call_that_was_given_up_early_proves_nothing() -> None:
+    view = make_view()
+    before = view.expected_seconds(0.5)
+    view.start("left", 0.5)
+    view.abandon("left", 0.5001, 0.005)
+    assert view.expected_seconds(0.5001) == pytest.approx(before, rel=0.01)
+
+
 def test_failing_fast_does_not_look_fast() -> None:
     good, bad = make_view(), make_view()
     for i in range(5):
