Errors that were passed over have their log lines: health path, registrations, departures

Cause: three places went on after an error without a word (found on a reread). A damaged record of a departure also kept the next departure from being written at the first try; it is replaced now. Tests: tests/gate/test_departures.py, tests/membership/test_registration.py.

--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -41,6 +41,9 @@
 ISOLATED: Final = Event(206, "warning", "neither the store nor most members are heard")
 REJOINED: Final = Event(207, "info", "the store or most members are heard again")
 MEMBER_FORGOTTEN: Final = Event(208, "info", "member {member} was dead for long and is forgotten")
+REGISTRATION_UNREADABLE: Final = Event(
+    209, "warning", "the object of daemon {member} can't be read: {error}"
+)
 CONFIGURATION_CHANGED: Final = Event(301, "info", "{name} is in force at version {version}")
 CONFIGURATION_REFUSED: Final = Event(302, "error", "{name} version {version} is unusable: {error}")
 SERVER_ANNOUNCED: Final = Event(401, "info", "server {address} announced itself as {state}")
@@ -54,6 +57,10 @@
 )
 SERVER_CONFIRMED: Final = Event(408, "info", "server {instance} is healthy after a restart here")
 CALL_RAN: Final = Event(409, "debug", "call {call} ended at the server with {status} after {ms} ms")
+SERVER_UNHEARD: Final = Event(410, "debug", "server {address} gave no word of itself: {error}")
+DEPARTURE_UNREADABLE: Final = Event(
+    411, "warning", "what is recorded of an earlier departure can't be read: {error}"
+)
 CALL_ANSWERED: Final = Event(501, "debug", "call {call} answered {status} by {member}")
 CALL_NOT_RUN: Final = Event(502, "info", "call {call} not run: {reason}")
 CALL_UNKNOWN: Final = Event(503, "warning", "call {call} has an unknown outcome: {reason}")
--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -47,9 +47,13 @@
             return Ok(None)
         self._version = found.ok.version
         decoded = decode_body(found.ok.body, Incarnation)
-        if decoded.is_ok():
-            self._recorded = decoded.ok
-        return decoded.map(lambda it: it)
+        if decoded.is_error():
+            # It says nothing, so the next departure replaces it.
+            error = decoded.error.message
+            self.journal.record(catalogue.DEPARTURE_UNREADABLE, error=error)
+            return Ok(None)
+        self._recorded = decoded.ok
+        return Ok(decoded.ok)
 
     async def record(self, incarnation: Incarnation) -> None:
         """Write that an incarnation leaves, or give up after a short time and say so."""
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -118,6 +118,7 @@
             self.dialect.read_word,
             lambda: self._terms().health_path,
             self.clock,
+            self.journal,
             self._take_word,
         )
 
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -17,6 +17,8 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.dialect import Headers, ServerLoad, ServerWord
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
 
 FRESH_SECONDS: Final = 0.03
 """A sixteenth of the half second for which a machine's speed usually stays the same."""
@@ -40,6 +42,7 @@
     read_word: Callable[[Headers], ServerWord]
     health_path: Callable[[], str]
     clock: Clock
+    journal: Journal
     on_word: Callable[[ServerWord, bool], None]
     address: str = ""
     load: ServerLoad | None = None
@@ -99,7 +102,8 @@
                 self.session.get(url, allow_redirects=False) as answer,
             ):
                 await answer.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             # No answer is no word: the calls themselves show whether the server can be reached.
+            self.journal.record(catalogue.SERVER_UNHEARD, address=self.address, error=repr(exc))
             return
         self.hear(answer.headers, answer.status == 200)
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -118,8 +118,15 @@
         known = self._directory.members_by_vm
         unknown = [item for item in listed.ok.items if item.name not in known]
         chosen = self._rng.sample(unknown, min(ASKED_AT_JOIN, len(unknown)))
-        members = [decode_body(item.body, Member) for item in chosen]
-        addresses = [member.ok.peer_address for member in members if member.is_ok()]
+        addresses = []
+        for item in chosen:
+            member = decode_body(item.body, Member)
+            if member.is_ok():
+                addresses.append(member.ok.peer_address)
+                continue
+            self._journal.record(
+                catalogue.REGISTRATION_UNREADABLE, member=item.name, error=member.error.message
+            )
         if addresses:
             await self._gossip.join(addresses)
         return True
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -7,7 +7,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.departures import Departures
 from kingcuppond.gate.incarnation import Incarnation
-from kingcuppond.store.port import Store
+from kingcuppond.store.port import ABSENT, Store
 from tests.claims.fakes import FakeStore
 
 LEAVING = Incarnation("i-1", 100)
@@ -39,6 +39,16 @@
     assert (await departures.load()).ok == Incarnation("i-2", 200)
 
 
+async def test_a_damaged_record_is_logged_and_replaced(journal: Journal) -> None:
+    store = FakeStore()
+    departures = make_departures(store, journal)
+    await store.put("departures", "vm-1", b'{"id": 7', ABSENT)
+    assert (await departures.load()).ok is None
+    assert journal.entries[-1].number == 411
+    await departures.record(LEAVING)
+    assert (await make_departures(store, journal).load()).ok == LEAVING
+
+
 @pytest.mark.parametrize("fault", ["lost", "dropped", "refused"])
 async def test_a_write_that_failed_is_made_again(fault: str, journal: Journal) -> None:
     store = FakeStore(faults=[fault])
--- /dev/null
+++ b/tests/membership/test_registration.py
@@ -0,0 +1,76 @@
+"""Daemons find each other through the store, whatever one object there holds."""
+
+from random import Random
+from typing import cast
+
+import attrs
+import pytest
+
+from kingcuppond.clock import Clock
+from kingcuppond.events.journal import Journal
+from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.gossip import Gossip
+from kingcuppond.membership.messages import Member
+from kingcuppond.membership.registration import KIND, Registration
+from kingcuppond.store.port import ABSENT, Store, encode_body
+from tests.claims.fakes import FakeStore
+
+
+@attrs.define
+class JoinedGossip:
+    """Remembers whom it was told to ask."""
+
+    addresses: list[str] = attrs.field(factory=list)
+
+    async def join(self, addresses: list[str]) -> bool:
+        self.addresses.extend(addresses)
+        return True
+
+
+def make_member(vm: str) -> Member:
+    return Member(vm, "dc-1", "shop", f"{vm}:1", f"{vm}:2", f"{vm}:3", 1)
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    return FakeStore()
+
+
+@pytest.fixture
+def gossip() -> JoinedGossip:
+    return JoinedGossip()
+
+
+@pytest.fixture
+def registration(
+    store: FakeStore, gossip: JoinedGossip, clock: Clock, journal: Journal, rng: Random
+) -> Registration:
+    return Registration(
+        cast(Store, store),
+        Directory(make_member("vm-1"), clock, journal),
+        cast(Gossip, gossip),
+        clock,
+        journal,
+        rng,
+        [],
+        lambda: True,
+    )
+
+
+async def test_an_unreadable_object_is_logged_and_the_others_are_met(
+    store: FakeStore, gossip: JoinedGossip, registration: Registration, journal: Journal
+) -> None:
+    await store.put(KIND, "vm-2", b"[", ABSENT)
+    await store.put(KIND, "vm-3", encode_body(make_member("vm-3")), ABSENT)
+    await registration._join_through_store()
+    assert gossip.addresses == ["vm-3:2"]
+    assert 209 in [entry.number for entry in journal.entries]
+
+
+async def test_a_registration_whose_answer_is_lost_is_not_written_twice(
+    store: FakeStore, registration: Registration
+) -> None:
+    store.faults = ["lost"]
+    await registration._join_through_store()
+    assert registration.is_registered
+    assert store.writes == 1
