--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -278,10 +278,11 @@
         """Tell whether a server of this data centre has room and would be in time.
 
         Then no other data centre is asked: what crosses between them is paid for.  A gate here
-        that was slow a moment ago is asked again, since its refusal costs little time.
+        that was slow or full a moment ago is asked again, since its refusal costs little time.
         """
         view = candidate.view
-        if candidate.detour_seconds or view.load_share(now) >= NEAR_LOAD_SHARE:
+        load = view.load_share(now, NEAR_WORD_SECONDS)
+        if candidate.detour_seconds or load >= NEAR_LOAD_SHARE:
             return False
         return now + view.expected_seconds(now, usual, NEAR_WORD_SECONDS) <= target_at
 
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -9,6 +9,7 @@
 took.  A server that was not used for a while counts as usual, and not as fast.
 """
 
+import math
 from typing import Final
 
 import attrs
@@ -161,27 +162,31 @@
         self,
         now: float,
         usual: float = DEFAULT_LATENCY_SECONDS,
-        trusted_seconds: float = SLOWDOWN_SECONDS,
+        trusted_seconds: float = math.inf,
     ) -> float:
         """Estimate how long one more call would take there.
 
         :param usual: seconds that a good answer of its class usually takes
-        :param trusted_seconds: an older word of the machine's speed says nothing
+        :param trusted_seconds: an older report says nothing
         """
         latency = self._current_latency(now, usual) * self.slowdown(now, trusted_seconds)
         errors = self._fading(self.error_rate, now)
-        return latency * (1 + self.load_share(now)) * (1 + ERROR_FACTOR * errors**3)
+        load = self.load_share(now, trusted_seconds)
+        return latency * (1 + load) * (1 + ERROR_FACTOR * errors**3)
 
-    def load_share(self, now: float) -> float:
+    def load_share(self, now: float, trusted_seconds: float = math.inf) -> float:
         """Return the calls that are known to run or wait there, as a share of its limit."""
         limit = 1 if self.report is None else self.report.limit
         others = self.in_flight
-        if self.report is not None and now - self.reported_at < REPORT_SECONDS:
+        if self.report is not None and now - self.reported_at < min(
+            REPORT_SECONDS, trusted_seconds
+        ):
             others = max(others, self.report.in_flight)
         return others / limit
 
-    def slowdown(self, now: float, trusted_seconds: float = SLOWDOWN_SECONDS) -> float:
+    def slowdown(self, now: float, trusted_seconds: float = math.inf) -> float:
         """Return how long work takes there now, as a multiple of the usual; 1 if unknown."""
+        trusted_seconds = min(SLOWDOWN_SECONDS, trusted_seconds)
         if self.report is None or now - self.reported_at > trusted_seconds:
             return 1.0
         return max(1.0, self.report.slowdown)
