A daemon that starts waits half a second for silent seeds, not two

After a power loss all daemons have the configuration 16 ms after their start, but decided on no call before all seeds that they asked had answered or timed out after 2 s; three of the seeds had left for good.

Change: at the join the time of a ping is enough. Whoever has the whole configuration still ends the wait at once, and what a slow peer knows comes by the usual gossip.

Ruled out: the store (watched at once), the servers (announced and healthy within 0.2 s).

--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -34,6 +34,9 @@
 PING_TIMEOUT_SECONDS: Final = 0.5
 MISSED_PINGS: Final = 2
 SYNC_TIMEOUT_SECONDS: Final = 2.0
+JOIN_TIMEOUT_SECONDS: Final = PING_TIMEOUT_SECONDS
+"""Who does not answer so soon counts as silent."""
+
 SYNC_AFTER_DIFFERENT_PINGS: Final = 3
 REVIVE_SECONDS: Final = 2.0
 HOUSEKEEPING_SECONDS: Final = 0.1
@@ -104,10 +107,13 @@
     async def join(self, addresses: list[str]) -> bool:
         """Make this daemon known to a few others and learn what they know.
 
+        A daemon that starts decides on no call before this ends, and some that it asks may be gone
+        for good; so it waits no longer than for a ping.
+
         :param addresses: peer addresses to ask, all at once
         :return: whether any answered
         """
-        asks = [self._sync(address) for address in addresses]
+        asks = [self._sync(address, JOIN_TIMEOUT_SECONDS) for address in addresses]
         return any(await asyncio.gather(*asks))
 
     def longest_silence(self) -> float:
@@ -190,9 +196,9 @@
             notes=tuple(n for n in mine.notes if notes.get(n.fingerprint) != n.stamp),
         )
 
-    async def _sync(self, address: str) -> bool:
+    async def _sync(self, address: str, timeout: float = SYNC_TIMEOUT_SECONDS) -> bool:
         ask = SyncAsk(self._everything())
-        reply = await self._transport.ask(address, ask, SyncReply, SYNC_TIMEOUT_SECONDS)
+        reply = await self._transport.ask(address, ask, SyncReply, timeout)
         if reply.is_error():
             return False
         self.spread(self._merge(reply.ok.news))
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,55 @@
+"""A daemon that starts does not wait for others that are gone."""
+
+import asyncio
+from random import Random
+from typing import Any, cast
+
+import attrs
+from expression import Error, Ok, Result
+
+from kingcuppond.clock import Clock
+from kingcuppond.configuration.replica import Configuration
+from kingcuppond.events.journal import Journal
+from kingcuppond.harmful.suspects import SuspectTable
+from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.gossip import MISSED_PINGS, PING_TIMEOUT_SECONDS, Gossip
+from kingcuppond.membership.messages import Member, Rumours, SyncReply
+from kingcuppond.peers.transport import PeerTransport
+
+
+@attrs.define
+class FakeTransport:
+    """Peers that answer at once, or never."""
+
+    silent: frozenset[str]
+    handlers_by_type: dict[type, Any] = attrs.field(factory=dict)
+    waited: float = 0.0
+
+    async def ask(
+        self, address: str, ask: object, reply_type: type, timeout: float
+    ) -> Result[SyncReply, str]:
+        if address in self.silent:
+            self.waited = max(self.waited, timeout)
+            await asyncio.sleep(0)
+            return Error("no answer in time")
+        return Ok(SyncReply(Rumours(), (), is_complete=False))
+
+    def send(self, *arguments: object) -> None:
+        pass
+
+
+async def test_seeds_that_are_gone_do_not_delay_a_start(clock: Clock, journal: Journal) -> None:
+    me = Member("vm-1", "dc-1", "shop", "a:1", "a:2", "a:3", 1)
+    transport = FakeTransport(frozenset({"b:2", "c:2"}))
+    gossip = Gossip(
+        Directory(me, clock, journal),
+        Configuration(journal),
+        SuspectTable("vm-1", clock, journal),
+        cast(PeerTransport, transport),
+        clock,
+        journal,
+        Random(1),
+    )
+    assert await gossip.join(["b:2", "c:2", "d:2"])
+    assert 0 < transport.waited < PING_TIMEOUT_SECONDS * MISSED_PINGS
+    assert not await gossip.join(["b:2", "c:2"])
