--- a/bench/logs.py
+++ b/bench/logs.py
@@ -13,7 +13,6 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Final
 
 import attrs
 from hdrh.histogram import HdrHistogram
