--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -30,6 +30,7 @@
 from kingcuppond.gate.limit import ConcurrencyLimit
 from kingcuppond.gate.observer import ServerObserver
 from kingcuppond.gate.pace import ColdPace
+from kingcuppond.gate.timing import Timing
 from kingcuppond.harmful.messages import Level
 from kingcuppond.harmful.suspects import SuspectTable
 from kingcuppond.membership.directory import Directory
@@ -46,21 +47,6 @@
 
 MAX_SEEN: Final = 50_000
 
-SPELL_SECONDS: Final = 0.5
-"""For so long a machine's speed usually stays the same; a spell has half of it left in the mean."""
-
-UNKNOWN_SHARE_OF_TARGET: Final = 0.33
-"""What a class that was never answered here is taken to need of the time that is left."""
-
-PATIENCE_RATIO: Final = 4.0
-"""Usual times that a call waits for a slot: as many calls may wait for each slot."""
-
-LEAST_PATIENCE_SECONDS: Final = 0.1
-"""A daemon on a busy machine may be late by so much with calls that take no time at all."""
-
-SPEED_CHECK_SECONDS: Final = 0.03
-"""Time between two looks at the speed while calls wait for it."""
-
 
 @attrs.define
 class Gate:
@@ -101,8 +87,8 @@
     pace: ColdPace = attrs.field(init=False)
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
+    timing: Timing = attrs.field(init=False)
     _was_out: bool = False
-    _waiting_for_speed: int = 0
     _seen_by_call: dict[str, float] = attrs.field(factory=dict)
     _tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
@@ -121,6 +107,8 @@
             self.journal,
             self._take_word,
         )
+        vm = self.directory.me.vm
+        self.timing = Timing(vm, self.admission, self.observer, self.usual, now, self.refusal)
 
     @property
     def in_flight(self) -> int:
@@ -132,7 +120,7 @@
 
         :param begun_slowdown: the slowdown when the call began that the report goes with
         """
-        load = self.admission.in_flight + self.admission.waiting + self._waiting_for_speed
+        load = self.admission.in_flight + self.admission.waiting + self.timing.waiting
         return GateReport(load, self.limit.limit, self.observer.slowdown, begun_slowdown)
 
     def refusal(self) -> NotRun | None:
@@ -227,12 +215,12 @@
         refusal = self.refusal()
         if refusal is None:
             await self.observer.freshen()
-            refusal = await self._wait_for_speed(call) or self._find_late(call)
+            refusal = await self.timing.wait_for_speed(call) or self.timing.find_late(call)
         if refusal is not None:
             return Error(self._refuse(call, refusal))
         is_on_trial = call.is_on_trial or level is Level.SUSPECTED
         entered = await self.admission.enter(
-            call.class_name, call.deadline, is_on_trial, call.priority, self._patience(call)
+            call.class_name, call.deadline, is_on_trial, call.priority, self.timing.patience(call)
         )
         if entered.is_error():
             return Error(self._refuse(call, entered.error))
@@ -256,60 +244,6 @@
             return Ok(answer)
         return Ok(self._guard(call, ticket, answer, started))
 
-    def _find_late(self, call: Call) -> NotRun | None:
-        """Tell whether another server may serve a call sooner than this one."""
-        is_full = self.in_flight >= self.limit.limit
-        # A limit that is learnt starts at one call; a queue keeps such a server in use.
-        if is_full and not call.is_last_resort and not self.limit.is_learning:
-            return NotRun(Reason.FULL, f"all slots beside {self.directory.me.vm} are in use")
-        if self.observer.load is None:
-            return None
-        expected = self._usual_seconds(call) * self.observer.slowdown
-        if is_full:
-            expected *= 1 + (self.admission.waiting + 1) / self.limit.limit
-        due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
-        if self.clock.monotonic() + expected <= due:
-            return None
-        detail = f"an answer would take {expected * 1000:.0f} ms at {self.directory.me.vm}"
-        return NotRun(Reason.SLOW, detail)
-
-    async def _wait_for_speed(self, call: Call) -> NotRun | None:
-        """Let a call that no other server takes wait until the machine is as fast as usual.
-
-        How long work takes is decided when it begins: what begins in a slow spell stays slow after
-        it.  So a call that would take longer than the rest of the spell is better begun after it.
-        """
-        if not call.is_last_resort or self.observer.load is None:
-            return None
-        usual = self._usual_seconds(call)
-        last_start = min(call.deadline - usual, self.clock.monotonic() + SPELL_SECONDS)
-        while self._is_spell_shorter(usual) and self.clock.monotonic() < last_start:
-            if self._waiting_for_speed >= self.limit.limit:
-                return NotRun(Reason.FULL, "too many calls wait for a slow server")
-            self._waiting_for_speed += 1
-            try:
-                await asyncio.sleep(SPEED_CHECK_SECONDS)
-            finally:
-                self._waiting_for_speed -= 1
-            await self.observer.freshen()
-        return self.refusal()
-
-    def _usual_seconds(self, call: Call) -> float:
-        known = self.usual.seconds_by_class.get(call.class_name)
-        if known is not None:
-            return known
-        left = min(call.target_at, call.deadline) - self.clock.monotonic()
-        return max(0.0, left) * UNKNOWN_SHARE_OF_TARGET
-
-    def _patience(self, call: Call) -> float:
-        """Return for how many seconds a call may wait for a slot."""
-        if not self.limit.is_learning:
-            return math.inf
-        return max(LEAST_PATIENCE_SECONDS, PATIENCE_RATIO * self._usual_seconds(call))
-
-    def _is_spell_shorter(self, usual: float) -> bool:
-        return usual * (self.observer.slowdown - 1.0) > SPELL_SECONDS / 2
-
     async def _exchange(self, call: Call) -> Result[Answer, Failure]:
         if call.at_most_once:
             try:
