Servers that were given little get a share of the calls that have time for it

Cause: cold servers of a returned data centre got 65 of 3,600 calls in 12 s, more than 100 wanted. A cold answer raises the view's ratio from 1 to 1.6 while others stand at about 1.3, and the ratio fades over 5 s; so each daemon sent such a server a call in about 2.5 s, and it becomes warm only by calls.

Change: of the calls that have twenty usual times left, one in twenty goes to an idle server whose gate lets in less than half of what others do. Its gate still bounds what runs there. Where gates' limits are the slots that servers announce, as on the users' platform, nothing changes.

Ruled out: refusals (none of the calls failed), the gate's limit (one call of 25 ms at a time bears 40 a second).

--- a/kingcuppond/routing/choice.py
+++ b/kingcuppond/routing/choice.py
@@ -14,6 +14,9 @@
 from kingcuppond.routing.view import ServerView
 
 DRAWN: Final = 3
+UNPROVEN_RATIO: Final = 20.0
+"""Usual times that a call must have left; a cold server was seen to take five."""
+
 HOP_SECONDS: Final = 0.0008
 
 
@@ -63,6 +66,26 @@
     return min(drawn, key=lambda c: _expected(c, moment))
 
 
+def find_unproven(
+    candidates: Sequence[Candidate], moment: Moment, target_at: float
+) -> list[Candidate]:
+    """Return the idle servers whose gates let in far fewer calls than others do.
+
+    Such a server is new or cold, and only calls make it warm; by its times alone it would get next
+    to none.  It is given a call only if the call has time enough for a slow answer.
+    """
+    limits = [c.view.report.limit for c in candidates if c.view.report is not None]
+    if not limits or moment.now + UNPROVEN_RATIO * moment.usual > target_at:
+        return []
+    return [
+        c
+        for c in candidates
+        if c.view.report is not None
+        and c.view.report.limit * 2 <= max(limits)
+        and not c.view.in_flight
+    ]
+
+
 def random_choice(candidates: Sequence[Candidate], moment: Moment, rng: Random) -> Candidate:
     """Baseline: any."""
     return rng.choice(candidates)
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -12,6 +12,8 @@
 overload is shed at once.  If all gates asked are full or would answer too late for the target, the
 best of them is asked again to take the call as it is, or to let it wait for a slot.
 
+A server that was given little so far gets a small share of the calls that have time for it.
+
 A server of this data centre is preferred as long as it has room and would be in time.
 
 A repeatable call that takes much longer than others of its class is hedged: it runs a second time
@@ -35,7 +37,7 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.budgets import HEDGE_RESERVE, HEDGE_SHARE, RETRY_SHARE, ShareBudget
 from kingcuppond.routing.call import Answer, Call
-from kingcuppond.routing.choice import Candidate, Moment, Policy, least_expected
+from kingcuppond.routing.choice import Candidate, Moment, Policy, find_unproven, least_expected
 from kingcuppond.routing.hedging import discard, first_answer
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
@@ -52,6 +54,9 @@
 
 NEAR_LOAD_SHARE: Final = 0.8
 """Servers become slower when they are nearly full; then those farther off are compared too."""
+UNPROVEN_SHARE: Final = 0.05
+"""Of the calls that have time for it; as many as may be hedged."""
+
 BACKLOG_SHARE_OF_TARGET: Final = 0.125
 FIRST_PAUSE_SECONDS: Final = 0.004
 MAX_PAUSE_SECONDS: Final = 0.064
@@ -270,7 +275,11 @@
         now = self.clock.monotonic()
         usual = self.sender.usual_seconds(call.class_name)
         near = [it for it in candidates if self._is_near_enough(it, now, call.target_at, usual)]
-        return self.policy(near or candidates, Moment(now, usual), self.rng)
+        moment = Moment(now, usual)
+        unproven = find_unproven(near or candidates, moment, call.target_at)
+        if unproven and self.rng.random() < UNPROVEN_SHARE:
+            return self.rng.choice(unproven)
+        return self.policy(near or candidates, moment, self.rng)
 
     def _is_near_enough(
         self, candidate: Candidate, now: float, target_at: float, usual: float
