Reread: what was written or worked out twice is done once

Timing took the clock and the refusal that its admission holds already. The choice of a server worked out unproven servers for every call, and the load of servers elsewhere, and used neither most of the time. The mean of a view's ratio stood in two places. bench/logs.py repeated how bench/latency.py makes its fleet ready. The calls that may wait for a learnt slot and the usual times that they wait are one constant.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -14,7 +14,7 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from standins.fleet import Fleet, plan_service
+from standins.fleet import Fleet, VmPlan, plan_service
 
 PATHS: Final = ("direct", "local", "one hop")
 MAX_MICROSECONDS: Final = 60_000_000
@@ -50,6 +50,23 @@
     return histograms
 
 
+def plan_fleet() -> list[VmPlan]:
+    """Plan one server that is called, and another VM to call it through."""
+    return [
+        *plan_service("shop", {"dc-1": 1}, "--service-ms", "0"),
+        *plan_service("other", {"dc-2": 1}),
+    ]
+
+
+def prepare(fleet: Fleet) -> dict[str, str]:
+    """Make a planned fleet ready, and return the address of each path."""
+    fleet.apply_class(name="shop", service="shop", path_prefix="/shop", answer_within_ms=5000)
+    fleet.wait_until_ready()
+    shop, other = fleet.vms_by_name.values()
+    addresses = (shop.server, shop.caller, other.caller)
+    return {name: f"http://{it}/shop/a" for name, it in zip(PATHS, addresses, strict=True)}
+
+
 def main() -> None:
     """Measure and print a table."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
@@ -57,16 +74,8 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    plans = plan_service("shop", {"dc-1": 1}, "--service-ms", "0")
-    plans += plan_service("other", {"dc-2": 1})
-    with Fleet(plans, log_level="warning") as fleet:
-        fleet.apply_class(name="shop", service="shop", path_prefix="/shop", answer_within_ms=5000)
-        fleet.wait_until_ready()
-        shop, other = fleet.vms_by_name.values()
-        addresses = (shop.server, shop.caller, other.caller)
-        urls = {
-            name: f"http://{address}/shop/a" for name, address in zip(PATHS, addresses, strict=True)
-        }
+    with Fleet(plan_fleet(), log_level="warning") as fleet:
+        urls = prepare(fleet)
         histograms = asyncio.run(measure(urls, options.per_second, options.seconds, options.seed))
     print(f"{'path':10}{'calls':>8}{'p50 ms':>9}{'p99 ms':>9}{'added p50':>11}{'added p99':>11}")
     direct = histograms["direct"]
--- a/bench/logs.py
+++ b/bench/logs.py
@@ -17,8 +17,8 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
-from bench.latency import MAX_MICROSECONDS, PATHS, measure
-from standins.fleet import Fleet, plan_service
+from bench.latency import MAX_MICROSECONDS, PATHS, measure, plan_fleet, prepare
+from standins.fleet import Fleet
 
 
 class UnreadFleet(Fleet):
@@ -64,17 +64,9 @@
 
 def run_once(kind: Kind, per_second: float, seconds: float, seed: int) -> None:
     """Serve calls with one way of logging, and add to what was measured."""
-    plans = plan_service("shop", {"dc-1": 1}, "--service-ms", "0")
-    plans += plan_service("other", {"dc-2": 1})
     fleet_type = Fleet if kind.is_read else UnreadFleet
-    with fleet_type(plans, log_level=kind.level) as fleet:
-        fleet.apply_class(name="shop", service="shop", path_prefix="/shop", answer_within_ms=5000)
-        fleet.wait_until_ready()
-        shop, other = fleet.vms_by_name.values()
-        addresses = (shop.server, shop.caller, other.caller)
-        urls = {
-            name: f"http://{address}/shop/a" for name, address in zip(PATHS, addresses, strict=True)
-        }
+    with fleet_type(plan_fleet(), log_level=kind.level) as fleet:
+        urls = prepare(fleet)
         before = count_lines(fleet.folder)
         histograms = asyncio.run(measure(urls, per_second, seconds, seed))
         kind.lines += count_lines(fleet.folder) - before
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -107,8 +107,7 @@
             self.journal,
             self._take_word,
         )
-        vm = self.directory.me.vm
-        self.timing = Timing(vm, self.admission, self.observer, self.usual, now, self.refusal)
+        self.timing = Timing(self.directory.me.vm, self.admission, self.observer, self.usual)
 
     @property
     def in_flight(self) -> int:
--- a/kingcuppond/gate/timing.py
+++ b/kingcuppond/gate/timing.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import math
-from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from kingcuppond.gate.admission import Admission
+from kingcuppond.gate.admission import WAITING_PER_LEARNT_SLOT, Admission
 from kingcuppond.gate.observer import ServerObserver
 from kingcuppond.outcomes import NotRun, Reason
 from kingcuppond.routing.call import Call
@@ -24,7 +23,7 @@
 UNKNOWN_SHARE_OF_TARGET: Final = 0.33
 """What a class that was never answered here is taken to need of the time that is left."""
 
-PATIENCE_RATIO: Final = 4.0
+PATIENCE_RATIO: Final = WAITING_PER_LEARNT_SLOT
 """Usual times that a call waits for a slot: as many calls may wait for each slot."""
 
 LEAST_PATIENCE_SECONDS: Final = 0.1
@@ -40,8 +39,6 @@
 
     :param vm: name of this VM
     :param usual: how long good answers of the server take at its machine's usual speed
-    :param now: monotonic clock
-    :param refusal: tells why no call may run at all now, or ``None``
     :param waiting: how many calls wait for the end of a slow spell
     """
 
@@ -49,8 +46,6 @@
     admission: Admission
     observer: ServerObserver
     usual: UsualTimes
-    now: Callable[[], float]
-    refusal: Callable[[], NotRun | None]
     waiting: int = 0
 
     def find_late(self, call: Call) -> NotRun | None:
@@ -65,7 +60,7 @@
         if is_full:
             expected *= 1 + (self.admission.waiting + 1) / self.admission.limit.limit
         due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
-        if self.now() + expected <= due:
+        if self.admission.now() + expected <= due:
             return None
         detail = f"an answer would take {expected * 1000:.0f} ms at {self.vm}"
         return NotRun(Reason.SLOW, detail)
@@ -79,8 +74,8 @@
         if not call.is_last_resort or self.observer.load is None:
             return None
         usual = self._usual_seconds(call)
-        last_start = min(call.deadline - usual, self.now() + SPELL_SECONDS)
-        while self._is_spell_shorter(usual) and self.now() < last_start:
+        last_start = min(call.deadline - usual, self.admission.now() + SPELL_SECONDS)
+        while self._is_spell_shorter(usual) and self.admission.now() < last_start:
             if self.waiting >= self.admission.limit.limit:
                 return NotRun(Reason.FULL, "too many calls wait for a slow server")
             self.waiting += 1
@@ -89,14 +84,7 @@
             finally:
                 self.waiting -= 1
             await self.observer.freshen()
-        return self.refusal()
-
-    def _usual_seconds(self, call: Call) -> float:
-        known = self.usual.seconds_by_class.get(call.class_name)
-        if known is not None:
-            return known
-        left = min(call.target_at, call.deadline) - self.now()
-        return max(0.0, left) * UNKNOWN_SHARE_OF_TARGET
+        return self.admission.refusal()
 
     def patience(self, call: Call) -> float:
         """Return for how many seconds a call may wait for a slot."""
@@ -104,5 +92,12 @@
             return math.inf
         return max(LEAST_PATIENCE_SECONDS, PATIENCE_RATIO * self._usual_seconds(call))
 
+    def _usual_seconds(self, call: Call) -> float:
+        known = self.usual.seconds_by_class.get(call.class_name)
+        if known is not None:
+            return known
+        left = min(call.target_at, call.deadline) - self.admission.now()
+        return max(0.0, left) * UNKNOWN_SHARE_OF_TARGET
+
     def _is_spell_shorter(self, usual: float) -> bool:
         return usual * (self.observer.slowdown - 1.0) > SPELL_SECONDS / 2
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -276,9 +276,10 @@
         usual = self.sender.usual_seconds(call.class_name)
         near = [it for it in candidates if self._is_near_enough(it, now, call.target_at, usual)]
         moment = Moment(now, usual)
-        unproven = find_unproven(near or candidates, moment, call.target_at)
-        if unproven and self.rng.random() < UNPROVEN_SHARE:
-            return self.rng.choice(unproven)
+        if self.rng.random() < UNPROVEN_SHARE:
+            unproven = find_unproven(near or candidates, moment, call.target_at)
+            if unproven:
+                return self.rng.choice(unproven)
         return self.policy(near or candidates, moment, self.rng)
 
     def _is_near_enough(
@@ -290,8 +291,9 @@
         that was slow or full a moment ago is asked again, since its refusal costs little time.
         """
         view = candidate.view
-        load = view.load_share(now, NEAR_WORD_SECONDS)
-        if candidate.detour_seconds or load >= NEAR_LOAD_SHARE:
+        if candidate.detour_seconds:
+            return False
+        if view.load_share(now, NEAR_WORD_SECONDS) >= NEAR_LOAD_SHARE:
             return False
         return now + view.expected_seconds(now, usual, NEAR_WORD_SECONDS) <= target_at
 
--- a/kingcuppond/routing/view.py
+++ b/kingcuppond/routing/view.py
@@ -117,8 +117,7 @@
         started = self.started_by_call.pop(call_id, now)
         if is_good:
             self.error_rate -= ERROR_WEIGHT * self.error_rate
-            ratio = (now - started) / max(1.0, begun_slowdown) / usual
-            self.latency_ratio += LATENCY_WEIGHT * (min(ratio, MOST_RATIO) - self.latency_ratio)
+            self.latency_ratio = self._ratio_after(now - started, begun_slowdown, usual)
             self.refusals = 0
         else:
             self.error_rate += ERROR_WEIGHT * (1.0 - self.error_rate)
@@ -132,10 +131,8 @@
         :param usual: seconds that a good answer of its class usually takes
         """
         started = self.started_by_call.pop(call_id, now)
-        ratio = min((now - started) / self.slowdown(now) / usual, MOST_RATIO)
-        self.latency_ratio = max(
-            self.latency_ratio, self.latency_ratio + LATENCY_WEIGHT * (ratio - self.latency_ratio)
-        )
+        ratio = self._ratio_after(now - started, self.slowdown(now), usual)
+        self.latency_ratio = max(self.latency_ratio, ratio)
 
     def refuse(self, call_id: str, now: float, is_full: bool) -> None:
         """Note that the gate refused a call: leave it alone for a moment, longer each time.
@@ -191,6 +188,11 @@
             return 1.0
         return max(1.0, self.report.slowdown)
 
+    def _ratio_after(self, seconds: float, slowdown: float, usual: float) -> float:
+        """Return the ratio with one more latency in it."""
+        ratio = min(seconds / max(1.0, slowdown) / usual, MOST_RATIO)
+        return self.latency_ratio + LATENCY_WEIGHT * (ratio - self.latency_ratio)
+
     def _current_latency(self, now: float, usual: float) -> float:
         latency = usual * (1.0 + self._fading(self.latency_ratio - 1.0, now))
         if not self.started_by_call:
--- a/tests/gate/test_timing.py
+++ b/tests/gate/test_timing.py
@@ -50,7 +50,7 @@
     admission = Admission(limit, refusal, fake_time.read, pace)
     observer = FakeObserver(ServerLoad(0, 0, SLOTS, slowdown), slow_questions)
     usual = UsualTimes({"read": USUAL})
-    return Timing("vm-1", admission, cast(ServerObserver, observer), usual, fake_time.read, refusal)
+    return Timing("vm-1", admission, cast(ServerObserver, observer), usual)
 
 
 def make_call(
