Take fractions for the fleet's retries and for weights; downloads may be repeated

Cause: settings took fleet_retries for an integer, so that daemons of a small twin of a large site exited with 2 at the start. Weights of a traffic split had the same type. The route kind download was treated as not repeatable. Change: all of them numbers; download like safe; unknown kinds stay not repeatable. Tests: three cases fail before, pass now.

--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -37,7 +37,7 @@
     service: str
     """Name of the service."""
 
-    weight: int
+    weight: float
     """Its share, in proportion to the sum of all weights."""
 
 
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -25,7 +25,7 @@
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
 EVACUATIONS_KIND: Final = "evacuations"
-RETRYABLE_KIND: Final = "safe"
+REPEATABLE_KINDS: Final = ("safe", "download")
 
 
 class _Table(msgspec.Struct):
@@ -45,7 +45,7 @@
 
 class _Share(msgspec.Struct):
     service: str = msgspec.field(name="Service")
-    weight: int = msgspec.field(name="Weight")
+    weight: float = msgspec.field(name="Weight")
 
 
 class _Route(msgspec.Struct):
@@ -81,7 +81,7 @@
         path_prefix=route.path_prefix,
         answer_within_ms=parse_duration_ms(route.target_latency),
         # Uploads and unknown kinds of route must run at most once.
-        at_most_once=route.kind != RETRYABLE_KIND,
+        at_most_once=route.kind not in REPEATABLE_KINDS,
         host=route.host.lower(),
         split=split,
         timeout_ms=parse_duration_ms(route.timeout),
--- a/kingcuppond/settings/checks.py
+++ b/kingcuppond/settings/checks.py
@@ -35,9 +35,9 @@
 
 
 def in_range(low: int, high: int) -> Validator:
-    """Make a validator for integers from ``low`` to ``high``, inclusive."""
+    """Make a validator for numbers from ``low`` to ``high``, inclusive."""
 
-    def check(_instance: Any, attribute: Any, value: int) -> None:
+    def check(_instance: Any, attribute: Any, value: float) -> None:
         if not low <= value <= high:
             raise ValueError(f"{attribute.name}: {value} is not in the range {low} to {high}")
 
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -18,7 +18,7 @@
 DEFAULT_SERVER_SILENT_MS: Final = 2000
 DEFAULT_WATCH_WAIT_MS: Final = 1000
 DEFAULT_SUSPECT_HOLD_MS: Final = 250
-DEFAULT_FLEET_RETRIES: Final = 100
+DEFAULT_FLEET_RETRIES: Final = 100.0
 MAX_MS: Final = 600_000
 FLEET_KEY_BYTES: Final = 32
 
@@ -105,10 +105,10 @@
     detour_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
     """How much longer an answer may take in this data centre before another one is preferred."""
 
-    fleet_retries: int = attrs.field(
+    fleet_retries: float = attrs.field(
         default=DEFAULT_FLEET_RETRIES, validator=in_range(0, 1_000_000)
     )
-    """Retries that all daemons together may spend on a service beyond a tenth of its calls."""
+    """Retries that all daemons together may spend on a service beyond a share of its calls."""
 
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -48,6 +48,21 @@
     assert found.services[0].cold_requests_per_second == 19.0
 
 
+@pytest.mark.parametrize(
+    ("kind", "at_most_once"),
+    [("safe", False), ("download", False), ("unsafe", True), ("upload", True), ("later", True)],
+)
+def test_kind_decides_whether_a_request_may_be_repeated(kind: str, at_most_once: bool) -> None:
+    (found,) = decode([[kind if i == 3 else value for i, value in enumerate(ROWS[0])]]).classes
+    assert found.at_most_once == at_most_once
+
+
+def test_weights_may_be_fractions() -> None:
+    split = [{"Service": "b", "Weight": 0.9}, {"Service": "c", "Weight": 0.1}]
+    (found,) = decode([[*ROWS[1][:-1], split]]).classes
+    assert found.split == (ServiceShare("b", 0.9), ServiceShare("c", 0.1))
+
+
 @pytest.mark.parametrize(
     "change",
     [{4: "soon"}, {0: 5}, {7: None, 9: None}, {2: "no-slash"}],
--- a/tests/settings/test_jsonc.py
+++ b/tests/settings/test_jsonc.py
@@ -26,6 +26,12 @@
     assert settings.log_level == "info"
 
 
+def test_the_fleets_retries_may_be_a_fraction() -> None:
+    """The platform derives its bound from the size of the fleet."""
+    text = GOOD.replace("{", '{"fleet_retries": 30.7,', 1)
+    assert parse_text(text, "s.json", DaemonSettings).ok.fleet_retries == 30.7
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected"),
     [
