Gossip by data centre: bridges, combined changes, digests by part, few registrations

Cause: contacts lay on one ring over all data centres, so that nine of ten pings and rumours crossed; each daemon forwarded each change at once and alone to all contacts, and a differing digest exchanged the whole state. Each start cost about seven calls to the store: a read, a write, a listing, two lists and two watches, since a starting daemon knows nobody and so took itself for a watcher.

Change: rings inside a data centre and two bridges for each other one; a member's change crosses only by the bridges of its own data centre; changes wait 30 ms and are combined; digests by part, and of differing parts versions before contents; a joining daemon gets an introduction to its data centre instead of the whole fleet; whether other data centres are alive travels as ages in pings; a bridge that loses its counterpart pings three more members and then suspects the whole data centre. Daemons with seeds register only while they act for their data centre; a starting daemon waits to know its rank.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -2,8 +2,9 @@
 
 In each data centre, the few living members that rank first (rendezvous hashing) watch the store;
 the others receive changes as rumours.  The number of watches therefore grows with the number of
-data centres and not with the fleet.  A daemon that has no complete configuration yet, or that has
-not heard from most of the fleet recently, watches too, for itself.
+data centres and not with the fleet.  A daemon that has had no complete configuration, or not heard
+from most of the fleet, for some time watches too, for itself.  A starting daemon first waits until
+it knows other members, since all would rank first among those that they know.
 
 A watch that exceeds its time limit is dropped together with its connection, and all objects are
 listed again.  After a failure the next attempt is delayed by a backoff with jitter, so that the
@@ -33,6 +34,14 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.1
 MAX_BACKOFF_SECONDS: Final = 2.0
 ISOLATED_AFTER_SECONDS: Final = 2.0
+SETTLE_SECONDS: Final = 0.3
+"""Time from joining the fleet until the ranks are known; rumours cross the fleet sooner."""
+
+MAX_SETTLE_SECONDS: Final = 1.0
+"""Time from the start after which a daemon that could not join takes its rank as known."""
+
+SELF_HELP_AFTER_SECONDS: Final = 2.0
+"""How long a daemon waits for others to send the configuration before it watches for itself."""
 
 
 class Watcher:
@@ -43,6 +52,7 @@
         for the first time.  Before that, a listing does not make it ready: the listing may be
         stale, and a restarted daemon must not return to a configuration that the others know to be
         outdated.
+    :param is_joined: returns whether this daemon has exchanged its state with another one
     :param wait_ms: how long the store holds a watch without changes, in milliseconds
     """
 
@@ -56,6 +66,7 @@
         journal: Journal,
         rng: Random,
         has_contacted_members: Callable[[], bool],
+        is_joined: Callable[[], bool],
         wait_ms: int,
     ) -> None:
         self.is_watching = False
@@ -67,8 +78,14 @@
         self._journal = journal
         self._rng = rng
         self._has_contacted_members = has_contacted_members
+        self._is_joined = is_joined
         self.wait_ms = wait_ms
         self._store_heard_at = clock.monotonic()
+        self._settled_at = clock.monotonic() + MAX_SETTLE_SECONDS
+        self._was_joined = False
+        self._served_at = clock.monotonic()
+        self._rank_generation = -1
+        self._has_rank = False
         self._listed_kinds: set[str] = set()
         self._is_store_down = False
         self._is_isolated = False
@@ -90,10 +107,22 @@
         return {**watches, "isolation": self._check_isolation}
 
     def should_watch(self) -> bool:
-        """Return whether this daemon is one of those that watch the store."""
+        """Return whether this daemon watches the store, by its rank or for itself."""
+        return self.has_rank() or (
+            self._clock.monotonic() - self._served_at > SELF_HELP_AFTER_SECONDS
+        )
+
+    def has_rank(self) -> bool:
+        """Return whether this daemon is one of the few that act for their data centre."""
+        if self._clock.monotonic() < self._settled_at:
+            return False
+        if self._rank_generation != self._directory.generation:
+            self._rank_generation = self._directory.generation
+            self._has_rank = self._find_rank()
+        return self._has_rank
+
+    def _find_rank(self) -> bool:
         me = self._directory.me
-        if not self._configuration.is_ready or not self._gossip.hears_majority():
-            return True
         living = [
             member.vm
             for member in self._directory.living()
@@ -199,18 +228,28 @@
         # Computed a few times per second and not for each call, since it iterates over all members.
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._update_settled()
             self._update_isolation()
             # The other daemons may have been asked after the last answer of the store.
             self._update_is_complete()
 
+    def _update_settled(self) -> None:
+        if not self._was_joined and self._is_joined():
+            self._was_joined = True
+            settled_at = self._clock.monotonic() + SETTLE_SECONDS
+            self._settled_at = min(self._settled_at, settled_at)
+
     def _update_isolation(self) -> None:
+        hears_majority = self._gossip.hearing.hears_majority()
+        if self._configuration.is_ready and hears_majority:
+            self._served_at = self._clock.monotonic()
         # While a watch is pending, the store may be silent for the whole wait time without being
         # down.  After a failed watch there is no such time to add.
         allowed_silence_seconds = ISOLATED_AFTER_SECONDS + (
             0.0 if self._is_store_down else self.wait_ms / 1000
         )
         isolated = (
-            not self._gossip.hears_majority()
+            not hears_majority
             and self._clock.monotonic() - self._store_heard_at > allowed_silence_seconds
         )
         if isolated != self._is_isolated:
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -239,6 +239,7 @@
             self.journal,
             self.rng,
             lambda: self.registration.has_contacted_members or settings.is_first_start,
+            lambda: self.registration.has_contacted_members,
             settings.watch_wait_ms,
         )
         self.registration = Registration(
@@ -249,7 +250,7 @@
             self.journal,
             self.rng,
             self._seed_addresses(),
-            lambda: self.watcher.is_watching,
+            self.watcher.has_rank,
         )
 
     def _make_gate(self) -> None:
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -48,6 +48,9 @@
 REGISTRATION_UNREADABLE: Final = Event(
     209, "warning", "registration of daemon {member} can't be read: {error}"
 )
+DATA_CENTRE_SUSPECTED: Final = Event(
+    210, "warning", "no member of {data_centre} answers: {pinged} more were pinged"
+)
 CONFIGURATION_CHANGED: Final = Event(301, "info", "{name} is in force at version {version}")
 CONFIGURATION_REFUSED: Final = Event(302, "error", "{name} version {version} is unusable: {error}")
 SERVER_ANNOUNCED: Final = Event(401, "info", "server {address} announced itself as {state}")
--- a/kingcuppond/membership/directory.py
+++ b/kingcuppond/membership/directory.py
@@ -37,7 +37,9 @@
     """The members of the fleet as this daemon sees them.
 
     :param me: this daemon's own entry, always at the newest version
-    :param generation: increases when an entry or the set of dead members changes
+    :param digest: of all entries
+    :param digests_by_data_centre: of the entries of each data centre
+    :param generation: increases when an entry or the set of suspected members changes
     :param on_own_change: called with the new version after each change of ``me``
     :param on_earlier_incarnation: called with an entry of an earlier process on this VM, if its
         version is larger than that of ``me``
@@ -49,10 +51,12 @@
     members_by_vm: dict[str, Member] = attrs.field(factory=dict)
     members_by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
     digest: int = 0
+    digests_by_data_centre: dict[str, int] = attrs.field(factory=dict)
     generation: int = 0
     on_own_change: list[Callable[[Member], None]] = attrs.field(factory=list)
     on_earlier_incarnation: list[Callable[[Member], None]] = attrs.field(factory=list)
     _suspected_by_vm: dict[str, _Suspected] = attrs.field(factory=dict)
+    _dead_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._put(self.me)
@@ -69,7 +73,7 @@
         known = self.members_by_vm.get(member.vm)
         if known is not None and known.version >= member.version:
             return False
-        self._suspected_by_vm.pop(member.vm, None)
+        self._forget_suspicion(member.vm)
         self._put(member)
         if known is None:
             self.journal.record(
@@ -107,6 +111,7 @@
         if known is None or version < known.version or suspicion.vm in self._suspected_by_vm:
             return False
         self._suspected_by_vm[suspicion.vm] = _Suspected(version, self.clock.monotonic())
+        self.generation += 1
         self.journal.record(catalogue.MEMBER_SUSPECTED, member=suspicion.vm)
         return True
 
@@ -120,6 +125,7 @@
         for vm, suspected in list(self._suspected_by_vm.items()):
             if not suspected.is_dead and now - suspected.suspected_at > DEAD_AFTER_SECONDS:
                 suspected.is_dead = True
+                self._dead_count += 1
                 self.generation += 1
                 self.journal.record(catalogue.MEMBER_DEAD, member=vm)
             elif suspected.is_dead and now - suspected.suspected_at > REMOVE_AFTER_SECONDS:
@@ -130,7 +136,7 @@
         """Drop the suspicion of a member that answered this daemon, unless it is already dead."""
         suspected = self._suspected_by_vm.get(vm)
         if suspected is not None and not suspected.is_dead:
-            del self._suspected_by_vm[vm]
+            self._forget_suspicion(vm)
 
     def is_suspected(self, vm: str) -> bool:
         """Return whether a member is suspected or considered dead."""
@@ -149,11 +155,32 @@
         """Return the members that are considered dead."""
         return [member for vm, member in self.members_by_vm.items() if self.is_dead(vm)]
 
+    @property
+    def living_count(self) -> int:
+        """Number of members that are not considered dead, including this daemon."""
+        return len(self.members_by_vm) - self._dead_count
+
     def suspicions(self) -> Iterable[Suspicion]:
         """Yield all suspicions, so that a suspected member that receives them can refute them."""
-        for vm, suspected in self._suspected_by_vm.items():
-            incarnation, seq = suspected.version
-            yield Suspicion(vm, incarnation, seq)
+        for vm in self._suspected_by_vm:
+            suspicion = self.suspicion_of(vm)
+            if suspicion is not None:
+                yield suspicion
+
+    def suspicion_of(self, vm: str) -> Suspicion | None:
+        """Return the suspicion of a member, or ``None`` if it is not suspected."""
+        suspected = self._suspected_by_vm.get(vm)
+        return None if suspected is None else Suspicion(vm, *suspected.version)
+
+    def suspected(self) -> frozenset[str]:
+        """Return the VMs of the members that are suspected or considered dead."""
+        return frozenset(self._suspected_by_vm)
+
+    def _forget_suspicion(self, vm: str) -> None:
+        suspected = self._suspected_by_vm.pop(vm, None)
+        if suspected is not None:
+            self._dead_count -= suspected.is_dead
+            self.generation += 1
 
     def _supersede_earlier_incarnation(self, member: Member) -> None:
         # The entry is from an earlier process on this VM, perhaps one with a faster wall clock.
@@ -168,22 +195,25 @@
     def _put(self, member: Member) -> None:
         known = self.members_by_vm.get(member.vm)
         if known is not None:
-            self.digest ^= _member_digest(known)
+            self._toggle_digest(known)
             self.members_by_service[known.service].pop(member.vm, None)
         self.members_by_vm[member.vm] = member
         self.members_by_service.setdefault(member.service, {})[member.vm] = member
-        self.digest ^= _member_digest(member)
+        self._toggle_digest(member)
         self.generation += 1
 
     def _remove(self, vm: str) -> Member:
         member = self.members_by_vm.pop(vm)
-        del self._suspected_by_vm[vm]
+        self._forget_suspicion(vm)
         self.members_by_service[member.service].pop(vm, None)
-        self.digest ^= _member_digest(member)
+        self._toggle_digest(member)
         self.generation += 1
         self.journal.record(catalogue.MEMBER_REMOVED, member=vm)
         return member
 
-
-def _member_digest(member: Member) -> int:
-    return digest_of(member.vm, member.incarnation, member.seq)
+    def _toggle_digest(self, member: Member) -> None:
+        # Adding and removing an entry are the same operation on an exclusive or.
+        digest = digest_of(member.vm, member.incarnation, member.seq)
+        self.digest ^= digest
+        known = self.digests_by_data_centre.get(member.data_centre, 0)
+        self.digests_by_data_centre[member.data_centre] = known ^ digest
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -2,11 +2,14 @@
 
 One task per contact pings it.  A contact that misses two pings in a row is suspected, and the
 suspicion spreads.  Changes (members, configuration, quarantine notes) are forwarded to all
-contacts as soon as they arrive, each only once by each daemon, so they reach the whole fleet in a
-few hops.  A ping carries a digest of the members, the configuration and the quarantine notes;
-if the digests of the two ends differ in several pings in a row, the ends exchange their complete
-state, which includes the suspicions.  The daemons therefore converge
-after lost rumours, a restart or a healed partition.
+contacts, each only once by each daemon, and combined for some tens of milliseconds, so that they
+reach the whole fleet in a few hops and few messages.  A ping carries a digest of the shared state;
+if the digests of the two ends differ in several pings in a row, the ends exchange the parts that
+differ, and the suspicions in them.  The daemons therefore converge after lost rumours, a restart
+or a healed partition.
+
+Few daemons have contacts in other data centres.  The others learn through them, by the ages in
+pings, whether the other data centres are alive.
 """
 
 import asyncio
@@ -14,35 +17,55 @@
 from random import Random
 from typing import Any, Final
 
+import attrs
+
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration, ObjectHead, VersionedObject
+from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.contacts import choose_contacts, ping_interval_seconds
+from kingcuppond.membership.contacts import Contacts, choose_contacts
 from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.hearing import Hearing
 from kingcuppond.membership.messages import (
+    IntroductionReply,
+    IntroductionRequest,
     Member,
     ObjectsReply,
     ObjectsRequest,
     Ping,
     Pong,
     Rumours,
+    StateReply,
+    StateRequest,
     Suspicion,
-    SyncReply,
-    SyncRequest,
 )
+from kingcuppond.membership.rumour_queue import RumourQueue
+from kingcuppond.membership.state import OBJECTS_PART, SharedState
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
 
+COMBINE_SECONDS: Final = 0.03
+"""How long changes wait to be combined; a change crosses the fleet in about ten hops."""
+
 PING_TIMEOUT_SECONDS: Final = 0.5
 SUSPECT_AFTER_MISSED_PINGS: Final = 2
 SYNC_TIMEOUT_SECONDS: Final = 2.0
 JOIN_TIMEOUT_SECONDS: Final = PING_TIMEOUT_SECONDS
 """A daemon that does not answer a join within the timeout of a ping counts as unreachable."""
 
+NEXT_INTRODUCTION_SECONDS: Final = 0.25
+"""How long a joining daemon waits for an introduction before it asks the next daemon too."""
+
+MAX_JOINED_NEIGHBOURS: Final = 2
 SYNC_AFTER_DIGEST_MISMATCHES: Final = 3
+VERIFYING_PINGS: Final = 3
+"""Members that are pinged before a whole data centre is suspected."""
+
 REVIVE_INTERVAL_SECONDS: Final = 2.0
+REVIVES_PER_INTERVAL: Final = 16
+"""Dead members that the whole fleet pings in each interval."""
+
 HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.1
-HEARD_WINDOW_SECONDS: Final = 2.0
 
 PULL_DELAY_SECONDS: Final = 0.1
 """A daemon's own watch usually delivers an object sooner than this; then no pull is needed."""
@@ -51,7 +74,7 @@
 class Gossip:
     """The gossip protocol as run by one daemon.
 
-    :param rng: source of the jitter of timers and of the choice of dead members to contact
+    :param rng: source of the jitter of timers and of the choice of members to contact
     """
 
     def __init__(
@@ -65,20 +88,23 @@
         rng: Random,
     ) -> None:
         self.directory = directory
-        self.heard_at_by_vm: dict[str, float] = {}
+        self.hearing = Hearing(directory, clock)
         self._configuration = configuration
-        self._suspect_requests = suspect_requests
+        self._state = SharedState(directory, configuration, suspect_requests)
         self._transport = transport
-        self._clock = clock
         self._journal = journal
         self._rng = rng
-        self._contacts: dict[str, Member] = {}
+        self._contacts = Contacts()
+        self._queue = RumourQueue()
+        self._flush_handle: asyncio.TimerHandle | None = None
         self._ping_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
         self._contacts_generation = -1
         self._pull_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._verification_tasks_by_data_centre: dict[str, asyncio.Task[None]] = {}
         transport.handlers_by_type[Ping] = self._on_ping
         transport.handlers_by_type[Rumours] = self._on_rumours
-        transport.handlers_by_type[SyncRequest] = self._on_sync
+        transport.handlers_by_type[StateRequest] = self._on_state_request
+        transport.handlers_by_type[IntroductionRequest] = self._on_introduction_request
         transport.handlers_by_type[ObjectsRequest] = self._on_objects_request
         directory.on_own_change.append(lambda me: self.spread(Rumours(members=(me,))))
         suspect_requests.on_change.append(lambda note: self.spread(Rumours(notes=(note,))))
@@ -88,18 +114,28 @@
         return [self._keep_house, self._revive_dead]
 
     def stop(self) -> None:
-        """Cancel all pings and pulls."""
-        for task in (*self._ping_tasks_by_vm.values(), *self._pull_tasks_by_vm.values()):
-            task.cancel()
+        """Send what waits to be sent, and cancel all pings and pulls."""
+        self._flush()
+        for tasks in (
+            self._ping_tasks_by_vm,
+            self._pull_tasks_by_vm,
+            self._verification_tasks_by_data_centre,
+        ):
+            for task in list(tasks.values()):
+                task.cancel()
         self._ping_tasks_by_vm.clear()
 
-    def spread(self, news: Rumours, except_vm: str = "") -> None:
-        """Send changes to all contacts, except to the daemon that they came from."""
+    def spread(self, news: Rumours, sender: str = "") -> None:
+        """Send changes to all contacts soon, except to the daemon that they came from."""
         if not news:
             return
-        for vm, member in self._contacts.items():
-            if vm != except_vm:
-                self._transport.tell(member.peer_address, news)
+        self._queue.add(news, self.directory.members_by_vm, sender)
+        if news.notes:
+            # A harmful request may be on its way to the next server.
+            self._flush()
+        elif self._flush_handle is None:
+            loop = asyncio.get_running_loop()
+            self._flush_handle = loop.call_later(COMBINE_SECONDS, self._flush)
 
     def spread_objects(self, objects: list[VersionedObject]) -> None:
         """Merge objects of the store into the configuration and announce those that were newer."""
@@ -107,118 +143,137 @@
         self.spread(Rumours(heads=tuple(item.head for item in accepted)))
 
     async def join(self, addresses: list[str]) -> bool:
-        """Exchange the complete state with a few daemons, so that both ends know each other.
+        """Make this daemon and the fleet known to each other, through a few known addresses.
 
-        A starting daemon may be unable to route calls before this ends, and some of the addresses
-        may belong to daemons that no longer exist, so the timeout is no longer than that of a ping.
+        One of the addresses introduces the members of this data centre, two of which send the whole
+        state.  If none of them has the whole configuration, the introducing daemon is asked for its
+        state too.  A starting daemon may be unable to route calls before this ends, and some of the
+        addresses may belong to daemons that no longer exist, so the timeout is no longer than that
+        of a ping.
 
-        :param addresses: peer addresses to contact concurrently
-        :return: whether any of them answered
+        :param addresses: peer addresses to contact
+        :return: whether another daemon sent its state
         """
-        syncs = [self._sync(address, JOIN_TIMEOUT_SECONDS) for address in addresses]
-        return any(await asyncio.gather(*syncs))
-
-    def longest_silence_seconds(self) -> float:
-        """Return the seconds since the last message of the contact that has been silent longest.
-
-        Contacts that were never heard are left out.
-        """
-        now = self._clock.monotonic()
-        heard = [self.heard_at_by_vm[vm] for vm in self._contacts if vm in self.heard_at_by_vm]
-        return now - min(heard, default=now)
-
-    def hears_majority(self) -> bool:
-        """Return whether the data centres heard recently contain more than half of all members.
-
-        A data centre counts as heard if any member of it was heard; the daemon's own data centre
-        counts only if another member of it was heard or it has no other member.  Dead members stay
-        in the total: to a daemon that is cut off, the unreachable rest of the fleet looks dead, and
-        it must not conclude that the fleet has shrunk.
-        """
-        heard_since = self._clock.monotonic() - HEARD_WINDOW_SECONDS
+        introducer = await self._find_introducer(addresses)
+        if introducer is None:
+            return False
         me = self.directory.me
-        members_by_data_centre: dict[str, int] = {}
-        heard = set()
-        for vm, member in self.directory.members_by_vm.items():
-            count = members_by_data_centre.get(member.data_centre, 0)
-            members_by_data_centre[member.data_centre] = count + 1
-            if vm != me.vm and self.heard_at_by_vm.get(vm, heard_since) > heard_since:
-                heard.add(member.data_centre)
-        if members_by_data_centre[me.data_centre] == 1:
-            heard.add(me.data_centre)
-        heard_members = sum(members_by_data_centre[name] for name in heard)
-        return heard_members * 2 > len(self.directory.members_by_vm)
-
-    def _digest(self) -> int:
-        return self.directory.digest ^ self._configuration.digest ^ self._suspect_requests.digest
+        neighbours = [
+            member.peer_address
+            for member in self.directory.living()
+            if member.data_centre == me.data_centre and member.vm != me.vm
+        ]
+        chosen = self._rng.sample(neighbours, min(MAX_JOINED_NEIGHBOURS, len(neighbours)))
+        syncs = [self._sync(address, JOIN_TIMEOUT_SECONDS) for address in chosen]
+        is_synced = any(await asyncio.gather(*syncs))
+        if not self._configuration.is_complete and introducer not in chosen:
+            is_synced |= await self._sync(introducer, JOIN_TIMEOUT_SECONDS)
+        return is_synced
+
+    async def _find_introducer(self, addresses: list[str]) -> str | None:
+        """Ask the addresses in a random order until one answers, and merge its introduction."""
+        waiting: dict[asyncio.Task[bool], str] = {}
+        unasked = self._rng.sample(addresses, len(addresses))
+        try:
+            while unasked or waiting:
+                if unasked:
+                    address = unasked.pop()
+                    waiting[asyncio.create_task(self._ask_introduction(address))] = address
+                done, _ = await asyncio.wait(
+                    waiting,
+                    timeout=NEXT_INTRODUCTION_SECONDS if unasked else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    address = waiting.pop(task)
+                    if task.result():
+                        return address
+        finally:
+            for task in waiting:
+                task.cancel()
+        return None
+
+    async def _ask_introduction(self, address: str) -> bool:
+        request = IntroductionRequest(self.directory.me)
+        reply = await self._transport.ask(address, request, IntroductionReply, JOIN_TIMEOUT_SECONDS)
+        if reply.is_error():
+            return False
+        self._merge_and_spread(Rumours(members=reply.ok.members))
+        return True
 
     async def _on_ping(self, sender: str, ping: Ping) -> Pong:
-        self._record_heard(sender)
-        return Pong(self._digest())
+        self.hearing.record_message(sender, ping.heard_ms)
+        suspicion = self.directory.suspicion_of(sender)
+        if suspicion is not None:
+            # The sender is alive; it can only end the suspicion by refuting it.
+            address = self.directory.members_by_vm[sender].peer_address
+            self._transport.tell(address, Rumours(suspicions=(suspicion,)))
+        digest = self._state.digest
+        parts = {} if digest == ping.digest else self._state.digests_by_part()
+        return Pong(digest, self.hearing.ages_ms(), self._configuration.is_complete, parts)
 
     async def _on_rumours(self, sender: str, rumours: Rumours) -> None:
-        self._record_heard(sender)
-        self.spread(self._merge(rumours), except_vm=sender)
+        self.hearing.record_message(sender)
+        self._merge_and_spread(rumours, sender)
         self._schedule_pull(sender, rumours.heads)
 
-    async def _on_sync(self, sender: str, request: SyncRequest) -> SyncReply:
-        self._record_heard(sender)
-        news = self._newer_than(request.known)
-        self.spread(self._merge(request.known), except_vm=sender)
-        self._schedule_pull(sender, request.known.heads)
-        objects = self._objects_newer_than(request.known.heads)
-        return SyncReply(news, objects, self._configuration.is_complete)
+    async def _on_introduction_request(
+        self, sender: str, request: IntroductionRequest
+    ) -> IntroductionReply:
+        self._merge_and_spread(Rumours(members=(request.me,)), sender)
+        self.hearing.record_message(sender)
+        return self._state.introduce(request.me)
 
-    async def _on_objects_request(self, sender: str, request: ObjectsRequest) -> ObjectsReply:
-        self._record_heard(sender)
-        return ObjectsReply(self._objects_newer_than(request.known))
-
-    def _record_heard(self, vm: str) -> None:
-        self.heard_at_by_vm[vm] = self._clock.monotonic()
-
-    def _merge(self, rumours: Rumours) -> Rumours:
-        """Merge all but the heads, whose objects arrive separately, and return what was new."""
-        return Rumours(
-            members=tuple(m for m in rumours.members if self.directory.merge(m)),
-            suspicions=tuple(s for s in rumours.suspicions if self.directory.suspect(s)),
-            notes=tuple(n for n in rumours.notes if self._suspect_requests.merge(n)),
-        )
+    async def _on_state_request(self, sender: str, request: StateRequest) -> StateReply:
+        reply = self._state.answer_request(request)
+        self._merge_and_spread(attrs.evolve(request.news, members=(request.me,)), sender)
+        self.hearing.record_message(sender)
+        self._schedule_pull(sender, request.objects)
+        return reply
 
-    def _snapshot(self) -> Rumours:
-        return Rumours(
-            members=tuple(self.directory.members_by_vm.values()),
-            heads=tuple(item.head for item in self._configuration.objects_by_key.values()),
-            suspicions=tuple(self.directory.suspicions()),
-            notes=tuple(self._suspect_requests.notes()),
-        )
-
-    def _newer_than(self, known: Rumours) -> Rumours:
-        members = {m.vm: m.version for m in known.members}
-        notes = {n.fingerprint: n.stamp for n in known.notes}
-        own = self._snapshot()
-        return Rumours(
-            members=tuple(m for m in own.members if members.get(m.vm, (0, 0)) < m.version),
-            suspicions=own.suspicions,
-            notes=tuple(n for n in own.notes if notes.get(n.fingerprint) != n.stamp),
-        )
-
-    async def _sync(self, address: str, timeout: float = SYNC_TIMEOUT_SECONDS) -> bool:
-        request = SyncRequest(self._snapshot())
-        reply = await self._transport.ask(address, request, SyncReply, timeout)
+    async def _on_objects_request(self, sender: str, request: ObjectsRequest) -> ObjectsReply:
+        self.hearing.record_message(sender)
+        return ObjectsReply(self._state.objects_newer_than(request.known))
+
+    def _merge_and_spread(self, rumours: Rumours, sender: str = "") -> None:
+        self._queue.add_holder(rumours, sender)
+        self.spread(self._state.merge(rumours), sender)
+
+    def _flush(self) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        contacts = self._contacts.informed_by_vm
+        rumours_by_vm = self._queue.take(self.directory.me.data_centre, contacts.values())
+        for vm, rumours in rumours_by_vm.items():
+            self._transport.tell(contacts[vm].peer_address, rumours)
+
+    async def _sync(
+        self,
+        address: str,
+        timeout: float = SYNC_TIMEOUT_SECONDS,
+        parts: tuple[str, ...] | None = None,
+    ) -> bool:
+        """Make some parts of the state equal here and at another daemon.
+
+        :param parts: names of the parts, or ``None`` for the whole state
+        :return: whether the other daemon answered
+        """
+        request = self._state.make_request(parts)
+        reply = await self._transport.ask(address, request, StateReply, timeout)
         if reply.is_error():
             return False
-        self.spread(self._merge(reply.ok.news))
+        self._merge_and_spread(reply.ok.news)
         # Objects received one at a time may be only a part of the configuration.  It is known to be
         # complete only if the other daemon's was.
         self._configuration.is_complete |= reply.ok.is_complete
         self.spread_objects(list(reply.ok.objects))
+        known = self.directory.members_by_vm
+        wanted = tuple(known[vm] for vm in reply.ok.wanted if vm in known)
+        if wanted:
+            self._transport.tell(address, Rumours(members=wanted))
         return True
 
-    def _objects_newer_than(self, heads: tuple[ObjectHead, ...]) -> tuple[VersionedObject, ...]:
-        known = {(head.kind, head.name): head.version for head in heads}
-        own = self._configuration.objects_by_key.values()
-        return tuple(item for item in own if known.get(item.key, 0) < item.version)
-
     def _schedule_pull(self, vm: str, heads: tuple[ObjectHead, ...]) -> None:
         """Schedule a request for the objects that a daemon announced, unless they arrive before."""
         if vm in self._pull_tasks_by_vm or not any(map(self._configuration.is_newer, heads)):
@@ -232,7 +287,11 @@
         member = self.directory.members_by_vm.get(vm)
         if member is None or not any(map(self._configuration.is_newer, heads)):
             return
-        request = ObjectsRequest(self._snapshot().heads)
+        if not self._configuration.is_complete:
+            # A state exchange also tells whether the objects are the whole configuration.
+            await self._sync(member.peer_address, parts=(OBJECTS_PART,))
+            return
+        request = ObjectsRequest(self._state.object_heads())
         reply = await self._transport.ask(
             member.peer_address, request, ObjectsReply, SYNC_TIMEOUT_SECONDS
         )
@@ -243,60 +302,103 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self.directory.expire_suspicions()
-            self._suspect_requests.expire()
+            self._state.suspect_requests.expire()
             if self._contacts_generation != self.directory.generation:
                 self._contacts_generation = self.directory.generation
                 self._choose_contacts()
 
     def _choose_contacts(self) -> None:
-        self._contacts = choose_contacts(self.directory.me, self.directory.living())
+        directory = self.directory
+        contacts = choose_contacts(directory.me, directory.living(), directory.suspected())
+        self._contacts = contacts
         for vm in list(self._ping_tasks_by_vm):
-            if vm not in self._contacts:
+            if vm not in contacts.pinged_by_vm:
                 self._ping_tasks_by_vm.pop(vm).cancel()
-        for vm in self._contacts:
+        for vm, member in contacts.pinged_by_vm.items():
             if vm not in self._ping_tasks_by_vm:
                 self._ping_tasks_by_vm[vm] = asyncio.create_task(self._ping_contact(vm))
                 # The new contact has not received the earlier announcements of this daemon.
-                news = Rumours(members=(self.directory.me,))
-                self._transport.tell(self._contacts[vm].peer_address, news)
+                self._transport.tell(member.peer_address, Rumours(members=(directory.me,)))
 
     async def _ping_contact(self, vm: str) -> None:
         missed = 0
         mismatches = 0
         while True:
-            interval_seconds = ping_interval_seconds(len(self._contacts))
+            interval_seconds = self._contacts.ping_interval_seconds(vm)
             await asyncio.sleep(interval_seconds * self._rng.uniform(0.8, 1.2))
             member = self.directory.members_by_vm.get(vm)
             if member is None:
                 return
-            ping = Ping(self._digest())
-            address = member.peer_address
-            reply = await self._transport.ask(address, ping, Pong, PING_TIMEOUT_SECONDS)
-            if reply.is_error():
+            pong = await self._ping(member)
+            if pong is None:
                 missed += 1
                 self._handle_missed_ping(member, missed)
                 continue
             missed = 0
-            self._record_heard(vm)
             self.directory.clear_suspicion(vm)
-            mismatches = mismatches + 1 if reply.ok.digest != self._digest() else 0
+            parts = () if pong.digest == self._state.digest else self._state.differing_parts(pong)
+            if OBJECTS_PART not in parts:
+                self._configuration.is_complete |= pong.is_complete
+            mismatches = mismatches + 1 if parts else 0
             if mismatches >= SYNC_AFTER_DIGEST_MISMATCHES:
                 mismatches = 0
-                await self._sync(address)
+                await self._sync(member.peer_address, parts=parts)
+
+    async def _ping(self, member: Member) -> Pong | None:
+        ping = Ping(self._state.digest, self.hearing.ages_ms())
+        reply = await self._transport.ask(member.peer_address, ping, Pong, PING_TIMEOUT_SECONDS)
+        if reply.is_error():
+            return None
+        self.hearing.record_message(member.vm, reply.ok.heard_ms)
+        return reply.ok
 
     def _handle_missed_ping(self, member: Member, missed: int) -> None:
         if missed < SUSPECT_AFTER_MISSED_PINGS:
             return
         # The connection may be broken while the member is alive: the next ping opens a new one.
         self._transport.disconnect(member.peer_address)
-        suspicion = Suspicion(member.vm, member.incarnation, member.seq)
-        if self.directory.suspect(suspicion):
-            self.spread(Rumours(suspicions=(suspicion,)))
+        self._suspect(member)
+        if member.data_centre != self.directory.me.data_centre:
+            self._verify_data_centre(member.data_centre)
+
+    def _suspect(self, *members: Member) -> None:
+        suspicions = (Suspicion(it.vm, it.incarnation, it.seq) for it in members)
+        recorded = tuple(it for it in suspicions if self.directory.suspect(it))
+        self.spread(Rumours(suspicions=recorded))
+
+    def _verify_data_centre(self, data_centre: str) -> None:
+        """Start to find out whether a whole data centre is unreachable.
+
+        Its other members are not contacts of this daemon, and those that would detect their
+        failure may have failed with them.
+        """
+        tasks = self._verification_tasks_by_data_centre
+        if data_centre not in tasks:
+            task = asyncio.create_task(self._ping_data_centre(data_centre))
+            tasks[data_centre] = task
+            task.add_done_callback(lambda _: tasks.pop(data_centre, None))
+
+    async def _ping_data_centre(self, data_centre: str) -> None:
+        members = [
+            member
+            for member in self.directory.members_by_vm.values()
+            if member.data_centre == data_centre and not self.directory.is_suspected(member.vm)
+        ]
+        sample = self._rng.sample(members, min(VERIFYING_PINGS, len(members)))
+        if not any(await asyncio.gather(*(self._ping(member) for member in sample))):
+            self._journal.record(
+                catalogue.DATA_CENTRE_SUSPECTED, data_centre=data_centre, pinged=len(sample)
+            )
+            self._suspect(*members)
 
     async def _revive_dead(self) -> None:
         while True:
             await asyncio.sleep(REVIVE_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
             dead = self.directory.dead()
-            if dead:
+            share = REVIVES_PER_INTERVAL / self.directory.living_count
+            if not dead or self._rng.random() >= share:
+                continue
+            member = self._rng.choice(dead)
+            if await self._ping(member) is not None:
                 # The sync delivers the suspicion to the member; its refutation revives it.
-                await self._sync(self._rng.choice(dead).peer_address)
+                await self._sync(member.peer_address)
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -62,7 +62,7 @@
 
 @attrs.frozen
 class Rumours:
-    """State changes that daemons forward to each other, or the whole state of one daemon.
+    """State changes that daemons forward to each other.
 
     Configuration objects are announced by version only; a daemon that lacks one requests it.
     """
@@ -78,36 +78,89 @@
 
 @attrs.frozen
 class Ping:
-    """A liveness check of a daemon; the digest covers the sender's state except suspicions."""
+    """A liveness check of a daemon.
+
+    :param digest: of the sender's state except suspicions
+    :param heard_ms: by data centre, milliseconds since the newest sign of life of one of its
+        members that the sender has heard, directly or through other daemons
+    """
 
     digest: int
+    heard_ms: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
 class Pong:
-    """The reply to a ping."""
+    """The reply to a ping.
+
+    :param heard_ms: as in the ping
+    :param digests_by_part: of each part of the state, if the digests of the two ends differ
+    :param is_complete: whether the replying daemon has the whole configuration
+    """
 
     digest: int
+    heard_ms: dict[str, int] = attrs.field(factory=dict)
+    is_complete: bool = False
+    digests_by_part: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
-class SyncRequest:
-    """The whole state of the sender; starts an anti-entropy exchange that makes both ends equal."""
+class MemberHead:
+    """The name and version of a member's description of itself."""
+
+    vm: str
+    incarnation: int
+    seq: int
+
+
+@attrs.frozen
+class StateRequest:
+    """Starts an anti-entropy exchange that makes parts of the state equal at both ends.
+
+    :param me: the sender's description of itself
+    :param parts: names of the parts to be compared, or ``None`` for the whole state
+    :param members: heads of the members in these parts
+    :param objects: heads of the configuration objects, if they are one of the parts
+    :param news: suspicions and quarantine notes in these parts
+    """
 
-    known: Rumours
+    me: Member
+    parts: tuple[str, ...] | None = None
+    members: tuple[MemberHead, ...] = ()
+    objects: tuple[ObjectHead, ...] = ()
+    news: Rumours = Rumours()
 
 
 @attrs.frozen
-class SyncReply:
-    """State that the receiver of a :class:`SyncRequest` has and its sender lacks.
+class StateReply:
+    """What the receiver of a :class:`StateRequest` has and its sender lacks.
 
     :param objects: configuration objects that the sender of the request lacks
-    :param is_complete: whether the replying daemon has the whole configuration
+    :param is_complete: whether the objects were compared and the replying daemon has all of them
+    :param wanted: VMs of members of which the sender of the request has a newer description
     """
 
     news: Rumours
-    objects: tuple[VersionedObject, ...]
-    is_complete: bool
+    objects: tuple[VersionedObject, ...] = ()
+    is_complete: bool = False
+    wanted: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class IntroductionRequest:
+    """Asks a daemon, on joining the fleet, which others to contact.
+
+    :param me: the sender's description of itself
+    """
+
+    me: Member
+
+
+@attrs.frozen
+class IntroductionReply:
+    """The members of the joining daemon's data centre, and the bridges of the other ones."""
+
+    members: tuple[Member, ...]
 
 
 @attrs.frozen
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -1,12 +1,14 @@
-"""Discovery of daemons through the store: one object per daemon.
-
-A daemon writes its object once when it starts and deletes it on a planned stop.  The object is not
-a heartbeat: liveness is detected by pings.  Daemons that watch the store, and a daemon that knows
-no other, re-read the listing periodically, so that two groups of daemons that do not know each
-other merge.
+"""Discovery of daemons through the store: one object for each of a few daemons.
 
 The settings may name a few seeds: other VMs whose daemons are contacted at the start.  With seeds,
-a daemon can join the fleet while the store is down.
+a daemon can join the fleet while the store is down, and without a call to the store.  A daemon that
+none of its seeds answers, or that has none, joins through the daemons registered in the store.
+
+A daemon without seeds registers when it starts.  Of those with seeds, only the few that act for
+their data centre do, so that the number of objects does not grow with the fleet.  The object is
+deleted on a planned stop.  It is not a heartbeat: liveness is detected by pings.  Registered
+daemons, and a daemon that knows no other, re-read the listing periodically, so that two groups of
+daemons that do not know each other merge.
 """
 
 import asyncio
@@ -37,13 +39,17 @@
 MAX_BACKOFF_SECONDS: Final = 5.0
 RELIST_INTERVAL_SECONDS: Final = 30.0
 SEED_RETRY_SECONDS: Final = 0.3
+SEED_PATIENCE_SECONDS: Final = 1.0
+"""How long a daemon waits for its seeds before it joins through the store too."""
+
+ROLE_CHECK_INTERVAL_SECONDS: Final = 1.0
 
 
 class Registration:
-    """Registers a daemon in the store and joins it to the fleet.
+    """Joins a daemon to the fleet, and registers it in the store if others should find it there.
 
     :param seeds: peer addresses of the daemons to contact at the start, besides those registered
-    :param is_watching: returns whether this daemon watches the store for its data centre
+    :param has_rank: returns whether this daemon is one of those that act for their data centre
     """
 
     def __init__(
@@ -55,11 +61,11 @@
         journal: Journal,
         rng: Random,
         seeds: list[str],
-        is_watching: Callable[[], bool],
+        has_rank: Callable[[], bool],
     ) -> None:
         self.is_registered = False
-        # Set once a seed has replied, or once the daemons chosen from the store's listing were
-        # asked, whether or not they replied.
+        # Set once another daemon has sent its state, or once the daemons chosen from the store's
+        # listing were asked, whether or not they replied.
         self.has_contacted_members = False
         self._store = store
         self._directory = directory
@@ -68,15 +74,14 @@
         self._journal = journal
         self._rng = rng
         self._seeds = seeds
-        self._is_watching = is_watching
+        self._has_rank = has_rank
+        self._version: int | None = None
+        self._may_exist = False
 
     async def run(self) -> None:
-        """Register and join, with backoff and jitter, then re-read the listing periodically."""
+        """Join and register, then re-read the listing periodically."""
         await asyncio.gather(self._join_through_seeds(), self._join_through_store())
-        while True:
-            await asyncio.sleep(RELIST_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
-            if self._is_watching() or len(self._directory.members_by_vm) == 1:
-                await self._join_unknown_members()
+        await asyncio.gather(self._register_when_ranked(), self._relist())
 
     async def _join_through_seeds(self) -> None:
         while self._seeds and not self.has_contacted_members:
@@ -86,36 +91,72 @@
             await asyncio.sleep(SEED_RETRY_SECONDS * self._rng.uniform(0.5, 1.0))
 
     async def _join_through_store(self) -> None:
+        if self._seeds:
+            await self._wait_for_seeds()
+            if self.has_contacted_members:
+                return
+        await self._register_with_backoff()
+        while not await self._join_unknown_members():
+            await asyncio.sleep(INITIAL_BACKOFF_SECONDS)
+        self.has_contacted_members = True
+
+    async def _wait_for_seeds(self) -> None:
+        end = self._clock.monotonic() + SEED_PATIENCE_SECONDS
+        while not self.has_contacted_members and self._clock.monotonic() < end:
+            await asyncio.sleep(SEED_RETRY_SECONDS / 4)
+
+    async def _register_when_ranked(self) -> None:
+        while not self.is_registered:
+            await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.0))
+            if self._has_rank():
+                await self._register_with_backoff()
+
+    async def _relist(self) -> None:
+        while True:
+            await asyncio.sleep(RELIST_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
+            if self._has_rank() or len(self._directory.members_by_vm) == 1:
+                await self._join_unknown_members()
+
+    async def _register_with_backoff(self) -> None:
         backoff_seconds = INITIAL_BACKOFF_SECONDS
         while not self.is_registered:
             registered = await self._register()
             if registered.is_ok():
                 self.is_registered = True
-                break
-            self._journal.record(catalogue.STORE_DOWN, error=registered.error.message)
+                return
+            if not registered.error.is_conflict:
+                self._journal.record(catalogue.STORE_DOWN, error=registered.error.message)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
             backoff_seconds = min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
-        while not await self._join_unknown_members():
-            await asyncio.sleep(INITIAL_BACKOFF_SECONDS)
-        self.has_contacted_members = True
 
     async def deregister(self) -> None:
-        """Delete this daemon's object from the store; a failure is ignored."""
-        found = await self._store.get(DAEMON_KIND, self._directory.me.vm)
-        if found.is_ok() and found.ok is not None:
-            await self._store.delete(DAEMON_KIND, self._directory.me.vm, found.ok.version)
+        """Delete this daemon's object from the store, if it may have one; a failure is ignored."""
+        if self._version is None and self._may_exist:
+            found = await self._store.get(DAEMON_KIND, self._directory.me.vm)
+            if found.is_ok() and found.ok is not None:
+                self._version = found.ok.version
+        if self._version is not None:
+            await self._store.delete(DAEMON_KIND, self._directory.me.vm, self._version)
 
     async def _register(self) -> Result[None, StoreError]:
-        # Safe to retry after a lost answer: the next attempt reads the object and finds it written.
         me = self._directory.me
         body = encode_body(me)
-        found = await self._store.get(DAEMON_KIND, me.vm)
-        if found.is_error():
-            return Error(found.error)
-        if found.ok is not None and is_same_json(found.ok.body, body):
-            return Ok(None)
-        expected = ABSENT_VERSION if found.ok is None else found.ok.version
-        return (await self._store.put(DAEMON_KIND, me.vm, body, expected)).map(lambda _: None)
+        expected = ABSENT_VERSION
+        if self._may_exist:
+            # An earlier process, or an attempt whose answer was lost, may have written the object.
+            found = await self._store.get(DAEMON_KIND, me.vm)
+            if found.is_error():
+                return Error(found.error)
+            if found.ok is not None and is_same_json(found.ok.body, body):
+                self._version = found.ok.version
+                return Ok(None)
+            expected = ABSENT_VERSION if found.ok is None else found.ok.version
+        self._may_exist = True
+        written = await self._store.put(DAEMON_KIND, me.vm, body, expected)
+        if written.is_error():
+            return Error(written.error)
+        self._version = written.ok
+        return Ok(None)
 
     async def _join_unknown_members(self) -> bool:
         """Join up to ``MAX_JOIN_TARGETS`` registered daemons that the directory does not know.
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -78,7 +78,7 @@
         "backlog": ("Calls that wait for a slot anywhere", lambda: daemon.router.backlog),
         "peer_word_age_seconds": (
             "Age of the newest word of the contact that was silent for longest",
-            daemon.gossip.longest_silence_seconds,
+            daemon.gossip.hearing.longest_silence_seconds,
         ),
         "configuration_age_seconds": (
             "Time since the configuration changed here",
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -8,21 +8,25 @@
 
 from kingcuppond.claims.messages import AttemptQuery, AttemptReply, ClaimReply, ClaimRequest
 from kingcuppond.membership.messages import (
+    IntroductionReply,
+    IntroductionRequest,
     ObjectsReply,
     ObjectsRequest,
     Ping,
     Pong,
     Rumours,
-    SyncReply,
-    SyncRequest,
+    StateReply,
+    StateRequest,
 )
 
 TYPES_BY_TAG: Final[dict[str, type]] = {
     "ping": Ping,
     "pong": Pong,
     "rumours": Rumours,
-    "sync-ask": SyncRequest,
-    "sync-reply": SyncReply,
+    "state-ask": StateRequest,
+    "state-reply": StateReply,
+    "introduction-ask": IntroductionRequest,
+    "introduction-reply": IntroductionReply,
     "objects-ask": ObjectsRequest,
     "objects-reply": ObjectsReply,
     "claim-ask": ClaimRequest,
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -287,7 +287,7 @@
         return view
 
     def _retry_budget(self, service: str) -> ShareBudget:
-        capacity = self.fleet_retries / max(1, len(self.directory.living()))
+        capacity = self.fleet_retries / max(1, self.directory.living_count)
         budget = self.retry_budgets_by_service.get(service)
         if budget is None:
             budget = self.retry_budgets_by_service[service] = ShareBudget(RETRY_SHARE, capacity)
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -26,6 +26,10 @@
 
     configuration: Configuration
 
+    @property
+    def hearing(self) -> "FakeGossip":
+        return self
+
     def hears_majority(self) -> bool:
         return True
 
@@ -47,6 +51,7 @@
         journal,
         Random(1),
         lambda: asked[0],
+        lambda: asked[0],
         1000,
     )
     return watcher, configuration
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -16,7 +16,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import PING_TIMEOUT_SECONDS, SUSPECT_AFTER_MISSED_PINGS, Gossip
-from kingcuppond.membership.messages import Member, Rumours, SyncReply
+from kingcuppond.membership.messages import IntroductionReply, Member, Rumours, StateReply
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
 
@@ -31,12 +31,14 @@
 
     async def ask(
         self, address: str, message: object, reply_type: type, timeout: float
-    ) -> Result[SyncReply, str]:
+    ) -> Result[Any, str]:
         if address in self.silent:
             self.longest_timeout = max(self.longest_timeout, timeout)
             await asyncio.sleep(0)
             return Error("no answer in time")
-        return Ok(SyncReply(Rumours(), (), is_complete=False))
+        return Ok(
+            IntroductionReply(()) if reply_type is IntroductionReply else StateReply(Rumours())
+        )
 
     def tell(self, *arguments: object) -> None:
         pass
@@ -54,6 +56,8 @@
         journal,
         Random(1),
     )
-    assert await gossip.join(["b:2", "c:2", "d:2"])
+    for _ in range(5):
+        # The order in which the addresses are asked is random.
+        assert await gossip.join(["b:2", "c:2", "d:2"])
     assert 0 < transport.longest_timeout < PING_TIMEOUT_SECONDS * SUSPECT_AFTER_MISSED_PINGS
     assert not await gossip.join(["b:2", "c:2"])
