One budget of repeats for a service's retries and hedges, at any size of the fleet

Cause: a daemon's part of the fleet's allowance was below one token on 26 daemons (30.7 x 0.5 / 26), so that no retry was ever taken; the hedge budget held 10 tokens at each daemon whatever the fleet's size (1,940 repeats at 194 daemons) and took nothing from the retries. Change: routing/repeats.py, one budget for all repeats, 0.15 a call, of which those that may have run 0.08; a part of a token is spent by chance; what may be saved up follows the daemon's own calls of the last 10 s; a restarted daemon starts without its allowance.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -64,7 +64,7 @@
 MAX_DEPARTURE_LOADS: Final = 3
 DEPARTURE_RETRY_DELAY_SECONDS: Final = 0.2
 
-FLEET_RETRY_SHARE: Final = 0.5
+FLEET_RETRY_SHARE: Final = 0.8
 """Share of the fleet's retries that is handed out, since the number of members is not exact."""
 
 
@@ -300,6 +300,7 @@
             self.settings.fleet_retries * FLEET_RETRY_SHARE,
             policy=POLICY_FACTORIES_BY_NAME[policy](),
             is_hedging=is_hedging,
+            has_full_budgets=self.settings.is_first_start,
         )
 
     def _make_ingress(self, fleet_key: bytes) -> None:
--- a/kingcuppond/routing/budgets.py
+++ b/kingcuppond/routing/budgets.py
@@ -1,4 +1,4 @@
-"""Token buckets that limit measurement traffic, retries and hedges.
+"""The budget that limits measurement traffic.
 
 A token bucket that refills at rate r and holds c tokens lets through at most c + r in any second.
 A budget of b per second therefore uses c = r = b / 2, so that it holds in every one-second window
@@ -6,16 +6,9 @@
 """
 
 from collections.abc import Callable
-from typing import Final
 
 import attrs
 
-RETRY_SHARE: Final = 0.1
-HEDGE_SHARE: Final = 0.05
-RETRY_CAPACITY: Final = 10.0
-HEDGE_CAPACITY: Final = 10.0
-"""Covers the calls that reach a hanging server before a daemon notices: about one for each slot."""
-
 
 @attrs.define
 class WindowBudget:
@@ -49,33 +42,3 @@
         self._tokens -= amount
         self.spent += amount
         return True
-
-
-@attrs.define
-class ShareBudget:
-    """A token bucket that each call refills by a share, and from which a retry or hedge takes one.
-
-    In an outage the attempts of a daemon are at most ``1 + share`` times its calls, plus the
-    capacity of the bucket.
-
-    :param share: tokens that each call adds
-    :param capacity: most tokens that the bucket holds; it starts full
-    """
-
-    share: float
-    capacity: float = RETRY_CAPACITY
-    tokens: float = attrs.field(default=attrs.Factory(lambda self: self.capacity, takes_self=True))
-
-    def record_call(self) -> None:
-        """Add the share of one call."""
-        self.tokens = min(self.capacity, self.tokens + self.share)
-
-    def take(self) -> bool:
-        """Take one token.
-
-        :return: whether a token was left
-        """
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -3,8 +3,8 @@
 Only two kinds of attempts are retried: those that were certainly not run, and those of a repeatable
 call.  Every retry takes one from the call's own retry budget, which is sent with the call and
 shared with its nested calls (so a call tree of depth d with budget b makes at most d * (1 + b)
-attempts along any chain).  It also takes one from the daemon's retry budget for the service, which
-is a share of the daemon's calls plus an equal part of a fleet-wide allowance.
+attempts along any chain).  It also takes one from the daemon's budget of repeats for the service,
+as a hedge does (see ``kingcuppond.routing.repeats``).
 
 A refusal by a gate costs no server any work and takes nothing from these budgets.  Refusals are
 bounded by the number of gates that are asked in a round.  If all are full, the call waits in a
@@ -36,7 +36,6 @@
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
-from kingcuppond.routing.budgets import HEDGE_CAPACITY, HEDGE_SHARE, RETRY_SHARE, ShareBudget
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import (
     Candidate,
@@ -46,6 +45,7 @@
     least_expected,
 )
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
+from kingcuppond.routing.repeats import RepeatBudget, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
 
@@ -111,8 +111,9 @@
     :param next_id: creates the id of a new attempt
     :param detour_seconds: how much longer an answer may take in this daemon's own data centre
         before another one is preferred
-    :param fleet_retries: retries that the whole fleet may spend on a service beyond the share of
-        its calls; the capacity of the daemons' retry budgets adds up to it
+    :param fleet_retries: repeats that the whole fleet may spend on a service beyond the share of
+        its calls; the capacity of the daemons' budgets adds up to it
+    :param has_full_budgets: whether the budgets start full
     :param backlog: number of calls that wait in the backlog
     """
 
@@ -127,11 +128,9 @@
     fleet_retries: float
     policy: Policy = least_expected
     is_hedging: bool = True
+    has_full_budgets: bool = True
     backlog: int = 0
-    hedge_budget: ShareBudget = attrs.field(
-        factory=lambda: ShareBudget(HEDGE_SHARE, HEDGE_CAPACITY)
-    )
-    retry_budgets_by_service: dict[str, ShareBudget] = attrs.field(factory=dict)
+    repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
 
     async def run(self, call: Call) -> Result[Answer, Failure]:
@@ -139,9 +138,8 @@
 
         The code that receives the answer must call its ``close``.
         """
-        self._retry_budget(call.service).record_call()
-        self.hedge_budget.record_call()
         now = self.clock.monotonic()
+        self._repeat_budget(call.service).record_call(self._repeat_allowance(), now)
         max_backlog_seconds = (
             min(call.deadline - now, call.target_at - now) * BACKLOG_SHARE_OF_TARGET
         )
@@ -222,7 +220,7 @@
             return False
         if progress.retries_left < 1 or progress.error_answer is not None or call.is_last_resort:
             return False
-        if not self._retry_budget(call.service).take():
+        if not self._repeat_budget(call.service).take(may_have_run=True, rng=self.rng):
             return False
         progress.retries_left -= 1
         self._record_retry(call, f"status {answer.status}", progress)
@@ -286,17 +284,20 @@
             view = self.views_by_vm[vm] = ServerView()
         return view
 
-    def _retry_budget(self, service: str) -> ShareBudget:
-        capacity = self.fleet_retries / max(1, self.directory.living_count)
-        budget = self.retry_budgets_by_service.get(service)
+    def _repeat_budget(self, service: str) -> RepeatBudget:
+        budget = self.repeat_budgets_by_service.get(service)
         if budget is None:
-            budget = self.retry_budgets_by_service[service] = ShareBudget(RETRY_SHARE, capacity)
-        budget.capacity = capacity
+            budget = make_repeat_budget(self._repeat_allowance(), self.has_full_budgets)
+            self.repeat_budgets_by_service[service] = budget
         return budget
 
+    def _repeat_allowance(self) -> float:
+        return self.fleet_retries / self.directory.living_count
+
     def min_retries_left(self) -> float:
-        """Return the retries left for the service that has the fewest; 0 before any call."""
-        return min((it.tokens for it in self.retry_budgets_by_service.values()), default=0.0)
+        """Return the repeats left for the service that has the fewest; 0 before any call."""
+        budgets = self.repeat_budgets_by_service.values()
+        return min((it.repeats.tokens for it in budgets), default=0.0)
 
     def _choose(self, call: Call, tried: set[str]) -> Candidate | None:
         candidates = self.candidates(call.service, tried)
@@ -337,12 +338,13 @@
         )
 
     def _may_retry(self, call: Call, failure: Failure, progress: _CallProgress) -> bool:
-        """Return whether a call may be retried, and take it from the daemon's retry budget."""
+        """Return whether a call may be retried, and take it from the budget of repeats."""
         if failure.reason in NOT_RETRYABLE_REASONS or progress.retries_left < 1:
             return False
         if isinstance(failure, Unknown) and not call.is_repeatable:
             return False
-        return self._retry_budget(call.service).take()
+        may_have_run = isinstance(failure, Unknown)
+        return self._repeat_budget(call.service).take(may_have_run, self.rng)
 
     async def _run_hedged(
         self, call: Call, candidate: Candidate, progress: _CallProgress
@@ -357,7 +359,8 @@
             await cancel_attempts({first_attempt})
             raise
         second_candidate = None if first_attempt.done() else self._choose(call, progress.tried)
-        if second_candidate is None or not self.hedge_budget.take():
+        budget = self._repeat_budget(call.service)
+        if second_candidate is None or not budget.take(may_have_run=True, rng=self.rng):
             return await first_attempt
         progress.tried.add(second_candidate.vm)
         progress.retries_left -= 1
