Placement apart from the router, at a cost that does not grow with the service

Change: routing/placement.py keeps the servers that accept calls, by data centre, until the membership or the configuration changes, and draws at most 8 of this data centre and 8 of the others; the choice among them is as before.

--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -13,9 +13,7 @@
 or would answer too late for the target, the best of them is asked again to accept the call even so,
 or to queue it for a slot.
 
-A new or cold server gets a small share of the calls that have enough time left, to warm it up.
-
-A server of this data centre is preferred as long as it has capacity and would answer in time.
+The server is chosen by ``kingcuppond.routing.placement``.
 
 A repeatable call that takes much longer than others of its class is hedged: a second attempt starts
 at another server, the first complete answer wins, and the other attempt is cancelled.
@@ -34,17 +32,11 @@
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
-from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Call
-from kingcuppond.routing.choice import (
-    Candidate,
-    Policy,
-    SelectionContext,
-    find_warmup_candidates,
-    least_expected,
-)
+from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
+from kingcuppond.routing.placement import ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
@@ -57,15 +49,6 @@
 MAX_SERVERS_PER_ROUND: Final = 4
 MAX_BACKLOG: Final = 32
 
-MAX_NEARBY_REPORT_AGE_SECONDS: Final = 0.03
-"""As long as a gate itself treats the load report of its server as fresh."""
-
-MAX_NEARBY_LOAD_SHARE: Final = 0.8
-"""Servers slow down when they are nearly full; then other data centres are considered too."""
-
-WARMUP_SHARE: Final = 0.05
-"""Share of the calls with enough time left that may warm up a server; equal to the hedge share."""
-
 BACKLOG_SHARE_OF_TARGET: Final = 0.125
 INITIAL_BACKLOG_BACKOFF_SECONDS: Final = 0.004
 MAX_BACKLOG_BACKOFF_SECONDS: Final = 0.064
@@ -132,6 +115,10 @@
     backlog: int = 0
     repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
+    servers: ServerIndex = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.servers = ServerIndex(self.directory, self.configuration, self._view, self.rng)
 
     async def run(self, call: Call) -> Result[Answer, Failure]:
         """Run a call at some server.
@@ -233,8 +220,7 @@
         return best
 
     def _no_candidate_failure(self, call: Call) -> NotRun:
-        members = self.directory.members_by_service.get(call.service, {}).values()
-        if any(self._accepts_calls(member) for member in members):
+        if self.servers.has_any(call.service):
             return NotRun(Reason.FULL, f"all servers of {call.service} refused the call")
         return NotRun(Reason.NO_SERVER, f"no server of {call.service} accepts calls now")
 
@@ -245,39 +231,6 @@
         finally:
             self.backlog -= 1
 
-    def candidates(self, service: str, tried: set[str]) -> list[Candidate]:
-        """Return the servers that may run a call of a service now.
-
-        Suspected servers and those in backoff are included only if there are no others.
-
-        :param tried: VMs that are excluded
-        """
-        now = self.clock.monotonic()
-        me = self.directory.me
-        eligible = [
-            Candidate(
-                vm,
-                self._view(vm),
-                vm == me.vm,
-                0.0 if member.data_centre == me.data_centre else self.detour_seconds,
-            )
-            for vm, member in self.directory.members_by_service.get(service, {}).items()
-            if vm not in tried and self._accepts_calls(member)
-        ]
-        preferred = [
-            candidate
-            for candidate in eligible
-            if not self.directory.is_suspected(candidate.vm) and candidate.view.backoff_until <= now
-        ]
-        return preferred or eligible
-
-    def _accepts_calls(self, member: Member) -> bool:
-        if member.is_leaving or member.state in (ServerState.ABSENT, ServerState.DRAINING):
-            return False
-        if self.configuration.is_out(member.data_centre):
-            return False
-        return not self.directory.is_dead(member.vm)
-
     def _view(self, vm: str) -> ServerView:
         view = self.views_by_vm.get(vm)
         if view is None:
@@ -300,42 +253,14 @@
         return min((it.repeats.tokens for it in budgets), default=0.0)
 
     def _choose(self, call: Call, tried: set[str]) -> Candidate | None:
-        candidates = self.candidates(call.service, tried)
-        if not candidates or self.clock.monotonic() >= call.deadline:
-            return None
         now = self.clock.monotonic()
-        typical_seconds = self.sender.typical_seconds(call.class_name)
-        nearby_with_capacity = [
-            it
-            for it in candidates
-            if self._has_capacity_in_data_centre(it, now, call.target_at, typical_seconds)
-        ]
-        context = SelectionContext(now, typical_seconds)
-        if self.rng.random() < WARMUP_SHARE:
-            warmup_candidates = find_warmup_candidates(
-                nearby_with_capacity or candidates, context, call.target_at
-            )
-            if warmup_candidates:
-                return self.rng.choice(warmup_candidates)
-        return self.policy(nearby_with_capacity or candidates, context, self.rng)
-
-    def _has_capacity_in_data_centre(
-        self, candidate: Candidate, now: float, target_at: float, typical_seconds: float
-    ) -> bool:
-        """Return whether a server is in this data centre, has capacity and would answer in time.
-
-        Then no other data centre is considered, since traffic between them is charged.  A gate here
-        that was slow or full a moment ago is asked again, since its refusal costs little time.
-        """
-        view = candidate.view
-        if candidate.detour_seconds:
-            return False
-        if view.load_share(now, MAX_NEARBY_REPORT_AGE_SECONDS) >= MAX_NEARBY_LOAD_SHARE:
-            return False
-        return (
-            now + view.expected_seconds(now, typical_seconds, MAX_NEARBY_REPORT_AGE_SECONDS)
-            <= target_at
-        )
+        if now >= call.deadline:
+            return None
+        candidates = self.servers.draw(call.service, tried, now, self.detour_seconds)
+        if not candidates:
+            return None
+        context = SelectionContext(now, self.sender.typical_seconds(call.class_name))
+        return place(candidates, context, call.target_at, self.policy, self.rng)
 
     def _may_retry(self, call: Call, failure: Failure, progress: _CallProgress) -> bool:
         """Return whether a call may be retried, and take it from the budget of repeats."""
