Retry-After as a decision of its own, spread over the time in which room is expected

Cause: all requests refused in a burst were asked back after the same quarter of a second (or quarter of the time left), and so returned together; a caller with less time left than an answer takes was asked back too.

--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -26,6 +26,7 @@
 from kingcuppond.ingress.http_server import problem_response
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
+from kingcuppond.ingress.retry_after import retry_after_seconds
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -43,12 +44,6 @@
 
 REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
 
-RETRY_AFTER_SHARE: Final = 0.25
-"""Share of the time left after which a refused caller may retry; it must be a third at most."""
-
-RETRY_AFTER_MAX_SECONDS: Final = 0.25
-"""Half of the time for which the speed of a machine usually stays the same."""
-
 
 @attrs.define
 class CallPort:
@@ -129,11 +124,8 @@
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
-            left_seconds = caller_request.call.deadline - self.clock.monotonic()
-            retry_after_seconds = min(
-                max(left_seconds, 0.0) * RETRY_AFTER_SHARE, RETRY_AFTER_MAX_SECONDS
-            )
-            return self._refuse(request, result.error, retry_after_seconds=retry_after_seconds)
+            delay = self._retry_after(caller_request.call, result.error)
+            return self._refuse(request, result.error, retry_after_seconds=delay)
         answer = result.ok
         try:
             response = await send_answer(request, answer, {}, self._is_closing())
@@ -162,6 +154,15 @@
         )
         return response
 
+    def _retry_after(self, call: Call, failure: Failure) -> float:
+        return retry_after_seconds(
+            failure.reason,
+            call.deadline - self.clock.monotonic(),
+            self.router.sender.typical_seconds(call.class_name),
+            call.priority,
+            self.router.rng,
+        )
+
     async def _run(self, caller_request: CallerRequest) -> Result[Answer, Failure]:
         call = caller_request.call
         level = self.suspects.level(call.fingerprint)
