Close a connection that delivers bytes without end, or answers to no request

Cause: the HTTP client goes on reading a chunk header that never ends (an extension, or zeros before the size) until the deadline, and keeps answers that arrive on an idle pooled connection in memory without a bound. Change: the connection is closed after 128 KB in a row that are neither the head nor the body of an answer, and at a second answer to one request. Tests: eleven kinds of endless bytes in heads, bodies and after an answer; three of them failed before.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -41,6 +41,11 @@
 MAX_UNFRAMED_BYTES: Final = 8_388_608
 """An answer without a length is buffered, since only its end shows whether it is complete."""
 
+MAX_USELESS_BYTES: Final = 131_072
+"""Bytes in a row that are neither the head nor the body of an answer; a head is shorter."""
+
+FIRST_FINAL_STATUS: Final = 200
+
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -57,13 +62,40 @@
 
 
 class _TrackingResponseHandler(ResponseHandler):
-    """Records how a connection ended.
+    """Records how a connection ended, and closes it if it delivers bytes that are no answer.
 
-    aiohttp treats a reset as the regular end of an answer that has no length.
+    aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
+    reading a chunk header that never ends, and keeps answers to no request in memory while the
+    connection is idle.
     """
 
     is_lost = False
     lost_exc: BaseException | None = None
+    _answers = 0
+    _useless_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self._answers = 0
+        self._useless_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Count the answers; an interim one is none."""
+        message, _ = data
+        self._answers += message.code >= FIRST_FINAL_STATUS
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Receive bytes, and close the connection if they lead to no answer."""
+        before = self._progress()
+        super().data_received(data)
+        is_useful = self._progress() != before
+        self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
+        if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
+            self._should_close = True
+            if self.transport is not None:
+                self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
@@ -71,6 +103,10 @@
         self.lost_exc = exc
         super().connection_lost(exc)
 
+    def _progress(self) -> tuple[int, int]:
+        """Return the number of answers begun, and the bytes of the body of the newest one."""
+        return self._answers, 0 if self._payload is None else self._payload.total_bytes
+
 
 def open_session(reuses_connections: bool = True) -> aiohttp.ClientSession:
     """Open a session that never retries a request by itself.
