--- a/kingcuppond/gate/admission.py
+++ b/kingcuppond/gate/admission.py
@@ -39,6 +39,7 @@
     """A call's place in the queue, and once granted its permission to run at the server.
 
     :param decision: ends the wait in the queue: ``None`` grants the call, else why it is refused
+    :param level: calls in flight when the call was granted, including it
     """
 
     class_name: str
@@ -46,6 +47,7 @@
     is_on_trial: bool
     decision: "asyncio.Future[NotRun | None]"
     priority: int = 0
+    level: int = 0
     was_at_limit: bool = False
     is_released: bool = False
 
@@ -164,6 +166,7 @@
         self.in_flight += 1
         self.rate_limiter.record_start()
         self.trials_in_flight += ticket.is_on_trial
+        ticket.level = self.in_flight
         ticket.was_at_limit = self.in_flight >= self.limit.limit
 
     def _enqueue(self, ticket: Ticket) -> None:
--- a/kingcuppond/gate/concurrency_limit.py
+++ b/kingcuppond/gate/concurrency_limit.py
@@ -14,8 +14,9 @@
 Answer times differ between classes, so each is measured relative to the first answer of its class.
 
 Where servers report for how long they stay cold, and their machines change speed many times a
-second, the limit is not adaptive: it equals the number of slots, and
-``kingcuppond.gate.cold_rate_limiter`` bounds the call rate of a cold server.
+second, the limit does not adapt in this way: it is the number of slots, or the smaller number that
+``kingcuppond.gate.load_curve`` finds, and ``kingcuppond.gate.cold_rate_limiter`` bounds the call
+rate of a cold server.
 """
 
 from statistics import median
@@ -23,6 +24,8 @@
 
 import attrs
 
+from kingcuppond.gate.load_curve import LoadCurve
+
 MAX_SLOTS: Final = 1024
 INITIAL_LIMIT: Final = 1
 WINDOW_ANSWERS: Final = 32
@@ -40,13 +43,16 @@
 
     :param slots: concurrent calls that the server reports it can run
     :param is_reported_cold: whether the server reports that it is cold
-    :param is_adaptive: whether the limit follows measured answers; otherwise it equals ``slots``
+    :param is_adaptive: whether the limit grows and shrinks with measured answers; otherwise it
+        follows ``curve``
+    :param curve: how the server's answers slow down with its load
     """
 
     slots: int = MAX_SLOTS
     limit: int = INITIAL_LIMIT
     is_reported_cold: bool = False
     is_adaptive: bool = True
+    curve: LoadCurve = attrs.field(factory=LoadCurve)
     _first_seconds_by_class: dict[str, float] = attrs.field(factory=dict)
     _average_seconds_by_class: dict[str, float] = attrs.field(factory=dict)
     _window: list[float] = attrs.field(factory=list)
@@ -59,6 +65,7 @@
     def reset(self) -> None:
         """Discard all measurements and return to the initial limit."""
         self.limit = INITIAL_LIMIT if self.is_adaptive else self.slots
+        self.curve.reset(self.slots)
         self._proven_limit = INITIAL_LIMIT
         self._window_count = 0
         self._consecutive_bad = 0
@@ -70,7 +77,9 @@
     def set_slots(self, slots: int) -> None:
         """Apply the announced number of slots, between 1 and ``MAX_SLOTS``."""
         self.slots = max(1, min(slots, MAX_SLOTS))
-        self.limit = min(self.limit, self.slots) if self.is_adaptive else self.slots
+        if self.slots != self.curve.slots:
+            self.curve.reset(self.slots)
+        self.limit = min(self.limit, self.slots) if self.is_adaptive else self.curve.limit
         self._proven_limit = min(self._proven_limit, self.slots)
 
     def record_answer(self, class_name: str, seconds: float, was_at_limit: bool) -> bool:
@@ -99,6 +108,12 @@
             self._end_window()
         return False
 
+    def record_level(self, level: int, ratio: float, now: float) -> None:
+        """Update the load curve, if the limit follows it; see ``LoadCurve.record``."""
+        if not self.is_adaptive:
+            self.curve.record(level, ratio, now)
+            self.limit = self.curve.limit
+
     def record_failure(self) -> bool:
         """Update the limit after a failed call.
 
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -347,11 +347,21 @@
         if answer.status >= 500:
             self._record_limit_lowered(self.limit.record_failure(), "it answers with errors")
             return
-        seconds = self.clock.monotonic() - started
+        now = self.clock.monotonic()
+        seconds = now - started
+        self._record_level(call, ticket, answer, seconds, now)
         self.typical_latencies.update(call.class_name, seconds, answer.begun_slowdown)
         is_lowered = self.limit.record_answer(call.class_name, seconds, ticket.was_at_limit)
         self._record_limit_lowered(is_lowered, "its answers became slow")
 
+    def _record_level(
+        self, call: Call, ticket: Ticket, answer: Answer, seconds: float, now: float
+    ) -> None:
+        typical_seconds = self.typical_latencies.seconds_by_class.get(call.class_name)
+        if typical_seconds is not None:
+            ratio = seconds / (typical_seconds * max(1.0, answer.begun_slowdown))
+            self.limit.record_level(ticket.level, ratio, now)
+
     async def _record_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
         no_trial_in_flight = not self.admission.trials_in_flight
         if failure.reason is not Reason.SHED_BY_SERVER:
