Revert: reject at once while nearly all gates asked lately were full

Tried: no further round of questions while room was unlikely (routing/crowding.py). Conclusion: the answers of a few gates say too little about the others.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -35,6 +35,7 @@
 """With so many in all, each data centre needs fewer: what one hears crosses to the others."""
 
 CHECK_INTERVAL_SECONDS: Final = 0.2
+ROLE_CHECK_INTERVAL_SECONDS: Final = 0.5
 INITIAL_BACKOFF_SECONDS: Final = 0.1
 MAX_BACKOFF_SECONDS: Final = 2.0
 ISOLATED_AFTER_SECONDS: Final = 2.0
@@ -144,7 +145,7 @@
         while True:
             if not self.should_watch():
                 self.is_watching = False
-                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+                await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
                 continue
             if not self.is_watching:
                 self.is_watching = True
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -8,9 +8,8 @@
 
 A refusal by a gate costs no server any work and takes nothing from these budgets.  Refusals are
 bounded by the number of gates that are asked in a round.  If all are full, the call waits in a
-backlog that holds few calls, none of them for longer than an eighth of its class's target, unless
-room is unlikely to turn up (see ``kingcuppond.routing.crowding``).  So a short burst is absorbed,
-and a long overload is shed at once.  If all gates that were asked are full
+backlog that holds few calls, none of them for longer than an eighth of its class's target.  So a
+short burst is absorbed, and a long overload is shed at once.  If all gates that were asked are full
 or would answer too late for the target, the best of them is asked again to accept the call even so,
 or to queue it for a slot.
 
@@ -36,7 +35,6 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
-from kingcuppond.routing.crowding import GateAnswers
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
 from kingcuppond.routing.placement import ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, make_repeat_budget
@@ -49,10 +47,6 @@
 
 HEDGE_MIN_SECONDS: Final = 0.010
 MAX_SERVERS_PER_ROUND: Final = 4
-
-MAX_SERVERS_WHILE_FULL: Final = 2
-"""Servers that a call asks while the service is full; the better one may queue it."""
-
 MAX_BACKLOG: Final = 32
 
 BACKLOG_SHARE_OF_TARGET: Final = 0.125
@@ -120,7 +114,6 @@
     has_full_budgets: bool = True
     backlog: int = 0
     repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
-    gate_answers_by_service: dict[str, GateAnswers] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
     servers: ServerIndex = attrs.field(init=False)
 
@@ -146,7 +139,6 @@
             if (
                 self.backlog >= MAX_BACKLOG
                 or self.clock.monotonic() + backoff > now + max_backlog_seconds
-                or not self._is_round_worth_it(call.service)
             ):
                 break
             await self._wait_in_backlog(backoff)
@@ -160,11 +152,9 @@
     async def _run_round(self, call: Call, progress: _CallProgress) -> Result[Answer, Failure]:
         """Try a few servers, each once, and then the best one that would accept the call late."""
         failure: Failure | None = None
-        is_worth_it = self._is_round_worth_it(call.service)
-        max_servers = MAX_SERVERS_PER_ROUND if is_worth_it else MAX_SERVERS_WHILE_FULL
         while True:
             candidate = self._choose(call, progress.tried)
-            is_round_over = len(progress.tried) >= max_servers or candidate is None
+            is_round_over = len(progress.tried) >= MAX_SERVERS_PER_ROUND or candidate is None
             if is_round_over and progress.late_candidates and not call.body.is_consumed:
                 candidate = self._take_best_late_candidate(progress)
                 call = attrs.evolve(call, id=self.next_id(), is_last_resort=True)
@@ -173,7 +163,6 @@
             progress.tried.add(candidate.vm)
             call = attrs.evolve(call, retry_budget=progress.retries_left)
             result = await self._run_hedged(call, candidate, progress)
-            self._record_gate_answer(call.service, result)
             if result.is_ok():
                 if not self._may_retry_error_answer(call, result.ok, progress):
                     return result
@@ -186,17 +175,6 @@
                     return result
             call = attrs.evolve(call, id=self.next_id())
 
-    def _record_gate_answer(self, service: str, result: Result[Answer, Failure]) -> None:
-        if result.is_ok() or result.error.reason in LAST_RESORT_REASONS:
-            self._answers_of(service).record(result.is_error(), self.clock.monotonic())
-
-    def _is_round_worth_it(self, service: str) -> bool:
-        now = self.clock.monotonic()
-        return self._answers_of(service).is_round_worth_it(MAX_SERVERS_PER_ROUND, now)
-
-    def _answers_of(self, service: str) -> GateAnswers:
-        return self.gate_answers_by_service.setdefault(service, GateAnswers())
-
     def _may_try_another(
         self, call: Call, candidate: Candidate, failure: Failure, progress: _CallProgress
     ) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,4 +1,4 @@
-"""The modules that docs/DESIGN.md lists as decisions have no input, output or clock of their own."""
+"""The modules that docs/DESIGN.md lists as decisions have no input, output or clock."""
 
 import ast
 import re
