Load curve: learn also on a server that has been full since the daemon's start

A mean over all levels up to a limit also let five slots look good. Change: a lower level is tried by turns of ten answers until both sides are known; a limit is judged by the answers at exactly that level.

--- a/kingcuppond/gate/load_curve.py
+++ b/kingcuppond/gate/load_curve.py
@@ -7,7 +7,8 @@
 
 What changes all answers at once, such as a slow service that they all call, is not the load of this
 server.  Each answer time is therefore compared with those just before it.  Levels that are no
-longer used are forgotten after some time, and so are tried again.
+longer used are forgotten after some time, and so are tried again.  A server that has been full ever
+since it is known shows nothing about a lower level, so one is tried, by turns with all slots.
 """
 
 import math
@@ -15,7 +16,7 @@
 
 import attrs
 
-DECAY_SECONDS: Final = 20.0
+DECAY_SECONDS: Final = 40.0
 """Time in which the weight of an answer falls to about a third."""
 
 MIN_ANSWERS: Final = 25.0
@@ -28,6 +29,10 @@
 """Least answer time above a lower limit, relative to that up to it."""
 
 MIN_SHARE_OF_SLOTS: Final = 0.5
+TRIED_SHARE_OF_SLOTS: Final = 0.7
+ANSWERS_PER_TURN: Final = 10
+"""Length of a turn of a try; both sides of it are within the mean of the answers just before."""
+
 RECENT_WEIGHT: Final = 0.05
 """Weight of an answer in the mean of those just before; about twenty of them count."""
 
@@ -58,6 +63,7 @@
     limit: int = 1
     _levels: dict[int, _Level] = attrs.field(factory=dict)
     _recent_ratio: float = 0.0
+    _answers: int = 0
     _recorded_at: float = -math.inf
 
     def reset(self, slots: int) -> None:
@@ -76,6 +82,7 @@
         ratio = min(ratio, MAX_RATIO)
         if self._recent_ratio == 0.0:
             self._recent_ratio = ratio
+        self._answers += 1
         decay = math.exp((self._recorded_at - now) / DECAY_SECONDS)
         self._recorded_at = now
         for known in self._levels.values():
@@ -88,13 +95,16 @@
         self.limit = self._find_limit()
 
     def _find_limit(self) -> int:
+        tried = max(1, int(self.slots * TRIED_SHARE_OF_SLOTS))
+        if self._mean(tried, tried) is None and self._mean(tried + 1, self.slots) is not None:
+            return tried if self._answers // ANSWERS_PER_TURN % 2 else self.slots
         best_limit, best_throughput = self.slots, MIN_THROUGHPUT
         for limit in range(self.slots - 1, math.ceil(self.slots * MIN_SHARE_OF_SLOTS) - 1, -1):
-            below = self._mean(1, limit)
+            at_limit = self._mean(limit, limit)
             above = self._mean(limit + 1, self.slots)
-            if below is None or above is None or above < MIN_SLOWDOWN * below:
+            if at_limit is None or above is None or above < MIN_SLOWDOWN * at_limit:
                 continue
-            throughput = (limit / below) / (self.slots / above)
+            throughput = (limit / at_limit) / (self.slots / above)
             if throughput > best_throughput:
                 best_limit, best_throughput = limit, throughput
         return best_limit
