After a pause, ask the others and query the server before any call is decided

Cause: a process that was paused or suspended for seconds decided the calls that waited in its sockets by the configuration, the departures and the server's state from before. Change: pause.py compares the boot clock with the last sign of running at each call; after a second without one, calls wait (at most 1 s) until two contacts were asked for changes and the server was queried; the window of a cold server is taken as full. Tests: tests/test_pause.py (fails without the wait).

--- a/kingcuppond/clock.py
+++ b/kingcuppond/clock.py
@@ -1,10 +1,12 @@
 """Clock readings, behind one object that tests can replace.
 
-There are three readings.  ``monotonic`` measures durations.  ``wall`` is shown to people.
+There are four readings.  ``monotonic`` measures durations, ``boot`` also those in which the VM is
+suspended.  ``wall`` is shown to people.
 ``stamp`` is a hybrid logical clock: the wall clock in milliseconds with a counter in the low bits,
 advanced past every stamp received from another daemon.  If one event caused another, its stamp is
 the smaller one, whatever the wall clocks of the two VMs show.  The timeline is sorted by stamps.
-``fleet_ms``, derived from the last two, dates what daemons compare with each other, such as claims.
+``fleet_ms``, derived from ``wall`` and ``stamp``, dates what daemons compare with each other, such
+as claims.
 """
 
 import time
@@ -23,10 +25,12 @@
 
     :param monotonic: returns seconds that never go back, from an arbitrary origin
     :param wall: returns seconds since the Unix epoch
+    :param boot: like ``monotonic``, but goes on while the VM is suspended
     """
 
     monotonic: Callable[[], float] = time.monotonic
     wall: Callable[[], float] = time.time
+    boot: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
     _latest: int = 0
 
     def wall_ms(self) -> int:
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -45,6 +45,7 @@
 from kingcuppond.operators.http_handler import make_handler
 from kingcuppond.operators.messages import CountsPage, EventsPage
 from kingcuppond.operators.status import read_status, register_gauges
+from kingcuppond.pause import PauseGuard
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
 from kingcuppond.platform.store import PlatformStore
@@ -114,6 +115,7 @@
         self.fresh_session = open_session(reuses_connections=False)
         self._make_gate()
         self._make_routing(fleet_key, policy, is_hedging)
+        self.pause_guard = PauseGuard(self.clock, self.journal, self._catch_up)
         self._make_ingress(fleet_key)
         self._last_id = 0
         self._caller_runner: web.ServerRunner | None = None
@@ -147,6 +149,7 @@
         loops = {
             "registration": self.registration.run,
             "silence": self._check_silence,
+            "pause": self.pause_guard.run,
             "observer": self.gate.observer.run,
             "log": self.log_writer.run,
             **self.watcher.loops(),
@@ -334,6 +337,7 @@
             self.clock,
             self.journal,
             self.next_id,
+            self.pause_guard.wait_until_current,
         )
 
     def _handlers(self) -> dict[str, Callable[[web.BaseRequest], Any]]:
@@ -385,6 +389,10 @@
         if self._caller_runner is not None:
             await stop_accepting(self._caller_runner)
 
+    async def _catch_up(self) -> None:
+        self.gate.rate_limiter.assume_window_full()
+        await asyncio.gather(self.gossip.catch_up(), self.gate.check_server_again())
+
     def _record_dropped_lines(self, count: int, kinds: str) -> None:
         self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
 
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -33,6 +33,10 @@
 )
 TASK_FAILED: Final = Event(104, "error", "task {task} failed, the daemon continues: {error}")
 LINES_DROPPED: Final = Event(107, "warning", "{count} log lines were dropped: {kinds}")
+PAUSED: Final = Event(
+    108, "warning", "this process did not run for {seconds} s; it asks the others before it acts"
+)
+CATCH_UP_FAILED: Final = Event(109, "warning", "nobody answered this daemon after its pause")
 MEMBER_JOINED: Final = Event(201, "info", "discovered member {member} of {data_centre}")
 MEMBER_CHANGED: Final = Event(202, "info", "member {member} is {state}")
 MEMBER_SUSPECTED: Final = Event(203, "warning", "member {member} does not answer")
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -208,12 +208,16 @@
         is_out = self.configuration.is_out(self.directory.me.data_centre)
         if self._was_out_of_service and not is_out:
             # A server that was idle while its data centre was out may be cold.
-            self.rate_limiter.is_assumed_cold = bool(self._service_properties().health_path)
-            self.observer.clear()
-            self._run_in_background(self.observer.refresh())
+            self._run_in_background(self.check_server_again())
         self._was_out_of_service = is_out
         self.admission.process_queue()
 
+    async def check_server_again(self) -> None:
+        """Assume that the server is cold until it has been queried."""
+        self.rate_limiter.is_assumed_cold = bool(self._service_properties().health_path)
+        self.observer.clear()
+        await self.observer.refresh()
+
     async def run(self, call: Call) -> Result[Answer, Failure]:
         """Run a call at the server.
 
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import attrs
@@ -51,6 +51,7 @@
 
     :param report_budget: byte budget for load reports
     :param choose_service: chooses the service for a request of a class
+    :param wait_until_current: waits, if this process was paused, until it is up to date
     :param in_progress: number of requests that are being served
     :param last_request_at: monotonic time of the last caller's request, in seconds
     """
@@ -70,6 +71,7 @@
     clock: Clock
     journal: Journal
     next_id: Callable[[], str]
+    wait_until_current: Callable[[], Awaitable[None]]
     in_progress: int = 0
     last_request_at: float = float("-inf")
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -85,6 +87,7 @@
         self.in_progress += 1
         self.last_request_at = self.clock.monotonic()
         try:
+            await self.wait_until_current()
             return await self._serve_caller(request)
         finally:
             self.in_progress -= 1
@@ -93,6 +96,7 @@
         """Serve a call relayed by another daemon."""
         self.in_progress += 1
         try:
+            await self.wait_until_current()
             return await self._serve_relay(request)
         finally:
             self.in_progress -= 1
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -170,6 +170,20 @@
             is_synced |= await self._sync(introducer, JOIN_TIMEOUT_SECONDS)
         return is_synced
 
+    async def catch_up(self) -> None:
+        """Ask two contacts for what changed while this process was paused."""
+        contacts = list(self._contacts.pinged_by_vm.values())
+        chosen = self._rng.sample(contacts, min(MAX_JOINED_NEIGHBOURS, len(contacts)))
+        await asyncio.gather(*(self._ask_for_changes(member) for member in chosen))
+
+    async def _ask_for_changes(self, member: Member) -> None:
+        # Connections may have broken during the pause.
+        self._transport.disconnect(member.peer_address)
+        pong = await self._ping(member)
+        if pong is not None and pong.digest != self._state.digest:
+            parts = self._state.differing_parts(pong)
+            await self._sync(member.peer_address, PING_TIMEOUT_SECONDS, parts)
+
     async def _find_introducer(self, addresses: list[str]) -> str | None:
         """Ask the addresses in a random order until one answers, and merge its introduction."""
         waiting: dict[asyncio.Task[bool], str] = {}
--- /dev/null
+++ b/kingcuppond/pause.py
@@ -0,0 +1,74 @@
+"""Notices that this process did not run for a while, and lets it catch up before it acts.
+
+A process that was paused wakes with what it knew before: a configuration that has changed, a data
+centre that was taken out of service, a server that is leaving or cold.  Calls that arrived
+meanwhile wait in the sockets and would be decided first.  So each call compares the time with that
+of the last sign of running, and after a pause waits until this daemon has asked the others.
+
+A suspended VM counts too: the clock goes on while it is suspended.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+
+TICK_SECONDS: Final = 0.2
+
+PAUSE_SECONDS: Final = 1.0
+"""A longer time without a tick is a pause; a busy VM delays ticks by less."""
+
+CATCH_UP_TIMEOUT_SECONDS: Final = 1.0
+
+
+@attrs.define
+class PauseGuard:
+    """Detects pauses.
+
+    :param catch_up: brings this daemon up to date
+    """
+
+    clock: Clock
+    journal: Journal
+    catch_up: Callable[[], Awaitable[None]]
+    _ran_at: float = attrs.field(init=False)
+    _catching_up: "asyncio.Task[None] | None" = None
+
+    def __attrs_post_init__(self) -> None:
+        self._ran_at = self.clock.boot()
+
+    async def run(self) -> None:
+        """Detect pauses while no calls arrive, forever."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self._detect()
+
+    async def wait_until_current(self) -> None:
+        """Wait until this daemon is up to date, if it was paused."""
+        self._detect()
+        if self._catching_up is not None:
+            await asyncio.shield(self._catching_up)
+
+    def _detect(self) -> None:
+        now = self.clock.boot()
+        paused_seconds = now - self._ran_at
+        self._ran_at = now
+        if paused_seconds > PAUSE_SECONDS:
+            self.journal.record(catalogue.PAUSED, seconds=round(paused_seconds, 1))
+            if self._catching_up is None:
+                self._catching_up = asyncio.create_task(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+                await self.catch_up()
+        except TimeoutError:
+            # Whoever can reach nobody is isolated, and its gate refuses new work.
+            self.journal.record(catalogue.CATCH_UP_FAILED)
+        finally:
+            self._catching_up = None
--- a/tests/failures/test_platform.py
+++ b/tests/failures/test_platform.py
@@ -222,6 +222,26 @@
     assert [sum(fleet.runs(name)["runs_by_id"].values()) for name in VM_NAMES[:2]] == before
 
 
+async def test_a_paused_daemon_does_not_act_on_what_ended_meanwhile(fleet: Fleet) -> None:
+    """Its data centre is evacuated while it is paused; calls wait in its sockets when it wakes."""
+    paused = fleet.vms_by_name[VM_NAMES[0]]
+    # Otherwise its server counts as silent when it wakes, and gets no calls for that reason.
+    patient = paused.settings.read_text().replace("{", '{"server_silent_ms": 60000,', 1)
+    paused.settings.write_text(patient)
+    fleet.signal(VM_NAMES[0], "daemon", signal.SIGHUP)
+    await asyncio.sleep(0.5)
+    fleet.signal(VM_NAMES[0], "daemon", signal.SIGSTOP)
+    put_object(fleet, "evacuations", "dc-1", {})
+    await asyncio.sleep(3.0)
+    before = sum(fleet.runs(VM_NAMES[0])["runs_by_id"].values())
+    calls = [asyncio.create_task(send(paused.caller, "/read/1")) for _ in range(4)]
+    await asyncio.sleep(0.5)
+    fleet.signal(VM_NAMES[0], "daemon", signal.SIGCONT)
+    replies = await asyncio.gather(*calls)
+    assert sum(fleet.runs(VM_NAMES[0])["runs_by_id"].values()) == before
+    assert {reply.status for reply in replies} == {200}
+
+
 async def test_a_configuration_is_in_force_on_every_daemon_in_time(fleet: Fleet) -> None:
     configure(fleet, 5, PathPrefix="/other/")
     await asyncio.sleep(2.0)
--- /dev/null
+++ b/tests/test_pause.py
@@ -0,0 +1,70 @@
+"""After a pause nothing is decided before the daemon has caught up."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from kingcuppond.clock import Clock
+from kingcuppond.events.journal import Journal
+from kingcuppond.pause import PAUSE_SECONDS, PauseGuard
+from tests.conftest import FakeTime
+
+
+@attrs.define
+class Peers:
+    """The other daemons, which answer when they are told to."""
+
+    asked: int = 0
+    may_answer: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def catch_up(self) -> None:
+        self.asked += 1
+        await self.may_answer.wait()
+
+
+@pytest.fixture
+def boot_time() -> FakeTime:
+    return FakeTime()
+
+
+@pytest.fixture
+def peers() -> Peers:
+    return Peers()
+
+
+@pytest.fixture
+def guard(boot_time: FakeTime, peers: Peers, journal: Journal) -> PauseGuard:
+    clock = Clock(boot_time.read, boot_time.read, boot_time.read)
+    return PauseGuard(clock, journal, peers.catch_up)
+
+
+async def test_calls_wait_after_a_pause_until_others_were_asked(
+    guard: PauseGuard, boot_time: FakeTime, peers: Peers
+) -> None:
+    boot_time.advance(5.0)
+    calls = [asyncio.create_task(guard.wait_until_current()) for _ in range(3)]
+    await asyncio.sleep(0.01)
+    assert peers.asked == 1
+    assert not any(call.done() for call in calls)
+    peers.may_answer.set()
+    await asyncio.wait_for(asyncio.gather(*calls), 0.5)
+    await guard.wait_until_current()
+    assert peers.asked == 1
+
+
+async def test_a_short_delay_is_no_pause(
+    guard: PauseGuard, boot_time: FakeTime, peers: Peers
+) -> None:
+    for _ in range(20):
+        boot_time.advance(PAUSE_SECONDS * 0.9)
+        await guard.wait_until_current()
+    assert peers.asked == 0
+
+
+async def test_calls_do_not_wait_forever(
+    guard: PauseGuard, boot_time: FakeTime, journal: Journal
+) -> None:
+    boot_time.advance(5.0)
+    await asyncio.wait_for(guard.wait_until_current(), 2.0)
+    assert journal.entries[-1].number == 109
