--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -61,7 +61,7 @@
 from kingcuppond.settings.checks import split_address
 from kingcuppond.settings.daemon import DaemonSettings
 
-SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.2
+SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
 MAX_DEPARTURE_LOADS: Final = 3
 DEPARTURE_RETRY_DELAY_SECONDS: Final = 0.2
 
--- a/kingcuppond/events/log.py
+++ b/kingcuppond/events/log.py
@@ -22,7 +22,7 @@
 from kingcuppond.events.journal import Entry
 
 STANDARD_OUTPUT: Final = 1
-FLUSH_INTERVAL_SECONDS: Final = 0.1
+FLUSH_INTERVAL_SECONDS: Final = 0.2
 DROP_REPORT_INTERVAL_SECONDS: Final = 5.0
 BUFFER_BYTES: Final = 262_144
 """About a thousand lines: what a burst of failures writes between two flushes."""
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -23,9 +23,8 @@
 MAX_FRESH_AGE_SECONDS: Final = 0.03
 """A sixteenth of the half second for which a machine's speed usually stays the same."""
 
-REFRESH_INTERVAL_SECONDS: Final = 0.5
-"""Time between two queries while no other report arrives; makes 2 queries a second of the 60 that
-are allowed."""
+REFRESH_INTERVAL_SECONDS: Final = 1.0
+"""Time between two queries while no other report arrives; a call that arrives queries at once."""
 
 HEALTH_TIMEOUT_SECONDS: Final = 0.1
 """Timeout of a query on the same machine; about a hundred times the usual answer time."""
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -65,7 +65,7 @@
 REVIVES_PER_INTERVAL: Final = 16
 """Dead members that the whole fleet pings in each interval."""
 
-HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.1
+HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.2
 
 PULL_DELAY_SECONDS: Final = 0.1
 """A daemon's own watch usually delivers an object sooner than this; then no pull is needed."""
