--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -40,6 +40,7 @@
     Suspicion,
 )
 from kingcuppond.membership.rumour_queue import RumourQueue
+from kingcuppond.membership.staggered import first_to_succeed
 from kingcuppond.membership.state import OBJECTS_PART, SharedState
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -154,7 +155,11 @@
         :param addresses: peer addresses to contact
         :return: whether another daemon sent its state
         """
-        introducer = await self._find_introducer(addresses)
+        introducer = await first_to_succeed(
+            self._rng.sample(addresses, len(addresses)),
+            self._ask_introduction,
+            NEXT_INTRODUCTION_SECONDS,
+        )
         if introducer is None:
             return False
         me = self.directory.me
@@ -184,29 +189,6 @@
             parts = self._state.differing_parts(pong)
             await self._sync(member.peer_address, PING_TIMEOUT_SECONDS, parts)
 
-    async def _find_introducer(self, addresses: list[str]) -> str | None:
-        """Ask the addresses in a random order until one answers, and merge its introduction."""
-        waiting: dict[asyncio.Task[bool], str] = {}
-        unasked = self._rng.sample(addresses, len(addresses))
-        try:
-            while unasked or waiting:
-                if unasked:
-                    address = unasked.pop()
-                    waiting[asyncio.create_task(self._ask_introduction(address))] = address
-                done, _ = await asyncio.wait(
-                    waiting,
-                    timeout=NEXT_INTRODUCTION_SECONDS if unasked else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    address = waiting.pop(task)
-                    if task.result():
-                        return address
-        finally:
-            for task in waiting:
-                task.cancel()
-        return None
-
     async def _ask_introduction(self, address: str) -> bool:
         request = IntroductionRequest(self.directory.me)
         reply = await self._transport.ask(address, request, IntroductionReply, JOIN_TIMEOUT_SECONDS)
