After a restart read the store once joined, and confirm the server as soon as it can be

Change: a restarted daemon without a configuration lists the store as soon as it has joined, spread over 0.3 s; an unconfirmed server is queried when the configuration or the record of departures arrives. Tests: tests/configuration/test_watcher.py.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -4,7 +4,8 @@
 the others receive changes as rumours.  The number of watches therefore grows with the number of
 data centres and not with the fleet.  A daemon that has had no complete configuration, or not heard
 from most of the fleet, for some time watches too, for itself.  A starting daemon first waits until
-it knows other members, since all would rank first among those that they know.
+it knows other members, since all would rank first among those that they know.  After a restart it
+reads the store once as soon as it has joined, unless another daemon has sent it the configuration.
 
 A watch that exceeds its time limit is dropped together with its connection, and all objects are
 listed again.  After a failure the next attempt is delayed by a backoff with jitter, so that the
@@ -45,6 +46,11 @@
 MAX_SETTLE_SECONDS: Final = 1.0
 """Time from the start after which a daemon that could not join takes its rank as known."""
 
+JOIN_POLL_SECONDS: Final = 0.05
+
+FIRST_READ_SPREAD_SECONDS: Final = 0.3
+"""Of many daemons that restart together, the first to read the store inform the others sooner."""
+
 SELF_HELP_AFTER_SECONDS: Final = 2.0
 """How long a daemon waits for others to send the configuration before it watches for itself."""
 
@@ -58,6 +64,8 @@
         stale, and a restarted daemon must not return to a configuration that the others know to be
         outdated.
     :param is_joined: returns whether this daemon has exchanged its state with another one
+    :param is_restart: whether this daemon may be needed at once, and not only once the whole fleet
+        has started for the first time
     :param wait_ms: how long the store holds a watch without changes, in milliseconds
     """
 
@@ -72,6 +80,7 @@
         rng: Random,
         has_contacted_members: Callable[[], bool],
         is_joined: Callable[[], bool],
+        is_restart: bool,
         wait_ms: int,
     ) -> None:
         self.is_watching = False
@@ -84,6 +93,7 @@
         self._rng = rng
         self._has_contacted_members = has_contacted_members
         self._is_joined = is_joined
+        self._is_restart = is_restart
         self.wait_ms = wait_ms
         self._store_heard_at = clock.monotonic()
         self._settled_at = clock.monotonic() + MAX_SETTLE_SECONDS
@@ -109,7 +119,10 @@
             f"watch {kind}": self._make_watch_loop(kind)
             for kind in self._configuration.format.kinds
         }
-        return {**watches, "isolation": self._check_isolation}
+        loops = {**watches, "isolation": self._check_isolation}
+        if self._is_restart:
+            loops["first reading"] = self._read_after_restart
+        return loops
 
     def should_watch(self) -> bool:
         """Return whether this daemon watches the store, by its rank or for itself."""
@@ -232,6 +245,16 @@
             self._is_store_down = True
             self._journal.record(catalogue.WATCH_FAILED, error=error.message)
 
+    async def _read_after_restart(self) -> None:
+        while not self._is_joined() and self._clock.monotonic() < self._settled_at:
+            await asyncio.sleep(JOIN_POLL_SECONDS)
+        await asyncio.sleep(self._rng.uniform(0.0, FIRST_READ_SPREAD_SECONDS))
+        for kind in self._configuration.format.kinds:
+            if not self._configuration.is_ready:
+                await self.refresh(kind)
+        # The loop must not return: its service would start it again.
+        await asyncio.Event().wait()
+
     async def _check_isolation(self) -> None:
         # Computed a few times per second and not for each call, since it iterates over all members.
         while True:
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -243,6 +243,7 @@
             self.rng,
             lambda: self.registration.has_contacted_members or settings.is_first_start,
             lambda: self.registration.has_contacted_members,
+            not settings.is_first_start,
             settings.watch_wait_ms,
         )
         self.registration = Registration(
@@ -409,6 +410,7 @@
                 break
             await asyncio.sleep(DEPARTURE_RETRY_DELAY_SECONDS)
         self.gate.is_departure_checked = True
+        self.gate.confirm_server()
         # The loop must not return: its service would start it again.
         await asyncio.Event().wait()
 
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -210,8 +210,15 @@
             # A server that was idle while its data centre was out may be cold.
             self._run_in_background(self.check_server_again())
         self._was_out_of_service = is_out
+        self.confirm_server()
         self.admission.process_queue()
 
+    def confirm_server(self) -> None:
+        """Query an unconfirmed server, once what the query needs is known."""
+        if self.is_unconfirmed and self.is_departure_checked and self.address:
+            self.observer.clear()
+            self._run_in_background(self.observer.refresh())
+
     async def check_server_again(self) -> None:
         """Assume that the server is cold until it has been queried."""
         self.rate_limiter.is_assumed_cold = bool(self._service_properties().health_path)
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -28,6 +28,7 @@
     is_down: bool = False
     writes: int = 0
     reads: int = 0
+    lists: int = 0
 
     async def get(self, kind: str, name: str) -> Result[StoredObject | None, StoreError]:
         self.reads += 1
@@ -36,6 +37,7 @@
         return Ok(self.objects.get((kind, name)))
 
     async def list(self, kind: str) -> Result[Listing, StoreError]:
+        self.lists += 1
         if self.is_down:
             return Error(StoreError("down"))
         items = [
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -8,11 +8,12 @@
 from typing import Any, cast
 
 import attrs
+import pytest
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import CONFIGURATION_KIND, DataCentreState, encode
 from kingcuppond.configuration.replica import Configuration, VersionedObject
-from kingcuppond.configuration.watcher import Watcher
+from kingcuppond.configuration.watcher import FIRST_READ_SPREAD_SECONDS, Watcher
 from kingcuppond.events.journal import Journal
 from kingcuppond.store.interface import StoredObject
 from tests.claims.fakes import FakeStore
@@ -38,7 +39,7 @@
 
 
 def make_watcher(
-    store: FakeStore, journal: Journal, clock: Clock, asked: list[bool]
+    store: FakeStore, journal: Journal, clock: Clock, asked: list[bool], is_restart: bool = False
 ) -> tuple[Watcher, Configuration]:
     configuration = Configuration(journal)
     gossip: Any = FakeGossip(configuration)
@@ -52,6 +53,7 @@
         Random(1),
         lambda: asked[0],
         lambda: asked[0],
+        is_restart,
         1000,
     )
     return watcher, configuration
@@ -99,3 +101,33 @@
     configuration.merge([VersionedObject("data-centre/a", 5, OUT)])
     await watcher.refresh(CONFIGURATION_KIND)
     assert not configuration.is_out("a")
+
+
+@pytest.mark.parametrize("is_restart", [True, False])
+async def test_a_restarted_daemon_reads_the_store_once_it_has_joined(
+    journal: Journal, clock: Clock, is_restart: bool
+) -> None:
+    """After the loss of all power nobody has a configuration to send; roles are taken later."""
+    store = FakeStore({("configuration", "data-centre/b"): StoredObject(3, OUT)}, version=3)
+    watcher, configuration = make_watcher(store, journal, clock, [True], is_restart)
+    loop = watcher.loops().get("first reading")
+    assert (loop is not None) == is_restart
+    if loop is None:
+        return
+    reading = asyncio.create_task(loop())
+    async with asyncio.timeout(FIRST_READ_SPREAD_SECONDS + 0.5):
+        while not configuration.is_ready:
+            await asyncio.sleep(0.01)
+    reading.cancel()
+
+
+async def test_a_restarted_daemon_that_has_the_configuration_reads_nothing(
+    journal: Journal, clock: Clock
+) -> None:
+    store = FakeStore()
+    watcher, configuration = make_watcher(store, journal, clock, [True], is_restart=True)
+    configuration.is_complete = True
+    reading = asyncio.create_task(watcher.loops()["first reading"]())
+    await asyncio.sleep(FIRST_READ_SPREAD_SECONDS + 0.1)
+    reading.cancel()
+    assert store.lists == 0
