Repeats: leave room for the nested calls of repeats

Cause: 0.15 a call, 0.05 saved and eight tenths of the allowance use up the bound alone (228); the nested calls of repeated runs of the calling service come on top. Change: 0.1 a call (0.05 if it may have run), 0.04 saved, half of the allowance; the sum with nested calls stays below 0.2 and the allowance.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -65,9 +65,6 @@
 MAX_DEPARTURE_LOADS: Final = 3
 DEPARTURE_RETRY_DELAY_SECONDS: Final = 0.2
 
-FLEET_RETRY_SHARE: Final = 0.8
-"""Share of the fleet's retries that is handed out, since the number of members is not exact."""
-
 
 @attrs.frozen
 class BindError:
@@ -207,7 +204,7 @@
         self.gate.suspect_delay_seconds = settings.suspect_hold_ms / 1000
         self.watcher.wait_ms = settings.watch_wait_ms
         self.router.detour_seconds = settings.detour_ms / 1000
-        self.router.fleet_retries = settings.fleet_retries * FLEET_RETRY_SHARE
+        self.router.fleet_retries = settings.fleet_retries
         self.server_port.configured_server = self._configured_server()
         self.port.service = settings.service
         if settings.service != self.directory.me.service:
@@ -301,7 +298,7 @@
             self.rng,
             self.next_id,
             self.settings.detour_ms / 1000,
-            self.settings.fleet_retries * FLEET_RETRY_SHARE,
+            self.settings.fleet_retries,
             policy=POLICY_FACTORIES_BY_NAME[policy](),
             is_hedging=is_hedging,
             has_full_budgets=self.settings.is_first_start,
--- a/kingcuppond/routing/repeats.py
+++ b/kingcuppond/routing/repeats.py
@@ -17,16 +17,21 @@
 
 import attrs
 
-REPEAT_SHARE: Final = 0.15
-"""Repeats for each call; the platform allows 0.2, and the nested calls of repeats count too."""
+ALLOWANCE_SHARE: Final = 0.5
+"""Share of the fleet's allowance that is handed out: nested calls of repeats take their part, and
+the number of members is not exact."""
 
-RERUN_SHARE: Final = 0.08
+REPEAT_SHARE: Final = 0.1
+"""Repeats for each call; with ``RERUN_SHARE`` for the nested calls of repeats, and ``SAVED_SHARE``,
+they stay within the 0.2 that the platform allows."""
+
+RERUN_SHARE: Final = 0.05
 """Repeats of calls that may have run, for each call."""
 
-RERUN_PART_OF_CAPACITY: Final = 0.5
+RERUN_PART_OF_CAPACITY: Final = 0.3
 
-SAVED_SHARE: Final = 0.05
-"""Repeats that may be saved up, for each recent call: the rest of what the platform allows."""
+SAVED_SHARE: Final = 0.04
+"""Repeats that may be saved up, for each recent call."""
 
 RECENT_SECONDS: Final = 10.0
 """The platform's window for repeats."""
@@ -100,6 +105,14 @@
         return self.repeats.take(rng)
 
 
+def allowance_of_daemon(fleet_allowance: float, living: int) -> float:
+    """Return a daemon's part of the fleet's allowance, in tokens.
+
+    :param living: number of living members
+    """
+    return fleet_allowance * ALLOWANCE_SHARE / max(1, living)
+
+
 def make_repeat_budget(allowance: float, is_full: bool) -> RepeatBudget:
     """Make the budget of one service.
 
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -37,7 +37,7 @@
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
 from kingcuppond.routing.placement import ServerIndex, place
-from kingcuppond.routing.repeats import RepeatBudget, make_repeat_budget
+from kingcuppond.routing.repeats import RepeatBudget, allowance_of_daemon, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
 
@@ -245,7 +245,7 @@
         return budget
 
     def _repeat_allowance(self) -> float:
-        return self.fleet_retries / self.directory.living_count
+        return allowance_of_daemon(self.fleet_retries, self.directory.living_count)
 
     def min_retries_left(self) -> float:
         """Return the repeats left for the service that has the fewest; 0 before any call."""
--- a/tests/routing/test_repeats.py
+++ b/tests/routing/test_repeats.py
@@ -9,6 +9,7 @@
     REPEAT_SHARE,
     RERUN_SHARE,
     RepeatBudget,
+    allowance_of_daemon,
     make_repeat_budget,
 )
 
@@ -84,3 +85,41 @@
 def test_a_restarted_daemon_has_no_allowance_of_its_own() -> None:
     budget = make_repeat_budget(ALLOWANCE, is_full=False)
     assert not any(budget.take(False, Random(1)) for _ in range(100))
+
+
+NESTED_CALLS = 1.4
+"""Calls of another service that a run makes, on average."""
+
+
+@pytest.mark.parametrize("daemons", [17, 194])
+@pytest.mark.parametrize("calls", [500, 5000])
+def test_nested_calls_of_repeats_keep_the_bound_of_the_called_service(
+    daemons: int, calls: int
+) -> None:
+    """Both services answer with errors for a whole window, after a calm one."""
+    rng = Random(daemons)
+    allowance = allowance_of_daemon(ALLOWANCE, daemons)
+    callers, called = (
+        [make_repeat_budget(allowance, is_full=True) for _ in range(daemons)] for _ in range(2)
+    )
+    requests = repeats = 0
+
+    def call_nested(now: float, is_repeat: bool, is_failing: bool) -> None:
+        nonlocal requests, repeats
+        for _ in range(1 + (rng.random() < NESTED_CALLS - 1)):
+            budget = rng.choice(called)
+            budget.record_call(allowance, now)
+            requests += not is_repeat and is_failing
+            repeats += is_repeat
+            if is_failing:
+                repeats += sum(budget.take(False, rng) for _ in range(ATTEMPTS_PER_CALL))
+
+    for is_failing in (False, True):
+        for i in range(calls):
+            now = RECENT_SECONDS * (is_failing + i / calls)
+            budget = rng.choice(callers)
+            budget.record_call(allowance, now)
+            call_nested(now, False, is_failing)
+            if is_failing and budget.take(True, rng):
+                call_nested(now, True, is_failing)
+    assert repeats <= PLATFORM_SHARE * requests + ALLOWANCE
