Second reading: a paused daemon stays stale until it is answered, and what else read badly

Causes, from reading the whole change again: - After a pause, a catch-up that nobody answered counted as done, and calls were decided on what was known before; the comment that the gate then refuses was not true. The wait was not counted against the deadlines of callers and relayed calls. - A daemon's part of the fleet's allowance for repeats was divided by the living members, so that one that is cut off, to which all others look dead, got the whole. - Few daemons are registered now; one whose first choice of them was gone listed the store again only after some 30 s. - A reply to a ping without digests, which says that the states were equal, counted as a difference in all parts if a change arrived meanwhile. - The last member of a data centre that failed logged E210 at each further missed ping. - Retry-After in an outage could leave no time for an answer, though the header said so. - The load curve passed over all slots for each answer, up to 1,024. - The replaced test of an outage's repeats allowed 0.2 a call, the old one 0.1; the test of 2,000 members' contacts didn't check that they connect the data centres. Changes: is_stale, seen by the gate, until a contact or the store answers; deadlines count from the arrival; parts by all known members; listings every 3 s while alone; one pass over known levels; stricter tests; names (is_trial_due, LAST_URGENT_PRIORITY, min_repeats_left, WATCH_ALONE_AFTER_SECONDS, tasks.py), headers, help texts of two gauges whose meaning had changed, the capacity page's table of roles.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -51,7 +51,7 @@
 FIRST_READ_SPREAD_SECONDS: Final = 0.3
 """Of many daemons that restart together, the first to read the store inform the others sooner."""
 
-SELF_HELP_AFTER_SECONDS: Final = 2.0
+WATCH_ALONE_AFTER_SECONDS: Final = 2.0
 """How long a daemon waits for others to send the configuration before it watches for itself."""
 
 
@@ -98,7 +98,7 @@
         self._store_heard_at = clock.monotonic()
         self._settled_at = clock.monotonic() + MAX_SETTLE_SECONDS
         self._was_joined = False
-        self._served_at = clock.monotonic()
+        self._informed_at = clock.monotonic()
         self._rank_generation = -1
         self._has_rank = False
         self._listed_kinds: set[str] = set()
@@ -127,7 +127,7 @@
     def should_watch(self) -> bool:
         """Return whether this daemon watches the store, by its rank or for itself."""
         return self.has_rank() or (
-            self._clock.monotonic() - self._served_at > SELF_HELP_AFTER_SECONDS
+            self._clock.monotonic() - self._informed_at > WATCH_ALONE_AFTER_SECONDS
         )
 
     def has_rank(self) -> bool:
@@ -186,6 +186,11 @@
         self._record_store_answer()
         return Ok(listed.ok)
 
+    async def read_all(self) -> bool:
+        """List and merge the objects of all kinds; return whether the store answered each time."""
+        listings = [await self.refresh(kind) for kind in self._configuration.format.kinds]
+        return all(listing.is_ok() for listing in listings)
+
     def _make_watch_loop(self, kind: str) -> Callable[[], Coroutine[Any, Any, None]]:
         return lambda: self.run(kind)
 
@@ -249,9 +254,8 @@
         while not self._is_joined() and self._clock.monotonic() < self._settled_at:
             await asyncio.sleep(JOIN_POLL_SECONDS)
         await asyncio.sleep(self._rng.uniform(0.0, FIRST_READ_SPREAD_SECONDS))
-        for kind in self._configuration.format.kinds:
-            if not self._configuration.is_ready:
-                await self.refresh(kind)
+        if not self._configuration.is_ready:
+            await self.read_all()
         # The loop must not return: its service would start it again.
         await asyncio.Event().wait()
 
@@ -273,7 +277,7 @@
     def _update_isolation(self) -> None:
         hears_majority = self._gossip.hearing.hears_majority()
         if self._configuration.is_ready and hears_majority:
-            self._served_at = self._clock.monotonic()
+            self._informed_at = self._clock.monotonic()
         # While a watch is pending, the store may be silent for the whole wait time without being
         # down.  After a failed watch there is no such time to add.
         allowed_silence_seconds = ISOLATED_AFTER_SECONDS + (
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -268,7 +268,7 @@
             self.protocol.dialect,
             self.settings.server_silent_ms / 1000,
             self.settings.suspect_hold_ms / 1000,
-            self.watcher.is_isolated,
+            self._is_isolated,
             is_unconfirmed=may_have_run,
             is_departure_checked=not may_have_run,
         )
@@ -387,9 +387,16 @@
         if self._caller_runner is not None:
             await stop_accepting(self._caller_runner)
 
-    async def _catch_up(self) -> None:
+    async def _catch_up(self) -> bool:
+        """Ask other daemons, or else the store, what changed; return whether any answered."""
         self.gate.rate_limiter.assume_window_full()
-        await asyncio.gather(self.gossip.catch_up(), self.gate.check_server_again())
+        is_answered, _ = await asyncio.gather(
+            self.gossip.catch_up(), self.gate.check_server_again()
+        )
+        return is_answered or await self.watcher.read_all()
+
+    def _is_isolated(self) -> bool:
+        return self.watcher.is_isolated() or self.pause_guard.is_stale
 
     def _record_dropped_lines(self, count: int, kinds: str) -> None:
         self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
--- a/kingcuppond/gate/load_curve.py
+++ b/kingcuppond/gate/load_curve.py
@@ -26,7 +26,7 @@
 """Answers a second that a lower limit must give, relative to all slots: nearly as many, sooner."""
 
 MIN_SLOWDOWN: Final = 1.3
-"""Least answer time above a lower limit, relative to that up to it."""
+"""Least answer time above a lower limit, relative to that at it."""
 
 MIN_SHARE_OF_SLOTS: Final = 0.5
 TRIED_SHARE_OF_SLOTS: Final = 0.7
@@ -51,6 +51,16 @@
     weight: float = 0.0
     total: float = 0.0
 
+    @property
+    def mean(self) -> float | None:
+        """The mean answer time, or ``None`` if too few answers are known."""
+        return self.total / self.weight if self.weight >= MIN_ANSWERS else None
+
+    def add(self, other: "_Level") -> None:
+        """Add the answers of another level."""
+        self.weight += other.weight
+        self.total += other.total
+
 
 @attrs.define
 class LoadCurve:
@@ -95,22 +105,29 @@
         self.limit = self._find_limit()
 
     def _find_limit(self) -> int:
-        tried = max(1, int(self.slots * TRIED_SHARE_OF_SLOTS))
-        if self._mean(tried, tried) is None and self._mean(tried + 1, self.slots) is not None:
-            return tried if self._answers // ANSWERS_PER_TURN % 2 else self.slots
+        trial_limit = max(1, int(self.slots * TRIED_SHARE_OF_SLOTS))
+        if self._is_trial_due(trial_limit):
+            return trial_limit if self._answers // ANSWERS_PER_TURN % 2 else self.slots
+        lowest_limit = math.ceil(self.slots * MIN_SHARE_OF_SLOTS)
         best_limit, best_throughput = self.slots, MIN_THROUGHPUT
-        for limit in range(self.slots - 1, math.ceil(self.slots * MIN_SHARE_OF_SLOTS) - 1, -1):
-            at_limit = self._mean(limit, limit)
-            above = self._mean(limit + 1, self.slots)
-            if at_limit is None or above is None or above < MIN_SLOWDOWN * at_limit:
-                continue
-            throughput = (limit / at_limit) / (self.slots / above)
-            if throughput > best_throughput:
-                best_limit, best_throughput = limit, throughput
+        above = _Level()
+        for limit in sorted(self._levels, reverse=True):
+            if limit < lowest_limit:
+                break
+            at_limit = self._levels[limit]
+            if limit < self.slots and at_limit.mean is not None and above.mean is not None:
+                slowdown = above.mean / at_limit.mean
+                throughput = slowdown * limit / self.slots
+                if slowdown >= MIN_SLOWDOWN and throughput > best_throughput:
+                    best_limit, best_throughput = limit, throughput
+            above.add(at_limit)
         return best_limit
 
-    def _mean(self, first: int, last: int) -> float | None:
-        """Return the mean answer time of some levels, or ``None`` if too few answers are known."""
-        levels = [it for level, it in self._levels.items() if first <= level <= last]
-        weight = sum(it.weight for it in levels)
-        return sum(it.total for it in levels) / weight if weight >= MIN_ANSWERS else None
+    def _is_trial_due(self, trial_limit: int) -> bool:
+        """Return whether only answers from above a limit are known, so that it must be tried."""
+        above = _Level()
+        for level, answers in self._levels.items():
+            if level > trial_limit:
+                above.add(answers)
+        at_limit = self._levels.get(trial_limit, _Level())
+        return at_limit.mean is None and above.mean is not None
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -85,19 +85,20 @@
     async def handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller."""
         self.in_progress += 1
-        self.last_request_at = self.clock.monotonic()
+        self.last_request_at = started = self.clock.monotonic()
         try:
             await self.wait_until_current()
-            return await self._serve_caller(request)
+            return await self._serve_caller(request, started)
         finally:
             self.in_progress -= 1
 
     async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a call relayed by another daemon."""
         self.in_progress += 1
+        started = self.clock.monotonic()
         try:
             await self.wait_until_current()
-            return await self._serve_relay(request)
+            return await self._serve_relay(request, started)
         finally:
             self.in_progress -= 1
 
@@ -106,13 +107,14 @@
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
         return self.in_progress == 0 and not self._claimed_tasks
 
-    async def _serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
         parsed = await read_request(
             request,
             self.configuration,
             self.dialect,
             self.service,
             self.choose_service,
+            started,
             self.clock.monotonic,
             self.next_id,
         )
@@ -186,7 +188,7 @@
         task.add_done_callback(self._claimed_tasks.discard)
         return await asyncio.shield(task)
 
-    async def _serve_relay(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve_relay(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
         verified = verify(
             self.fleet_key,
             request.method,
@@ -199,7 +201,7 @@
         if verified.is_error():
             return self._refuse(request, verified.error, {})
         self.clock.observe(verified.ok.stamp)
-        call = self._make_relayed_call(request, verified.ok)
+        call = self._make_relayed_call(request, verified.ok, started)
         result = await self.gate.run(call)
         if result.is_error():
             return self._refuse(request, result.error, self._report_headers())
@@ -214,9 +216,10 @@
         finally:
             await answer.close()
 
-    def _make_relayed_call(self, request: web.BaseRequest, relay: RelayHead) -> Call:
+    def _make_relayed_call(
+        self, request: web.BaseRequest, relay: RelayHead, started: float
+    ) -> Call:
         connection = request.headers.get("Connection", "")
-        now = self.clock.monotonic()
         return Call(
             id=relay.call,
             class_name=relay.class_name,
@@ -225,7 +228,7 @@
             target=request.raw_path,
             headers=end_to_end(request.headers.items(), connection, RELAY_HEADERS),
             body=read_relayed_body(request),
-            deadline=now + relay.left_ms / 1000,
+            deadline=started + relay.left_ms / 1000,
             depth=relay.depth,
             retry_budget=relay.retry_budget,
             at_most_once=relay.at_most_once,
@@ -234,7 +237,7 @@
             request_id=relay.request_id,
             caller_service=relay.caller_service,
             target_at=(
-                math.inf if relay.target_left_ms is None else now + relay.target_left_ms / 1000
+                math.inf if relay.target_left_ms is None else started + relay.target_left_ms / 1000
             ),
             priority=relay.priority,
             is_last_resort=relay.is_last_resort,
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -52,6 +52,7 @@
     dialect: Dialect,
     caller_service: str,
     choose_service: Callable[[ClassOfWork], str],
+    started: float,
     now: Callable[[], float],
     next_id: Callable[[], str],
 ) -> Result[CallerRequest, Failure]:
@@ -59,10 +60,10 @@
 
     :param caller_service: service of this daemon's VM, where the request is taken to originate
     :param choose_service: chooses the service for a request of a class
+    :param started: monotonic time of the request's arrival, in seconds
     :param now: monotonic clock, in seconds
     :param next_id: generates the id of a new attempt
     """
-    started = now()
     found = _match_class(request, configuration)
     if found.is_error():
         return Error(found.error)
--- a/kingcuppond/ingress/retry_after.py
+++ b/kingcuppond/ingress/retry_after.py
@@ -2,8 +2,8 @@
 
 The load patterns are bursts and servers that are slow or full for a moment: all requests that were
 refused together would otherwise return together, to be refused again.  Their returns are spread
-over the time in which room is expected, the more urgent classes in its first part.  A caller that
-returns must still have time for an answer, so that nobody is asked back in vain.
+over the time in which room is expected, the more urgent classes in its first part.  A caller
+returns while it still has time for an answer, or at once if there is no such time.
 """
 
 from random import Random
@@ -26,8 +26,16 @@
 )
 """Reasons that last longer than a lack of room does."""
 
-URGENT_PRIORITIES: Final = 1
-"""Classes up to this priority return in the first half of the time."""
+LAST_URGENT_PRIORITY: Final = 1
+"""Classes with a larger priority number return after the urgent ones."""
+
+URGENT_PART: Final = (0.1, 0.5)
+OTHER_PART: Final = (0.3, 1.0)
+OUTAGE_PART: Final = (0.5, 1.0)
+"""Start and end of the part of the time in which callers return."""
+
+TYPICAL_LATENCIES_LEFT: Final = 2.0
+"""Time that a caller must have left when it returns, in typical latencies of its class."""
 
 MIN_SECONDS: Final = 0.005
 
@@ -41,10 +49,11 @@
     :param typical_seconds: typical latency of the request's class
     :param priority: priority of its class; smaller numbers are more urgent
     """
-    longest = max(0.0, left_seconds) * LONGEST_SHARE_OF_TIME_LEFT
+    latest = max(0.0, left_seconds - TYPICAL_LATENCIES_LEFT * typical_seconds)
+    window = min(latest, max(0.0, left_seconds) * LONGEST_SHARE_OF_TIME_LEFT)
     if reason in OUTAGE_REASONS:
-        return max(MIN_SECONDS, longest * rng.uniform(0.5, 1.0))
-    window = min(longest, ROOM_SECONDS, max(0.0, left_seconds - 2 * typical_seconds))
-    is_urgent = priority <= URGENT_PRIORITIES
-    share = rng.uniform(0.1, 0.5) if is_urgent else rng.uniform(0.3, 1.0)
-    return max(MIN_SECONDS, window * share)
+        part = OUTAGE_PART
+    else:
+        window = min(window, ROOM_SECONDS)
+        part = URGENT_PART if priority <= LAST_URGENT_PRIORITY else OTHER_PART
+    return max(MIN_SECONDS, window * rng.uniform(*part))
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -40,8 +40,8 @@
     Suspicion,
 )
 from kingcuppond.membership.rumour_queue import RumourQueue
-from kingcuppond.membership.staggered import first_to_succeed
 from kingcuppond.membership.state import OBJECTS_PART, SharedState
+from kingcuppond.membership.tasks import first_to_succeed, start_once
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
 
@@ -117,13 +117,9 @@
     def stop(self) -> None:
         """Send what waits to be sent, and cancel all pings and pulls."""
         self._flush()
-        for tasks in (
-            self._ping_tasks_by_vm,
-            self._pull_tasks_by_vm,
-            self._verification_tasks_by_data_centre,
-        ):
-            for task in list(tasks.values()):
-                task.cancel()
+        pulls, checks = self._pull_tasks_by_vm, self._verification_tasks_by_data_centre
+        for task in [*self._ping_tasks_by_vm.values(), *pulls.values(), *checks.values()]:
+            task.cancel()
         self._ping_tasks_by_vm.clear()
 
     def spread(self, news: Rumours, sender: str = "") -> None:
@@ -175,19 +171,24 @@
             is_synced |= await self._sync(introducer, JOIN_TIMEOUT_SECONDS)
         return is_synced
 
-    async def catch_up(self) -> None:
-        """Ask two contacts for what changed while this process was paused."""
+    async def catch_up(self) -> bool:
+        """Ask two contacts for what changed while this process was paused.
+
+        :return: whether any of them has told, or there is no other member
+        """
         contacts = list(self._contacts.pinged_by_vm.values())
         chosen = self._rng.sample(contacts, min(MAX_JOINED_NEIGHBOURS, len(contacts)))
-        await asyncio.gather(*(self._ask_for_changes(member) for member in chosen))
+        told = await asyncio.gather(*(self._ask_for_changes(member) for member in chosen))
+        return any(told) or len(self.directory.members_by_vm) == 1
 
-    async def _ask_for_changes(self, member: Member) -> None:
+    async def _ask_for_changes(self, member: Member) -> bool:
         # Connections may have broken during the pause.
         self._transport.disconnect(member.peer_address)
         pong = await self._ping(member)
-        if pong is not None and pong.digest != self._state.digest:
-            parts = self._state.differing_parts(pong)
-            await self._sync(member.peer_address, PING_TIMEOUT_SECONDS, parts)
+        if pong is None:
+            return False
+        parts = self._state.differing_parts(pong)
+        return not parts or await self._sync(member.peer_address, PING_TIMEOUT_SECONDS, parts)
 
     async def _ask_introduction(self, address: str) -> bool:
         request = IntroductionRequest(self.directory.me)
@@ -272,11 +273,8 @@
 
     def _schedule_pull(self, vm: str, heads: tuple[ObjectHead, ...]) -> None:
         """Schedule a request for the objects that a daemon announced, unless they arrive before."""
-        if vm in self._pull_tasks_by_vm or not any(map(self._configuration.is_newer, heads)):
-            return
-        task = asyncio.create_task(self._pull_objects(vm, heads))
-        self._pull_tasks_by_vm[vm] = task
-        task.add_done_callback(lambda _: self._pull_tasks_by_vm.pop(vm, None))
+        if any(map(self._configuration.is_newer, heads)):
+            start_once(self._pull_tasks_by_vm, vm, lambda: self._pull_objects(vm, heads))
 
     async def _pull_objects(self, vm: str, heads: tuple[ObjectHead, ...]) -> None:
         await asyncio.sleep(PULL_DELAY_SECONDS * self._rng.uniform(0.5, 1.5))
@@ -332,7 +330,7 @@
                 continue
             missed = 0
             self.directory.clear_suspicion(vm)
-            parts = () if pong.digest == self._state.digest else self._state.differing_parts(pong)
+            parts = self._state.differing_parts(pong)
             if OBJECTS_PART not in parts:
                 self._configuration.is_complete |= pong.is_complete
             mismatches = mismatches + 1 if parts else 0
@@ -369,10 +367,7 @@
         failure may have failed with them.
         """
         tasks = self._verification_tasks_by_data_centre
-        if data_centre not in tasks:
-            task = asyncio.create_task(self._ping_data_centre(data_centre))
-            tasks[data_centre] = task
-            task.add_done_callback(lambda _: tasks.pop(data_centre, None))
+        start_once(tasks, data_centre, lambda: self._ping_data_centre(data_centre))
 
     async def _ping_data_centre(self, data_centre: str) -> None:
         members = [
@@ -380,6 +375,8 @@
             for member in self.directory.members_by_vm.values()
             if member.data_centre == data_centre and not self.directory.is_suspected(member.vm)
         ]
+        if not members:
+            return
         sample = self._rng.sample(members, min(VERIFYING_PINGS, len(members)))
         if not any(await asyncio.gather(*(self._ping(member) for member in sample))):
             self._journal.record(
--- a/kingcuppond/membership/hearing.py
+++ b/kingcuppond/membership/hearing.py
@@ -56,9 +56,14 @@
         return {self.directory.me.data_centre: 0, **ages}
 
     def longest_silence_seconds(self) -> float:
-        """Return the seconds since the data centre that has been silent longest was heard."""
+        """Return the seconds since the data centre that has been silent longest was heard.
+
+        Data centres without living members, and those never heard, are left out.
+        """
         now = self.clock.monotonic()
-        return now - min(self.heard_at_by_data_centre.values(), default=now)
+        living = {member.data_centre for member in self.directory.living()}
+        heard = self.heard_at_by_data_centre
+        return now - min((heard[name] for name in living if name in heard), default=now)
 
     def hears_majority(self) -> bool:
         """Return whether the data centres heard recently contain more than half of all members.
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -38,6 +38,10 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.2
 MAX_BACKOFF_SECONDS: Final = 5.0
 RELIST_INTERVAL_SECONDS: Final = 30.0
+
+LONE_RELIST_INTERVAL_SECONDS: Final = 3.0
+"""While no other member is known: the registered daemons that were asked may be gone."""
+
 SEED_RETRY_SECONDS: Final = 0.3
 SEED_PATIENCE_SECONDS: Final = 1.0
 """How long a daemon waits for its seeds before it joins through the store too."""
@@ -113,8 +117,10 @@
 
     async def _relist(self) -> None:
         while True:
-            await asyncio.sleep(RELIST_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
-            if self._has_rank() or len(self._directory.members_by_vm) == 1:
+            is_alone = len(self._directory.members_by_vm) == 1
+            interval_seconds = LONE_RELIST_INTERVAL_SECONDS if is_alone else RELIST_INTERVAL_SECONDS
+            await asyncio.sleep(interval_seconds * self._rng.uniform(0.5, 1.5))
+            if is_alone or self._has_rank():
                 await self._join_unknown_members()
 
     async def _register_with_backoff(self) -> None:
--- a/kingcuppond/membership/state.py
+++ b/kingcuppond/membership/state.py
@@ -52,7 +52,12 @@
         }
 
     def differing_parts(self, pong: Pong) -> tuple[str, ...]:
-        """Return the parts whose digest at the other end of a ping differs from this one."""
+        """Return the parts whose digest at the other end of a ping differs from this one.
+
+        There are none if the other end found its state equal to that in the ping.
+        """
+        if not pong.digests_by_part:
+            return ()
         own = self.digests_by_part()
         theirs = pong.digests_by_part
         return tuple(sorted(part for part in {*own, *theirs} if own.get(part) != theirs.get(part)))
--- a/kingcuppond/membership/staggered.py
+++ b/kingcuppond/membership/tasks.py
@@ -1,7 +1,19 @@
-"""Asks several addresses, some of which may not answer, without waiting for each in turn."""
+"""Concurrent tasks: one of each key at a time, and attempts that start one after another."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any
+
+
+def start_once(
+    tasks_by_key: dict[str, asyncio.Task[None]],
+    key: str,
+    work: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Start a task, unless one of the same key still runs."""
+    if key not in tasks_by_key:
+        task = tasks_by_key[key] = asyncio.create_task(work())
+        task.add_done_callback(lambda _: tasks_by_key.pop(key, None))
 
 
 async def first_to_succeed(
@@ -9,7 +21,7 @@
 ) -> str | None:
     """Try the addresses in order, and return the first one whose attempt succeeds.
 
-    The next attempt starts when one failed, or after a delay; the others are then cancelled.
+    An address that does not answer costs only the delay, and not the timeout of its attempt.  The next attempt starts when one failed, or after a delay; the others are then cancelled.
 
     :param attempt: tries an address and returns whether that succeeded
     :param delay_seconds: time between the starts of two attempts
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -72,12 +72,12 @@
             lambda: daemon.gate.observer.queries,
         ),
         "retries_left": (
-            "Retries that the daemon may spend now, the least of all services",
-            daemon.router.min_retries_left,
+            "Retries and hedges that the daemon may spend now, the least of all services",
+            daemon.router.min_repeats_left,
         ),
         "backlog": ("Calls that wait for a slot anywhere", lambda: daemon.router.backlog),
         "peer_word_age_seconds": (
-            "Age of the newest word of the contact that was silent for longest",
+            "Age of the newest word of the data centre that was silent for longest",
             daemon.gossip.hearing.longest_silence_seconds,
         ),
         "configuration_age_seconds": (
--- a/kingcuppond/pause.py
+++ b/kingcuppond/pause.py
@@ -3,7 +3,8 @@
 A process that was paused wakes with what it knew before: a configuration that has changed, a data
 centre that was taken out of service, a server that is leaving or cold.  Calls that arrived
 meanwhile wait in the sockets and would be decided first.  So each call compares the time with that
-of the last sign of running, and after a pause waits until this daemon has asked the others.
+of the last sign of running, and after a pause waits for a moment until others were asked.  As long
+as nobody has answered, the process is stale, and its gate refuses new work.
 
 A suspended VM counts too: the clock goes on while it is suspended.
 """
@@ -24,19 +25,23 @@
 """A longer time without a tick is a pause; a busy VM delays ticks by less."""
 
 CATCH_UP_TIMEOUT_SECONDS: Final = 1.0
+RETRY_SECONDS: Final = 0.2
 
 
 @attrs.define
 class PauseGuard:
     """Detects pauses.
 
-    :param catch_up: brings this daemon up to date
+    :param catch_up: brings this daemon up to date, and returns whether anybody answered it
+    :param is_stale: whether this process was paused and has not caught up yet
     """
 
     clock: Clock
     journal: Journal
-    catch_up: Callable[[], Awaitable[None]]
+    catch_up: Callable[[], Awaitable[bool]]
+    is_stale: bool = False
     _ran_at: float = attrs.field(init=False)
+    _pauses: int = 0
     _catching_up: "asyncio.Task[None] | None" = None
 
     def __attrs_post_init__(self) -> None:
@@ -49,10 +54,10 @@
             self._detect()
 
     async def wait_until_current(self) -> None:
-        """Wait until this daemon is up to date, if it was paused."""
+        """Wait until this daemon is up to date, for ``CATCH_UP_TIMEOUT_SECONDS`` at most."""
         self._detect()
         if self._catching_up is not None:
-            await asyncio.shield(self._catching_up)
+            await asyncio.wait({self._catching_up}, timeout=CATCH_UP_TIMEOUT_SECONDS)
 
     def _detect(self) -> None:
         now = self.clock.boot()
@@ -60,15 +65,30 @@
         self._ran_at = now
         if paused_seconds > PAUSE_SECONDS:
             self.journal.record(catalogue.PAUSED, seconds=round(paused_seconds, 1))
+            self.is_stale = True
+            self._pauses += 1
             if self._catching_up is None:
                 self._catching_up = asyncio.create_task(self._catch_up())
 
     async def _catch_up(self) -> None:
+        attempts = 0
         try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
-                await self.catch_up()
-        except TimeoutError:
-            # Whoever can reach nobody is isolated, and its gate refuses new work.
-            self.journal.record(catalogue.CATCH_UP_FAILED)
+            while self.is_stale:
+                if attempts == 1:
+                    self.journal.record(catalogue.CATCH_UP_FAILED)
+                if attempts:
+                    await asyncio.sleep(RETRY_SECONDS)
+                attempts += 1
+                pauses = self._pauses
+                is_answered = await self._ask()
+                # An answer from before another pause is too old.
+                self.is_stale = not is_answered or pauses != self._pauses
         finally:
             self._catching_up = None
+
+    async def _ask(self) -> bool:
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+                return await self.catch_up()
+        except TimeoutError:
+            return False
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -42,7 +42,7 @@
 """An answer without a length is buffered, since only its end shows whether it is complete."""
 
 MAX_USELESS_BYTES: Final = 131_072
-"""Bytes in a row that are neither the head nor the body of an answer; a head is shorter."""
+"""Most bytes in a row without a whole head or a part of a body, and so the longest head."""
 
 FIRST_FINAL_STATUS: Final = 200
 
--- a/kingcuppond/routing/placement.py
+++ b/kingcuppond/routing/placement.py
@@ -1,4 +1,4 @@
-"""Which server a call is sent to: the servers that come into question, and the choice among them.
+"""Which server a call is sent to: the candidates, and the choice among them.
 
 The load patterns are many servers with few calls from each daemon, so that reports are old; a data
 centre whose servers are full or slow; and servers that have just joined.  A choice looks at a
@@ -78,7 +78,7 @@
     ) -> list[Candidate]:
         """Return some of the servers that may run a call of a service now.
 
-        Suspected servers and those in backoff are included only if there are no others.
+        Suspected servers and those in backoff are included only if no others are drawn.
 
         :param tried: VMs that are excluded
         :param detour_seconds: latency penalty of a server in another data centre
--- a/kingcuppond/routing/repeats.py
+++ b/kingcuppond/routing/repeats.py
@@ -29,6 +29,7 @@
 """Repeats of calls that may have run, for each call."""
 
 RERUN_PART_OF_CAPACITY: Final = 0.3
+"""Part of what may be saved up that calls which may have run can use."""
 
 SAVED_SHARE: Final = 0.04
 """Repeats that may be saved up, for each recent call."""
@@ -105,12 +106,13 @@
         return self.repeats.take(rng)
 
 
-def allowance_of_daemon(fleet_allowance: float, living: int) -> float:
+def allowance_of_daemon(fleet_allowance: float, members: int) -> float:
     """Return a daemon's part of the fleet's allowance, in tokens.
 
-    :param living: number of living members
+    :param members: number of members, with the dead ones: to a daemon that is cut off, all others
+        look dead, and its part must not grow for that
     """
-    return fleet_allowance * ALLOWANCE_SHARE / max(1, living)
+    return fleet_allowance * ALLOWANCE_SHARE / members
 
 
 def make_repeat_budget(allowance: float, is_full: bool) -> RepeatBudget:
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -126,7 +126,7 @@
         The code that receives the answer must call its ``close``.
         """
         now = self.clock.monotonic()
-        self._repeat_budget(call.service).record_call(self._repeat_allowance(), now)
+        self._repeat_budget(call.service).record_call(self.repeat_allowance(), now)
         max_backlog_seconds = (
             min(call.deadline - now, call.target_at - now) * BACKLOG_SHARE_OF_TARGET
         )
@@ -240,14 +240,15 @@
     def _repeat_budget(self, service: str) -> RepeatBudget:
         budget = self.repeat_budgets_by_service.get(service)
         if budget is None:
-            budget = make_repeat_budget(self._repeat_allowance(), self.has_full_budgets)
+            budget = make_repeat_budget(self.repeat_allowance(), self.has_full_budgets)
             self.repeat_budgets_by_service[service] = budget
         return budget
 
-    def _repeat_allowance(self) -> float:
-        return allowance_of_daemon(self.fleet_retries, self.directory.living_count)
+    def repeat_allowance(self) -> float:
+        """Return this daemon's part of the fleet's allowance for a service, in repeats."""
+        return allowance_of_daemon(self.fleet_retries, len(self.directory.members_by_vm))
 
-    def min_retries_left(self) -> float:
+    def min_repeats_left(self) -> float:
         """Return the repeats left for the service that has the fewest; 0 before any call."""
         budgets = self.repeat_budgets_by_service.values()
         return min((it.repeats.tokens for it in budgets), default=0.0)
--- a/tests/ingress/test_retry_after.py
+++ b/tests/ingress/test_retry_after.py
@@ -39,9 +39,10 @@
     assert mean(sample(Reason.FULL, 3.0, 0)) < mean(sample(Reason.FULL, 3.0, 2)) / 1.5
 
 
-def test_a_return_leaves_time_for_an_answer() -> None:
+@pytest.mark.parametrize("reason", [Reason.FULL, Reason.NO_SERVER])
+def test_a_return_leaves_time_for_an_answer(reason: Reason) -> None:
     for left_seconds in (0.25, 0.5, 1.0):
-        assert max(sample(Reason.FULL, left_seconds, 2)) <= left_seconds - 2 * TYPICAL_SECONDS
+        assert max(sample(reason, left_seconds, 2)) <= left_seconds - 2 * TYPICAL_SECONDS
 
 
 def test_an_outage_is_given_more_time_than_a_lack_of_room() -> None:
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -178,17 +178,51 @@
     run_simulated(scenario)
 
 
+def test_a_paused_daemon_knows_whether_anybody_told_it_what_changed() -> None:
+    async def scenario(network: Network) -> None:
+        daemons = await start(network, 50)
+        paused = daemons[11]
+        network.is_cut = lambda a, b: paused.vm in (a.vm, b.vm)
+        assert not await paused.gossip.catch_up()
+        changed = daemons[1]
+        changed.directory.publish_own_change(state=ServerState.WARM)
+        await asyncio.sleep(1.0)
+        network.is_cut = lambda a, b: False
+        assert await paused.gossip.catch_up()
+        assert paused.directory.members_by_vm[changed.vm].state is ServerState.WARM
+
+    run_simulated(scenario)
+
+
+def test_the_loss_of_a_lone_member_is_no_loss_of_a_data_centre() -> None:
+    async def scenario(network: Network) -> None:
+        daemons = await start(network, 6)
+        lone = daemons[3]
+        lone.stop()
+        alive = [daemon for daemon in daemons if daemon is not lone]
+        await wait_until(lambda: all(it.directory.is_dead(lone.vm) for it in alive), 6.0)
+        events = [entry.number for it in alive for entry in it.directory.journal.entries]
+        assert 204 in events
+        assert 210 not in events
+
+    run_simulated(scenario)
+
+
 @pytest.mark.parametrize("count", [7, 40, 2000])
 def test_contacts_are_few_and_connect_all_data_centres(count: int) -> None:
     members = [
         Member(f"vm-{i}", f"dc-{i % DATA_CENTRES}", "shop", "a", "b", "c", 1) for i in range(count)
     ]
-    linked = set()
-    for me in members[:400]:
-        contacts = choose_contacts(me, members)
-        assert me.vm not in contacts.pinged_by_vm
-        assert len(contacts.informed_by_vm) <= 8 + DATA_CENTRES
-        data_centres = {member.data_centre for member in contacts.informed_by_vm.values()}
-        linked.update((me.data_centre, name) for name in data_centres)
-    if count <= 400:
-        assert len(linked - {(f"dc-{i}", f"dc-{i}") for i in range(5)}) == 20
+    names = [f"dc-{i}" for i in range(DATA_CENTRES)]
+    bridges_by_pair = {
+        (own, other): rank_bridges([m for m in members if m.data_centre == own], other)
+        for own in names
+        for other in names
+        if own != other
+    }
+    for (_, other), bridges in bridges_by_pair.items():
+        for bridge in bridges:
+            contacts = choose_contacts(bridge, members)
+            assert bridge.vm not in contacts.pinged_by_vm
+            assert len(contacts.informed_by_vm) <= 8 + DATA_CENTRES
+            assert other in {member.data_centre for member in contacts.informed_by_vm.values()}
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -1,5 +1,6 @@
 """Daemons discover each other through the store, despite unreadable objects and lost answers."""
 
+import asyncio
 from random import Random
 from typing import cast
 
@@ -14,6 +15,7 @@
 from kingcuppond.membership.registration import DAEMON_KIND, Registration
 from kingcuppond.store.interface import ABSENT_VERSION, Store, encode_body
 from tests.claims.fakes import FakeStore
+from tests.membership.network import VirtualTimeLoop
 
 
 @attrs.define
@@ -21,10 +23,11 @@
     """Records the addresses that it is told to join."""
 
     addresses: list[str] = attrs.field(factory=list)
+    is_unanswered: bool = False
 
     async def join(self, addresses: list[str]) -> bool:
         self.addresses.extend(addresses)
-        return True
+        return not self.is_unanswered
 
 
 def make_member(vm: str) -> Member:
@@ -74,3 +77,30 @@
     await registration._join_through_store()
     assert registration.is_registered
     assert store.writes == 1
+
+
+def test_a_daemon_that_nobody_answered_asks_others_soon() -> None:
+    """Few daemons are registered, and objects of VMs that are gone may outnumber them."""
+    store, gossip = FakeStore(), FakeGossip(is_unanswered=True)
+    loop = VirtualTimeLoop()
+    clock = Clock(loop.time, loop.time)
+    registration = Registration(
+        cast(Store, store),
+        Directory(make_member("vm-1"), clock, Journal("vm-1", clock)),
+        cast(Gossip, gossip),
+        clock,
+        Journal("vm-1", clock),
+        Random(1),
+        [],
+        lambda: False,
+    )
+
+    async def scenario() -> None:
+        await store.put(DAEMON_KIND, "gone", encode_body(make_member("gone")), ABSENT_VERSION)
+        running = asyncio.create_task(registration.run())
+        await asyncio.sleep(15.0)
+        running.cancel()
+
+    loop.run_until_complete(scenario())
+    loop.close()
+    assert len(gossip.addresses) >= 3
--- /dev/null
+++ b/tests/membership/test_state.py
@@ -0,0 +1,29 @@
+"""What two daemons compare when their digests differ."""
+
+from kingcuppond.clock import Clock
+from kingcuppond.configuration.replica import Configuration
+from kingcuppond.events.journal import Journal
+from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.messages import Member, Pong
+from kingcuppond.membership.state import SharedState
+from kingcuppond.quarantine.suspects import SuspectTable
+
+
+def make_state(vm: str, clock: Clock, journal: Journal) -> SharedState:
+    me = Member(vm, "dc-1", "shop", "a:1", "a:2", "a:3", 1)
+    directory = Directory(me, clock, journal)
+    return SharedState(directory, Configuration(journal), SuspectTable(vm, clock, journal))
+
+
+def test_only_parts_that_differ_are_exchanged(clock: Clock, journal: Journal) -> None:
+    here, there = make_state("vm-1", clock, journal), make_state("vm-2", clock, journal)
+    pong = Pong(there.digest, digests_by_part=there.digests_by_part())
+    assert here.differing_parts(pong) == ("members/dc-1",)
+
+
+def test_a_change_during_a_ping_is_no_difference(clock: Clock, journal: Journal) -> None:
+    """The other end found equal digests, so its reply has none of the parts."""
+    here = make_state("vm-1", clock, journal)
+    pong = Pong(here.digest)
+    here.directory.publish_own_change()
+    assert here.differing_parts(pong) == ()
--- a/tests/routing/test_endless.py
+++ b/tests/routing/test_endless.py
@@ -8,13 +8,15 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import aiohttp
 import attrs
 import pytest
+from expression import Result
 from multidict import CIMultiDict
 
-from kingcuppond.outcomes import Unknown
+from kingcuppond.outcomes import Failure, Unknown
 from kingcuppond.routing.call import Body, InvalidAnswerError
-from kingcuppond.routing.exchange import exchange, open_session
+from kingcuppond.routing.exchange import ReceivedAnswer, exchange, open_session
 
 DEADLINE_SECONDS = 1.0
 MAX_TAKEN_BYTES = 16_777_216
@@ -85,18 +87,27 @@
         server.close()
 
 
+async def fetch(
+    session: aiohttp.ClientSession, address: str, deadline: float
+) -> Result[ReceivedAnswer, Failure]:
+    return await exchange(session, address, "GET", "/", CIMultiDict(), Body(), deadline)
+
+
+async def assert_closed(server: EndlessServer, seconds: float) -> None:
+    """Check that the connection was closed before its bytes took much memory."""
+    await asyncio.wait_for(server.closed.wait(), seconds)
+    assert server.sent < MAX_TAKEN_BYTES
+
+
 @pytest.mark.parametrize(("first", "repeated"), HEADS.values(), ids=HEADS)
 async def test_head_without_end(first: bytes, repeated: bytes) -> None:
     async with serving(first, repeated) as server:
         session = open_session()
         deadline = time.monotonic() + DEADLINE_SECONDS
-        result = await exchange(
-            session, server.address, "GET", "/", CIMultiDict(), Body(), deadline
-        )
+        result = await fetch(session, server.address, deadline)
         assert isinstance(result.error, Unknown)
         assert time.monotonic() < deadline + 0.5
-        await asyncio.wait_for(server.closed.wait(), 1.0)
-        assert server.sent < MAX_TAKEN_BYTES
+        await assert_closed(server, 1.0)
         await session.close()
 
 
@@ -105,9 +116,7 @@
     async with serving(first, repeated) as server:
         session = open_session()
         deadline = time.monotonic() + DEADLINE_SECONDS
-        result = await exchange(
-            session, server.address, "GET", "/", CIMultiDict(), Body(), deadline
-        )
+        result = await fetch(session, server.address, deadline)
         if result.is_ok():
             answer = result.ok.answer
             assert answer.chunks is not None, "an answer that never ended must not look complete"
@@ -118,8 +127,7 @@
         else:
             assert isinstance(result.error, Unknown)
         assert time.monotonic() < deadline + 0.5
-        await asyncio.wait_for(server.closed.wait(), 1.0)
-        assert server.sent < MAX_TAKEN_BYTES
+        await assert_closed(server, 1.0)
         await session.close()
 
 
@@ -129,10 +137,7 @@
     async with serving(first, repeated, pause=0.1) as server:
         session = open_session()
         deadline = time.monotonic() + DEADLINE_SECONDS
-        result = await exchange(
-            session, server.address, "GET", "/", CIMultiDict(), Body(), deadline
-        )
+        result = await fetch(session, server.address, deadline)
         assert result.ok.answer.body == b"hello"
-        await asyncio.wait_for(server.closed.wait(), 2.0)
-        assert server.sent < MAX_TAKEN_BYTES
+        await assert_closed(server, 2.0)
         await session.close()
--- a/tests/routing/test_repeats.py
+++ b/tests/routing/test_repeats.py
@@ -44,8 +44,7 @@
     rng = Random(daemons)
     budgets = [make_repeat_budget(ALLOWANCE / daemons, is_full=True) for _ in range(daemons)]
     spent = spend(budgets, False, rng)
-    assert spent <= PLATFORM_SHARE * CALLS + ALLOWANCE
-    assert spent >= 0.9 * REPEAT_SHARE * CALLS
+    assert 0.9 * REPEAT_SHARE * CALLS <= spent <= REPEAT_SHARE * CALLS + ALLOWANCE
 
 
 @pytest.mark.parametrize("daemons", [30, 194, 2033])
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -7,7 +7,7 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
-from kingcuppond.pause import PAUSE_SECONDS, PauseGuard
+from kingcuppond.pause import PAUSE_SECONDS, RETRY_SECONDS, PauseGuard
 from tests.conftest import FakeTime
 
 
@@ -17,10 +17,14 @@
 
     asked: int = 0
     may_answer: asyncio.Event = attrs.field(factory=asyncio.Event)
+    is_unreachable: bool = False
 
-    async def catch_up(self) -> None:
+    async def catch_up(self) -> bool:
         self.asked += 1
+        if self.is_unreachable:
+            return False
         await self.may_answer.wait()
+        return True
 
 
 @pytest.fixture
@@ -62,9 +66,40 @@
     assert peers.asked == 0
 
 
+async def test_a_daemon_that_nobody_answered_stays_stale_until_somebody_does(
+    guard: PauseGuard, boot_time: FakeTime, peers: Peers
+) -> None:
+    """Its gate refuses new work meanwhile, since what it was allowed to do may have ended."""
+    peers.is_unreachable = True
+    boot_time.advance(5.0)
+    await guard.wait_until_current()
+    assert guard.is_stale
+    peers.is_unreachable = False
+    peers.may_answer.set()
+    async with asyncio.timeout(2 * RETRY_SECONDS + 0.5):
+        while guard.is_stale:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_pause_while_catching_up_makes_the_answer_too_old(
+    guard: PauseGuard, boot_time: FakeTime, peers: Peers
+) -> None:
+    boot_time.advance(5.0)
+    waiting = asyncio.create_task(guard.wait_until_current())
+    await asyncio.sleep(0.01)
+    boot_time.advance(5.0)
+    peers.may_answer.set()
+    await guard.wait_until_current()
+    await waiting
+    assert peers.asked == 2
+
+
 async def test_calls_do_not_wait_forever(
     guard: PauseGuard, boot_time: FakeTime, journal: Journal
 ) -> None:
     boot_time.advance(5.0)
     await asyncio.wait_for(guard.wait_until_current(), 2.0)
-    assert journal.entries[-1].number == 109
+    assert guard.is_stale
+    async with asyncio.timeout(1.0):
+        while journal.entries[-1].number != 109:
+            await asyncio.sleep(0.01)
