--- a/kingcuppond/membership/tasks.py
+++ b/kingcuppond/membership/tasks.py
@@ -21,7 +21,8 @@
 ) -> str | None:
     """Try the addresses in order, and return the first one whose attempt succeeds.
 
-    An address that does not answer costs only the delay, and not the timeout of its attempt.  The next attempt starts when one failed, or after a delay; the others are then cancelled.
+    The next attempt starts when one failed, or after a delay, so that an address that does not
+    answer costs only the delay.  After a success the other attempts are cancelled.
 
     :param attempt: tries an address and returns whether that succeeded
     :param delay_seconds: time between the starts of two attempts
