--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -182,6 +182,12 @@
         objects.extend(self._find_deleted(kind, listed.ok))
         self._gossip.spread_objects(objects)
         self._listed_kinds.add(kind)
+        self._journal.record(
+            catalogue.STORE_LISTED,
+            kind=kind,
+            count=len(listed.ok.items),
+            version=listed.ok.version,
+        )
         self._update_is_complete()
         self._record_store_answer()
         return Ok(listed.ok)
@@ -226,12 +232,24 @@
         ]
 
     def _merge_changes(self, kind: str, result: WatchResult) -> None:
-        self._gossip.spread_objects(
-            [
-                VersionedObject(change.name, change.version, change.body, kind)
-                for change in result.changes
-            ]
-        )
+        objects = [
+            VersionedObject(change.name, change.version, change.body, kind)
+            for change in result.changes
+        ]
+        self._record_ignored(objects)
+        self._gossip.spread_objects(objects)
+
+    def _record_ignored(self, objects: list[VersionedObject]) -> None:
+        """Record the changes that are older than what this daemon has."""
+        for item in objects:
+            known = self._configuration.objects_by_key.get(item.key)
+            if known is not None and item.version < known.version:
+                self._journal.record(
+                    catalogue.CONFIGURATION_IGNORED,
+                    name=item.name,
+                    version=item.version,
+                    known=known.version,
+                )
 
     def _update_is_complete(self) -> None:
         if self._has_contacted_members() and self._listed_kinds.issuperset(
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -57,6 +57,9 @@
 )
 CONFIGURATION_CHANGED: Final = Event(301, "info", "{name} is in force at version {version}")
 CONFIGURATION_REFUSED: Final = Event(302, "error", "{name} version {version} is unusable: {error}")
+CONFIGURATION_IGNORED: Final = Event(
+    303, "warning", "{name} version {version} is ignored: {known} is newer"
+)
 SERVER_ANNOUNCED: Final = Event(401, "info", "server {address} announced itself as {state}")
 SERVER_SILENT: Final = Event(402, "warning", "server {address} is considered gone")
 SERVER_COLD: Final = Event(403, "warning", "server {address} is considered cold: {why}")
@@ -97,6 +100,7 @@
 STORE_BACK: Final = Event(702, "info", "store answers again")
 WATCH_FAILED: Final = Event(703, "warning", "watch failed or timed out: {error}")
 WATCHER_ROLE_TAKEN: Final = Event(704, "info", "this daemon watches the store for its data centre")
+STORE_LISTED: Final = Event(705, "info", "listed {count} objects of {kind} at version {version}")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
 
 ALL: Final = {event.number: event for event in list(globals().values()) if isinstance(event, Event)}
