Stand-in of the store: era, restore from a copy, late answers of the old era

The platform's store may come back from a copy that is some seconds old; the stand-in could not, so no test of ours could show what happens then.

PUT /restore takes back all changes since PUT /copy, or those of the last seconds: revisions are given out again, Store-Era rises, waiting watches are cut off. A write that was delayed until after is executed if its condition holds, also on a revision that was given out again. A watch from a revision above the present one gets 410; it used to wait until its time was over. old_era_answers holds back answers until after the restore.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -231,6 +231,14 @@
         """Replace the faults of the platform store; those left out are off."""
         put_json(f"http://{self.platform}/faults", faults)
 
+    def copy_platform(self) -> None:
+        """Mark the present state of the platform store, for ``restore_platform``."""
+        put_json(f"http://{self.platform}/copy", {})
+
+    def restore_platform(self, **options: float) -> None:
+        """Return the platform store to an earlier state; the stand-in describes the options."""
+        put_json(f"http://{self.platform}/restore", options)
+
     def set_server_faults(self, name: str, **faults: object) -> None:
         """Replace the faults of a server; those left out are off."""
         put_json(f"http://{self.vms_by_name[name].server}/_/faults", faults)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,16 @@
 """Fake of the platform's object store, with faults that the real one has.
 
 It implements the platform's protocol on ``/objects/KIND`` and keeps objects in memory.
-``GET /counts`` returns the number of calls by method and by watch or object.  ``PUT /faults``
-replaces the injected faults:
+Every answer on these paths carries the header ``Store-Era``.  ``GET /counts`` returns the number of
+calls by method and by watch or object.
+
+``PUT /copy`` marks the present state.  ``PUT /restore`` returns to the marked state, or with
+``seconds`` to the state of so many seconds ago: later changes are lost, their revisions are given
+out again, the era rises by one and waiting watches are cut off.  With ``down_seconds``, the store
+is down for so long before.  A write that a fault delays until after it is executed if its condition
+still holds.
+
+``PUT /faults`` replaces the injected faults:
 
 * ``down``: the connection of every call is aborted,
 * ``refuse_status``: every call is answered with this status and has no effect,
@@ -12,12 +20,15 @@
 * ``late_writes_ms``: writes lose their answer and take effect after this delay,
 * ``stall_watches``: watches hang without returning events,
 * ``forget_history``: the history is dropped once, so that watches from older versions get 410,
-* ``stale_reads``: reads and listings return the objects as of the time the fault was set.
+* ``stale_reads``: reads and listings return the objects as of the time the fault was set, or of
+  the last restore,
+* ``old_era_answers``: this many calls are executed at once and answered after the next restore.
 """
 
 import argparse
 import asyncio
 import copy
+import math
 from collections import Counter, deque
 from typing import Any, Final
 
@@ -28,6 +39,9 @@
 PAGE_ITEMS: Final = 500
 MAX_VALUE_BYTES: Final = 1_000_000
 MAX_HISTORY_CHANGES: Final = 10_000
+FIRST_ERA: Final = 1
+ERA_HEADER: Final = "Store-Era"
+CONTROL_PATHS: Final = ("/faults", "/counts", "/copy", "/restore")
 RATE_WINDOW_SECONDS: Final = 1.0
 
 
@@ -44,6 +58,18 @@
     forget_history: bool = False
     stall_watches: bool = False
     stale_reads: bool = False
+    old_era_answers: int = 0
+
+
+@attrs.frozen
+class RestoreRequest:
+    """Content of ``PUT /restore``; the module header describes it.
+
+    :param seconds: age of the copy, or ``None`` for the state that ``PUT /copy`` marked
+    """
+
+    seconds: float | None = None
+    down_seconds: float = 0.0
 
 
 @attrs.frozen
@@ -73,14 +99,32 @@
         return {"Metadata": metadata, "Spec": self.spec, "Status": None}
 
 
+@attrs.frozen
+class UndoEntry:
+    """How to take back one change.
+
+    :param changed_at: monotonic time in seconds of the change
+    :param previous: the object before the change, or ``None`` if the change created it
+    """
+
+    changed_at: float
+    change: Change
+    previous: Change | None
+
+
 @attrs.define
 class PlatformState:
     """Objects, recent history and call counters of the store.
 
+    :param undo_log: the last changes, including those removed from the history
+    :param undo_floor: monotonic time in seconds of the last change that the undo log has dropped
+    :param copied_at: monotonic time in seconds of the last ``PUT /copy``
+    :param cuts: number of times that all waiting watches were cut off
     :param compacted_version: last version that ``forget_history`` removed from the history
     :param counts: calls by method and by watch or object
     :param recent_calls_by_operation: times of the calls in the last rate window, by read or write
     :param changed: set and replaced at every change, to wake the watches
+    :param restored: set and replaced at every restore
     """
 
     writes_per_second: int
@@ -88,12 +132,19 @@
     objects_by_key: dict[tuple[str, str], Change] = attrs.field(factory=dict)
     stale_objects_by_key: dict[tuple[str, str], Change] = attrs.field(factory=dict)
     history: deque[Change] = attrs.field(factory=lambda: deque(maxlen=MAX_HISTORY_CHANGES))
+    undo_log: deque[UndoEntry] = attrs.field(factory=lambda: deque(maxlen=MAX_HISTORY_CHANGES))
+    undo_floor: float = -math.inf
+    copied_at: float | None = None
     version: int = 0
+    era: int = FIRST_ERA
+    cuts: int = 0
+    is_restoring: bool = False
     compacted_version: int = 0
     faults: Faults = attrs.field(factory=Faults)
     counts: Counter[str] = attrs.field(factory=Counter)
     recent_calls_by_operation: dict[str, deque[float]] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    restored: asyncio.Event = attrs.field(factory=asyncio.Event)
     late_writes: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     def change(self, kind: str, name: str, spec: Any, is_deleted: bool = False) -> Change:
@@ -112,9 +163,44 @@
         else:
             self.objects_by_key[kind, name] = change
         self.history.append(change)
+        if len(self.undo_log) == self.undo_log.maxlen:
+            self.undo_floor = self.undo_log[0].changed_at
+        self.undo_log.append(UndoEntry(asyncio.get_running_loop().time(), change, found))
+        self.wake_watches()
+        return change
+
+    def wake_watches(self) -> None:
+        """Let the waiting watches look at the state again."""
         self.changed.set()
         self.changed = asyncio.Event()
-        return change
+
+    def cut_watches(self) -> None:
+        """Abort the connections of all waiting watches."""
+        self.cuts += 1
+        self.wake_watches()
+
+    def can_restore(self, moment: float) -> bool:
+        """Return whether all changes after a moment (monotonic time in seconds) can be undone."""
+        return moment >= self.undo_floor
+
+    def restore(self, moment: float) -> None:
+        """Return to the state at a moment (monotonic time in seconds) and begin a new era."""
+        while self.undo_log and self.undo_log[-1].changed_at > moment:
+            entry = self.undo_log.pop()
+            key = entry.change.kind, entry.change.name
+            if entry.previous is None:
+                del self.objects_by_key[key]
+            else:
+                self.objects_by_key[key] = entry.previous
+            self.version = entry.change.version - 1
+        while self.history and self.history[-1].version > self.version:
+            self.history.pop()
+        self.compacted_version = min(self.compacted_version, self.version)
+        self.stale_objects_by_key = copy.copy(self.objects_by_key)
+        self.era += 1
+        self.cut_watches()
+        self.restored.set()
+        self.restored = asyncio.Event()
 
     def objects(self) -> dict[tuple[str, str], Change]:
         """Return the objects that reads and listings see."""
@@ -141,13 +227,23 @@
 
     @web.middleware
     async def inject_faults(request: web.Request, handler: Any) -> web.StreamResponse:
-        if request.path in ("/faults", "/counts"):
+        if request.path in CONTROL_PATHS:
             return await handler(request)  # type: ignore[no-any-return]
+        response = await answer(request, handler)
+        response.headers[ERA_HEADER] = str(state.era)
+        if state.faults.old_era_answers > 0:
+            state.faults.old_era_answers -= 1
+            await state.restored.wait()
+        return response
+
+    async def answer(request: web.Request, handler: Any) -> web.StreamResponse:
         faults = state.faults
         is_read = request.method == "GET"
         state.counts[f"{request.method} {'watch' if 'Watch' in request.query else 'objects'}"] += 1
         if faults.delay_ms:
             await asyncio.sleep(faults.delay_ms / 1000)
+        if state.is_restoring:
+            _abort_connection(request)
         if not faults.refused_hosts or request.remote in faults.refused_hosts:
             if faults.down:
                 _abort_connection(request)
@@ -169,6 +265,8 @@
     app = web.Application(middlewares=[inject_faults], client_max_size=4 * MAX_VALUE_BYTES)
     app.router.add_put("/faults", lambda request: _set_faults(state, request))
     app.router.add_get("/counts", lambda request: _counts(state))
+    app.router.add_put("/copy", lambda request: _copy(state))
+    app.router.add_put("/restore", lambda request: _restore(state, request))
     app.router.add_get("/objects/{kind}", lambda request: _list_or_watch(state, request))
     app.router.add_post("/objects/{kind}", lambda request: _create(state, request))
     app.router.add_get("/objects/{kind}/{name:.+}", lambda request: _get(state, request))
@@ -199,8 +297,28 @@
     if state.faults.forget_history:
         state.compacted_version = state.version
         state.history.clear()
-        state.changed.set()
-        state.changed = asyncio.Event()
+        state.wake_watches()
+    return web.Response()
+
+
+async def _copy(state: PlatformState) -> web.Response:
+    state.copied_at = asyncio.get_running_loop().time()
+    return web.Response()
+
+
+async def _restore(state: PlatformState, request: web.Request) -> web.Response:
+    requested = msgspec.json.decode(await request.read() or b"{}", type=RestoreRequest)
+    moment = state.copied_at
+    if requested.seconds is not None:
+        moment = asyncio.get_running_loop().time() - requested.seconds
+    if moment is None or not state.can_restore(moment):
+        return web.Response(status=400, text="there is no copy of that moment")
+    if requested.down_seconds > 0:
+        state.is_restoring = True
+        state.cut_watches()
+        await asyncio.sleep(requested.down_seconds)
+        state.is_restoring = False
+    state.restore(moment)
     return web.Response()
 
 
@@ -272,11 +390,14 @@
     kind = request.match_info["kind"]
     after = int(request.query["Watch"])
     end = asyncio.get_running_loop().time() + int(request.query["WaitMs"]) / 1000
+    cuts = state.cuts
     while True:
-        while state.faults.stall_watches:
+        while state.faults.stall_watches and state.cuts == cuts:
             await asyncio.sleep(0.05)
+        if state.cuts != cuts:
+            _abort_connection(request)
         oldest = state.history[0].version if state.history else state.compacted_version + 1
-        if after < max(oldest - 1, state.compacted_version):
+        if not max(oldest - 1, state.compacted_version) <= after <= state.version:
             return web.Response(status=410)
         found = [c for c in state.history if c.kind == kind and c.version > after]
         left = end - asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins that other tests rely on."""
