--- /dev/null
+++ b/kingcuppond/configuration/listings.py
@@ -0,0 +1,124 @@
+"""What a listing of the store proves about the configuration.
+
+As long as the store stays in one era, each object of a listing is as new as its revision says, and
+an object that is missing was deleted.  A store that was restored from a copy lists old objects in
+a new era.  The revision of the copy is not known, but nothing up to the first revision that this
+daemon was told in the era is certain to have been written in it.  Such an object counts as one of
+an earlier era: it replaces the known object only if its revision is larger.
+
+What the copy lacks therefore stays in force until it is written again.  A write after the restore
+and before the first listing may look like the copy.  So ``SETTLE_SECONDS`` after a daemon has heard
+of the era, by when the operators have written again what was lost, the listing counts as it is.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+
+from kingcuppond.configuration.replica import ObjectKey, VersionedObject
+from kingcuppond.store.era import era_of, make_version, revision_of
+from kingcuppond.store.interface import ListedObject, Listing, is_same_json
+
+SETTLE_SECONDS: Final = 60.0
+"""Operators need this long at most to write again what a restored store has lost."""
+
+
+@attrs.frozen
+class ReadListing:
+    """What a listing proves.
+
+    :param objects: the listed objects, and those that it shows to be deleted, with versions that
+        are ordered across eras
+    :param held: keys of known objects that the store has older or not at all, since it was restored
+    """
+
+    objects: list[VersionedObject]
+    held: list[ObjectKey]
+
+
+@attrs.define
+class ListingReader:
+    """Reads the listings of one daemon.
+
+    :param release_of: returns the operators' own number from kind, name and body of an object
+    :param now: monotonic clock, in seconds
+    """
+
+    release_of: Callable[[str, str, bytes | None], int]
+    now: Callable[[], float]
+    _era: int = 0
+    _first_revision: int = 0
+    _era_heard_at: float = float("-inf")
+    _keys_of_era: set[ObjectKey] = attrs.field(factory=set)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the operators have had the time to write again what the store has lost."""
+        return self.now() - self._era_heard_at > SETTLE_SECONDS
+
+    def read(
+        self, kind: str, listing: Listing, known: Mapping[ObjectKey, VersionedObject]
+    ) -> ReadListing:
+        """Return what a listing proves.
+
+        :param known: the objects of all kinds that this daemon has
+        """
+        self._enter_era(listing.version)
+        listed = {(kind, item.name): item for item in listing.items}
+        result = ReadListing([], [])
+        for key, item in listed.items():
+            found = known.get(key)
+            version = self._version(item, found)
+            release = self.release_of(kind, item.name, item.body)
+            listed_object = VersionedObject(item.name, version, item.body, kind, release)
+            result.objects.append(listed_object)
+            if found is not None and _is_older(listed_object, found):
+                result.held.append(key)
+        for key, found in known.items():
+            if found.kind != kind or found.body is None or key in listed:
+                continue
+            if self._is_deleted(found, listing.version):
+                result.objects.append(VersionedObject(found.name, listing.version, None, kind))
+            elif era_of(found.version) < self._era:
+                result.held.append(key)
+        self._keys_of_era.update(listed)
+        return result
+
+    def _enter_era(self, version: int) -> None:
+        if era_of(version) <= self._era:
+            return
+        self._era = era_of(version)
+        self._first_revision = revision_of(version)
+        self._era_heard_at = self.now()
+        self._keys_of_era.clear()
+
+    def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
+        revision = revision_of(item.version)
+        if not self._era or revision > self._first_revision:
+            return item.version
+        if known is None:
+            return make_version(0, revision)
+        if era_of(known.version) == self._era or (
+            self.is_settled and not _is_same(known, item.body)
+        ):
+            return item.version
+        return make_version(era_of(known.version), revision)
+
+    def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
+        # The listing may be stale: it proves nothing about changes newer than its version.
+        if known.version >= listed_version:
+            return False
+        is_of_era = era_of(known.version) == self._era or known.key in self._keys_of_era
+        return is_of_era or self.is_settled
+
+
+def _is_older(listed: VersionedObject, known: VersionedObject) -> bool:
+    is_of_earlier_era = listed.head.order < known.head.order
+    return is_of_earlier_era and not _is_same(known, listed.body)
+
+
+def _is_same(known: VersionedObject, body: bytes | None) -> bool:
+    if known.body is None or body is None:
+        return known.body is body
+    return is_same_json(known.body, body)
--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -151,10 +151,13 @@
     :param decode: decodes kind, name and body of an object into a change; a body of ``None`` means
         that the object was removed
     :param required: kind and name of the object without which no request can be routed
+    :param release_of: returns the operators' own number of an object from its kind, name and body;
+        0 if they give none
     """
 
     kinds: tuple[str, ...]
     decode: Callable[[str, str, bytes | None], Result[ConfigurationChange, ObjectError]]
+    release_of: Callable[[str, str, bytes | None], int]
     required: tuple[str, str] | None = None
 
 
@@ -200,4 +203,8 @@
     return Ok(ClassRemoved(rest))
 
 
-NATIVE_FORMAT: Final = ConfigurationFormat((CONFIGURATION_KIND,), _decode_change)
+def _release_of(_kind: str, _name: str, _body: bytes | None) -> int:
+    return 0
+
+
+NATIVE_FORMAT: Final = ConfigurationFormat((CONFIGURATION_KIND,), _decode_change, _release_of)
--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -1,10 +1,11 @@
 """A daemon's copy of the configuration.
 
 The copy maps each object to the newest version received, whether from a listing, a watch or another
-daemon.  Versions increase over the whole store, so a merge that keeps the larger one is commutative
-and idempotent, and the copy only moves forward: a stale read, an old rumour or a restart of a peer
-never restores an older object.  For the same reason a deletion is kept as a version without a body
-(a tombstone).
+daemon.  Versions increase over the whole store and its eras, so a merge that keeps the larger one
+is commutative and idempotent, and the copy only moves forward: a stale read, an old rumour or a
+restart of a peer never restores an older object.  For the same reason a deletion is kept as a
+version without a body (a tombstone).  If the operators number an object themselves, their number
+goes before the version: a store that was restored may offer an older one at a newer version.
 """
 
 from collections.abc import Callable, Iterable
@@ -26,6 +27,7 @@
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.store.era import format_version
 
 DEFAULT_BUDGET: Final = MeasurementBudget()
 ANY_HOST: Final = ""
@@ -35,11 +37,20 @@
 
 @attrs.frozen
 class ObjectHead:
-    """The name and version of an object, without its body."""
+    """The name and version of an object, without its body.
+
+    :param release: the operators' own number of this change, 0 if they give none
+    """
 
     kind: str
     name: str
     version: int
+    release: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Orders the changes of an object; the larger one is newer."""
+        return self.release, self.version
 
 
 @attrs.frozen
@@ -50,12 +61,14 @@
     :param version: the store's version of this change
     :param body: JSON, or ``None`` if the object was removed
     :param kind: kind in the store
+    :param release: the operators' own number of this change, 0 if they give none
     """
 
     name: str
     version: int
     body: bytes | None
     kind: str = CONFIGURATION_KIND
+    release: int = 0
 
     @property
     def key(self) -> ObjectKey:
@@ -65,7 +78,7 @@
     @property
     def head(self) -> ObjectHead:
         """The part that is announced to other daemons."""
-        return ObjectHead(self.kind, self.name, self.version)
+        return ObjectHead(self.kind, self.name, self.version, self.release)
 
 
 @attrs.define
@@ -73,6 +86,7 @@
     """The newest configuration that this daemon has received.
 
     :param is_complete: whether all objects as of some moment were received, and not only changes
+    :param version: the newest version of the store that this daemon has heard of
     :param release: the operators' own version number of the configuration, 0 if they give none
     :param changed_at: monotonic time in seconds of the last change of this copy
     """
@@ -92,6 +106,11 @@
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _classes_by_host: dict[str, list[ClassOfWork]] = attrs.field(factory=dict)
 
+    @property
+    def version_text(self) -> str:
+        """The version as text for people."""
+        return format_version(self.version)
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be routed: the copy is complete and has the required object."""
@@ -127,7 +146,7 @@
     def is_newer(self, head: ObjectHead) -> bool:
         """Return whether a version is newer than that in the copy."""
         known = self.objects_by_key.get((head.kind, head.name))
-        return known is None or known.version < head.version
+        return known is None or known.head.order < head.order
 
     def is_out(self, data_centre: str) -> bool:
         """Return whether operators took a data centre out of service."""
@@ -151,7 +170,7 @@
             self.journal.record(
                 catalogue.CONFIGURATION_REFUSED,
                 name=item.name,
-                version=item.version,
+                version=format_version(item.version),
                 error=decoded.error.message,
             )
             return
@@ -170,7 +189,12 @@
                 self.data_centres_out.discard(name)
             case MeasurementBudget() as budget:
                 self.budget = budget
-        self.journal.record(catalogue.CONFIGURATION_CHANGED, name=item.name, version=item.version)
+        self.journal.record(
+            catalogue.CONFIGURATION_CHANGED,
+            name=item.name,
+            version=format_version(item.version),
+            release=item.release,
+        )
 
     def _index_classes(self) -> None:
         by_host: dict[str, list[ClassOfWork]] = {}
@@ -186,4 +210,4 @@
 
 
 def _object_digest(item: VersionedObject) -> int:
-    return digest_of(item.kind, item.name, item.version)
+    return digest_of(item.kind, item.name, item.version, item.release)
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -60,6 +60,7 @@
 from kingcuppond.service import LoopService
 from kingcuppond.settings.checks import split_address
 from kingcuppond.settings.daemon import DaemonSettings
+from kingcuppond.store.era import EraTracker
 
 SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
 MAX_DEPARTURE_LOADS: Final = 3
@@ -106,7 +107,9 @@
         self.configuration = Configuration(self.journal, self.protocol.format)
         self.suspects = SuspectTable(settings.vm, self.clock, self.journal)
         self.directory = Directory(self._make_member(), self.clock, self.journal)
-        self.store = PlatformStore(settings.platform_address)
+        self.eras = EraTracker()
+        self.eras.on_new_era.append(self._record_era)
+        self.store = PlatformStore(settings.platform_address, self.eras)
         self._make_membership(fleet_key)
         self.session = open_session()
         self.fresh_session = open_session(reuses_connections=False)
@@ -226,6 +229,7 @@
             self.configuration,
             self.suspects,
             self.transport,
+            self.eras,
             self.clock,
             self.journal,
             self.rng,
@@ -398,6 +402,9 @@
     def _is_isolated(self) -> bool:
         return self.watcher.is_isolated() or self.pause_guard.is_stale
 
+    def _record_era(self, era: int) -> None:
+        self.journal.record(catalogue.STORE_ERA, era=era)
+
     def _record_dropped_lines(self, count: int, kinds: str) -> None:
         self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
 
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -60,6 +60,11 @@
 CONFIGURATION_IGNORED: Final = Event(
     303, "warning", "{name} version {version} is ignored: {known} is newer"
 )
+CONFIGURATION_HELD: Final = Event(
+    304,
+    "warning",
+    "the restored store has older objects of {kind} than those in force, or lacks them: {names}",
+)
 SERVER_ANNOUNCED: Final = Event(401, "info", "server {address} announced itself as {state}")
 SERVER_SILENT: Final = Event(402, "warning", "server {address} is considered gone")
 SERVER_COLD: Final = Event(403, "warning", "server {address} is considered cold: {why}")
@@ -101,6 +106,7 @@
 WATCH_FAILED: Final = Event(703, "warning", "watch failed or timed out: {error}")
 WATCHER_ROLE_TAKEN: Final = Event(704, "info", "this daemon watches the store for its data centre")
 STORE_LISTED: Final = Event(705, "info", "listed {count} objects of {kind} at version {version}")
+STORE_ERA: Final = Event(706, "info", "the store is in era {era}, as far as known")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
 
 ALL: Final = {event.number: event for event in list(globals().values()) if isinstance(event, Event)}
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -458,7 +458,7 @@
         )
         return refusal
 
-    def _decision_inputs(self) -> dict[str, int | float | None]:
+    def _decision_inputs(self) -> dict[str, int | float | str | None]:
         """Return the values that admission depends on, and the age of the server's report."""
         age = self.observer.age
         return {
@@ -467,7 +467,7 @@
             "limit": self.limit.limit,
             "slowdown": self.observer.slowdown,
             "word_age_ms": round(age * 1000) if age < math.inf else None,
-            "configuration": self.configuration.version,
+            "configuration": self.configuration.version_text,
         }
 
     def _mark_server_absent(self) -> None:
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -156,7 +156,7 @@
             ms=round(seconds * 1000),
             class_of_work=name,
             target_ms=target_ms,
-            configuration=self.configuration.version,
+            configuration=self.configuration.version_text,
         )
         return response
 
@@ -288,5 +288,5 @@
             ms=round((self.clock.monotonic() - caller_request.started) * 1000),
             class_of_work=caller_request.class_of_work.name,
             service=caller_request.call.service,
-            configuration=self.configuration.version,
+            configuration=self.configuration.version_text,
         )
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -44,6 +44,7 @@
 from kingcuppond.membership.tasks import first_to_succeed, start_once
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.store.era import EraTracker
 
 COMBINE_SECONDS: Final = 0.03
 """How long changes wait to be combined; a change crosses the fleet in about ten hops."""
@@ -84,6 +85,7 @@
         configuration: Configuration,
         suspect_requests: SuspectTable,
         transport: PeerTransport,
+        eras: EraTracker,
         clock: Clock,
         journal: Journal,
         rng: Random,
@@ -93,6 +95,7 @@
         self._configuration = configuration
         self._state = SharedState(directory, configuration, suspect_requests)
         self._transport = transport
+        self._eras = eras
         self._journal = journal
         self._rng = rng
         self._contacts = Contacts()
@@ -200,6 +203,7 @@
 
     async def _on_ping(self, sender: str, ping: Ping) -> Pong:
         self.hearing.record_message(sender, ping.heard_ms)
+        self._eras.observe(ping.era)
         suspicion = self.directory.suspicion_of(sender)
         if suspicion is not None:
             # The sender is alive; it can only end the suspicion by refuting it.
@@ -207,7 +211,8 @@
             self._transport.tell(address, Rumours(suspicions=(suspicion,)))
         digest = self._state.digest
         parts = {} if digest == ping.digest else self._state.digests_by_part()
-        return Pong(digest, self.hearing.ages_ms(), self._configuration.is_complete, parts)
+        is_complete = self._configuration.is_complete
+        return Pong(digest, self.hearing.ages_ms(), is_complete, parts, self._eras.era)
 
     async def _on_rumours(self, sender: str, rumours: Rumours) -> None:
         self.hearing.record_message(sender)
@@ -339,11 +344,12 @@
                 await self._sync(member.peer_address, parts=parts)
 
     async def _ping(self, member: Member) -> Pong | None:
-        ping = Ping(self._state.digest, self.hearing.ages_ms())
+        ping = Ping(self._state.digest, self.hearing.ages_ms(), self._eras.era)
         reply = await self._transport.ask(member.peer_address, ping, Pong, PING_TIMEOUT_SECONDS)
         if reply.is_error():
             return None
         self.hearing.record_message(member.vm, reply.ok.heard_ms)
+        self._eras.observe(reply.ok.era)
         return reply.ok
 
     def _handle_missed_ping(self, member: Member, missed: int) -> None:
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -83,10 +83,12 @@
     :param digest: of the sender's state except suspicions
     :param heard_ms: by data centre, milliseconds since the newest sign of life of one of its
         members that the sender has heard, directly or through other daemons
+    :param era: the newest era of the store that the sender has heard of
     """
 
     digest: int
     heard_ms: dict[str, int] = attrs.field(factory=dict)
+    era: int = 0
 
 
 @attrs.frozen
@@ -96,12 +98,14 @@
     :param heard_ms: as in the ping
     :param digests_by_part: of each part of the state, if the digests of the two ends differ
     :param is_complete: whether the replying daemon has the whole configuration
+    :param era: as in the ping
     """
 
     digest: int
     heard_ms: dict[str, int] = attrs.field(factory=dict)
     is_complete: bool = False
     digests_by_part: dict[str, int] = attrs.field(factory=dict)
+    era: int = 0
 
 
 @attrs.frozen
--- a/kingcuppond/membership/state.py
+++ b/kingcuppond/membership/state.py
@@ -122,9 +122,11 @@
 
     def objects_newer_than(self, heads: tuple[ObjectHead, ...]) -> tuple[VersionedObject, ...]:
         """Return the configuration objects that are newer than the given heads."""
-        known = {(head.kind, head.name): head.version for head in heads}
+        known = {(head.kind, head.name): head.order for head in heads}
         own = self.configuration.objects_by_key.values()
-        return tuple(item for item in own if known.get(item.key, 0) < item.version)
+        return tuple(
+            item for item in own if item.key not in known or known[item.key] < item.head.order
+        )
 
     def _members_of(self, parts: tuple[str, ...] | None) -> dict[str, Member]:
         members = self.directory.members_by_vm
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -90,6 +90,7 @@
         "log_lines": ("Log lines written or waiting", lambda: daemon.log_writer.lines),
         "log_lines_dropped": ("Log lines dropped", lambda: daemon.log_writer.dropped),
         "members": ("Members known", lambda: len(daemon.directory.members_by_vm)),
+        "store_era": ("Newest era of the store heard of", lambda: daemon.eras.era),
         "configuration_version": (
             "Newest version of the store heard of",
             lambda: daemon.configuration.version,
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -67,6 +67,10 @@
     cold_requests_per_second: float | None = msgspec.field(name="ColdPerS", default=None)
 
 
+class _Numbered(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+
+
 class _MainObject(msgspec.Struct):
     version: int = msgspec.field(name="Version")
     routes: _Table = msgspec.field(name="Routes")
@@ -116,8 +120,18 @@
     return _decode_main_object(body)
 
 
+def _release_of(kind: str, name: str, body: bytes | None) -> int:
+    if (kind, name) != (CONFIG_KIND, CONFIG_NAME) or body is None:
+        return 0
+    try:
+        return msgspec.json.decode(body, type=_Numbered).version
+    except msgspec.MsgspecError:
+        return 0
+
+
 PLATFORM_FORMAT: Final = ConfigurationFormat(
     kinds=(CONFIG_KIND, EVACUATIONS_KIND),
     decode=_decode,
+    release_of=_release_of,
     required=(CONFIG_KIND, CONFIG_NAME),
 )
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -4,6 +4,11 @@
 object; ``PUT`` and ``DELETE`` change it if it is at the revision that they name.  429 and 503 mean
 that the store did not execute the call.
 
+Each answer states the store's era in ``Store-Era``, which rises when the store is restored from a
+copy.  The versions that this client returns carry the era of the answer in which they were read.
+A revision of one era means nothing in another: such a call fails, as if the object had changed or
+the history were gone, and an answer of an earlier era than the newest known one is an error.
+
 Every call, including a watch, has a timeout, which bounds the time lost on an unresponsive
 connection.  After a call without a response all connections are dropped, since others may be
 unresponsive too; a refused connection drops no others.
@@ -21,6 +26,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
+from kingcuppond.store.era import EraTracker, era_of, make_version, revision_of
 from kingcuppond.store.interface import (
     ABSENT_VERSION,
     ListedObject,
@@ -47,6 +53,9 @@
 
 NOT_EXECUTED_STATUSES: Final = (429, 503)
 
+ERA_HEADER: Final = "Store-Era"
+MAX_ERA_DIGITS: Final = 7
+
 T = TypeVar("T")
 
 
@@ -80,15 +89,18 @@
 class _Response:
     status: int
     body: bytes
+    era: int
 
 
 class PlatformStore:
     """A client of the store; see :class:`kingcuppond.store.interface.Store`.
 
     :param address: IP address and port
+    :param eras: the newest era known to this process, to which the eras of answers are added
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, eras: EraTracker | None = None) -> None:
+        self.eras = eras or EraTracker()
         self.calls_by_operation = {"read": 0, "watch": 0, "write": 0}
         self._base = f"http://{address}/objects"
         self._session: aiohttp.ClientSession | None = None
@@ -106,8 +118,11 @@
             return Error(result.error)
         if result.ok.status == 404:
             return Ok(None)
+        era = result.ok.era
         found = _decode(result.ok, _WireObject)
-        return found.map(lambda it: StoredObject(it.metadata.revision, bytes(it.spec)))
+        return found.map(
+            lambda it: StoredObject(make_version(era, it.metadata.revision), bytes(it.spec))
+        )
 
     async def list(self, kind: str) -> Result[Listing, StoreError]:
         """Read all objects of a kind, page by page.
@@ -122,9 +137,14 @@
             page = result.bind(lambda response: _decode(response, _WirePage))
             if page.is_error():
                 return Error(page.error)
-            version = page.ok.revision if version is None else version
+            era = result.ok.era
+            version = make_version(era, page.ok.revision) if version is None else version
+            if era_of(version) != era:
+                return Error(StoreError("the store was restored during the listing"))
             items.extend(
-                ListedObject(it.metadata.name, it.metadata.revision, bytes(it.spec))
+                ListedObject(
+                    it.metadata.name, make_version(era, it.metadata.revision), bytes(it.spec)
+                )
                 for it in page.ok.items
             )
             if not page.ok.has_more or not page.ok.items:
@@ -137,31 +157,58 @@
         """Write an object if it still has the expected version."""
         metadata: dict[str, Any] = {"Name": name}
         if expected != ABSENT_VERSION:
-            metadata["Rev"] = expected
+            metadata["Rev"] = revision_of(expected)
         content = msgspec.json.encode({"Metadata": metadata, "Spec": msgspec.Raw(body)})
         if expected == ABSENT_VERSION:
             result = await self._call("write", "POST", f"/{_quote(kind)}", content)
         else:
-            result = await self._call("write", "PUT", _path(kind, name), content)
-        written = result.bind(lambda response: _decode(response, _WireObject))
-        return written.map(lambda it: it.metadata.revision)
+            result = await self._change_at("PUT", _path(kind, name), expected, content)
+        if result.is_error():
+            return Error(result.error)
+        written = _decode(result.ok, _WireObject)
+        return written.map(lambda it: make_version(result.ok.era, it.metadata.revision))
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[int, StoreError]:
         """Delete an object if it still has the expected version."""
-        result = await self._call("write", "DELETE", f"{_path(kind, name)}?Rev={expected}")
+        path = f"{_path(kind, name)}?Rev={revision_of(expected)}"
+        result = await self._change_at("DELETE", path, expected)
         return result.map(lambda _: expected)
 
     async def watch(self, kind: str, after: int, wait_ms: int) -> Result[WatchResult, StoreError]:
         """Wait for changes of a kind."""
+        if era_of(after) < self.eras.era:
+            return Error(_history_is_gone())
         wait_ms = min(wait_ms, MAX_WATCH_WAIT_MS)
-        path = f"/{_quote(kind)}?Watch={after}&WaitMs={wait_ms}"
+        path = f"/{_quote(kind)}?Watch={revision_of(after)}&WaitMs={wait_ms}"
         timeout = wait_ms / 1000 + WATCH_MARGIN_SECONDS
         result = await self._call("watch", "GET", path, timeout=timeout)
-        decoded = result.bind(lambda response: _decode(response, _WireEvents))
+        if result.is_error():
+            return Error(result.error)
+        era = result.ok.era
+        if era != era_of(after):
+            # The revision was reached a second time, so changes may have been left out.
+            return Error(_history_is_gone())
+        decoded = _decode(result.ok, _WireEvents)
         return decoded.map(
-            lambda page: WatchResult([_to_change(event) for event in page.events], page.revision)
+            lambda page: WatchResult(
+                [_to_change(event, era) for event in page.events],
+                make_version(era, page.revision),
+            )
         )
 
+    async def _change_at(
+        self, method: str, path: str, expected: int, body: bytes | None = None
+    ) -> Result[_Response, StoreError]:
+        """Change an object on the condition that it has a version of the present era."""
+        if era_of(expected) < self.eras.era:
+            return Error(StoreError("the store was restored since the read", is_conflict=True))
+        result = await self._call("write", method, path, body)
+        if result.is_ok() and result.ok.era != era_of(expected):
+            # Another state of the object may have had the same revision.
+            message = "the store was restored before the write"
+            return Error(StoreError(message, is_outcome_unknown=True))
+        return result
+
     async def _call(
         self,
         operation: str,
@@ -188,7 +235,20 @@
             self._drop_session(session)
             message = f"no response from the store: {type(exc).__name__}"
             return Error(StoreError(message, is_outcome_unknown=is_write))
-        return _check_status(method, response.status, content)
+        return self._check_era(method, response, content)
+
+    def _check_era(
+        self, method: str, response: aiohttp.ClientResponse, content: bytes
+    ) -> Result[_Response, StoreError]:
+        checked = _check_status(method, response.status, content, _read_era(response))
+        if response.status in NOT_EXECUTED_STATUSES:
+            return checked
+        era = _read_era(response)
+        self.eras.observe(era)
+        if era < self.eras.era:
+            message = f"the answer is of era {era}, but the store is in era {self.eras.era}"
+            return Error(StoreError(message, is_outcome_unknown=method != "GET"))
+        return checked
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -242,9 +302,20 @@
     return sock
 
 
-def _check_status(method: str, status: int, content: bytes) -> Result[_Response, StoreError]:
+def _read_era(response: aiohttp.ClientResponse) -> int:
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else 0
+
+
+def _history_is_gone() -> StoreError:
+    return StoreError("the version is of an earlier era of the store", is_version_expired=True)
+
+
+def _check_status(
+    method: str, status: int, content: bytes, era: int
+) -> Result[_Response, StoreError]:
     if status in (200, 201, 204) or (status == 404 and method == "GET"):
-        return Ok(_Response(status, content))
+        return Ok(_Response(status, content, era))
     if status in (404, 409):
         return Error(StoreError("the object is at another version", is_conflict=True))
     if status == 410:
@@ -262,10 +333,11 @@
         return Error(StoreError(f"invalid response from the store: {exc}"))
 
 
-def _to_change(event: _WireEvent) -> ObjectChange:
+def _to_change(event: _WireEvent, era: int) -> ObjectChange:
     # A deletion event carries the revision of the deletion.
     body = None if event.is_deleted else bytes(event.object_.spec)
-    return ObjectChange(event.object_.metadata.name, event.object_.metadata.revision, body)
+    metadata = event.object_.metadata
+    return ObjectChange(metadata.name, make_version(era, metadata.revision), body)
 
 
 def _quote(text: str) -> str:
--- a/kingcuppond/program/fleet_commands.py
+++ b/kingcuppond/program/fleet_commands.py
@@ -29,6 +29,7 @@
     show_progress,
     table,
 )
+from kingcuppond.store.era import format_version
 from kingcuppond.store.interface import Store
 
 T = TypeVar("T")
@@ -164,7 +165,7 @@
         str(page.in_flight),
         f"{page.limit}/{page.slots}",
         f"{states.count('alive')}/{len(states)}",
-        str(page.configuration_version),
+        format_version(page.configuration_version),
         ", ".join(notes),
     ]
 
--- a/kingcuppond/store/interface.py
+++ b/kingcuppond/store/interface.py
@@ -5,8 +5,11 @@
 was lost, and it may have taken effect or may still do so, which ``is_outcome_unknown`` says.
 Nothing is retried here: what to do after a lost answer depends on what was written.
 
-Versions come from one counter of the whole store, so they order the changes of all objects.  The
-body of an object is JSON text; the store may change its whitespace.
+Versions come from one counter of the whole store and from its era (see ``kingcuppond.store.era``),
+so they order the changes of all objects, also after the store was restored from a copy.  They carry
+the era of the answer in which they were read: an object that was in the copy has a version of the
+new era too, once it is read in that era.  A write on the condition of a version of an earlier era
+is a conflict.  The body of an object is JSON text; the store may change its whitespace.
 """
 
 from collections.abc import AsyncIterator
--- /dev/null
+++ b/tests/configuration/test_listings.py
@@ -0,0 +1,155 @@
+"""Listings of a store that was restored from a copy: what is older, what was written since."""
+
+import pytest
+
+from kingcuppond.configuration.listings import SETTLE_SECONDS, ListingReader, ReadListing
+from kingcuppond.configuration.replica import VersionedObject
+from kingcuppond.store.era import make_version
+from kingcuppond.store.interface import ListedObject, Listing
+from tests.conftest import FakeTime
+
+KIND = "kind"
+FIRST_REVISION = 20
+"""Revision of the first listing of era 2; that of the copy is unknown and lower."""
+
+
+def make_listing(objects: dict[str, tuple[int, bytes]], revision: int, era: int = 2) -> Listing:
+    """Make a listing from revision and body by name."""
+    items = [
+        ListedObject(name, make_version(era, item), body) for name, (item, body) in objects.items()
+    ]
+    return Listing(items, make_version(era, revision))
+
+
+def make_reader(fake_time: FakeTime) -> ListingReader:
+    """Make a reader that has read an empty listing of era 1."""
+    reader = ListingReader(lambda kind, name, body: 0, fake_time.read)
+    reader.read(KIND, make_listing({}, 1, era=1), {})
+    return reader
+
+
+def known_object(revision: int, body: bytes | None, era: int = 1) -> VersionedObject:
+    return VersionedObject("a", make_version(era, revision), body, KIND)
+
+
+def read_in_era_2(
+    reader: ListingReader, objects: dict[str, tuple[int, bytes]], known: VersionedObject | None
+) -> ReadListing:
+    by_key = {} if known is None else {known.key: known}
+    return reader.read(KIND, make_listing(objects, FIRST_REVISION), by_key)
+
+
+def newer_body(result: ReadListing, known: VersionedObject | None) -> bytes | str | None:
+    """Return the body that replaces the known one, or ``known`` if none does."""
+    for item in result.objects:
+        if known is None or item.head.order > known.head.order:
+            return item.body
+    return "known"
+
+
+@pytest.mark.parametrize(
+    ("listed", "known", "expected"),
+    [
+        ((15, b"1"), known_object(18, b"2"), "known"),
+        ((15, b"1"), known_object(18, None), "known"),
+        ((15, b"1"), known_object(15, b"1"), "known"),
+        ((19, b"3"), known_object(18, b"2"), b"3"),
+        ((19, b"3"), known_object(18, None), b"3"),
+        ((15, b"1"), None, b"1"),
+        (None, known_object(18, b"2"), "known"),
+        (None, known_object(5, b"2"), "known"),
+        (None, known_object(19, b"2", era=2), None),
+        ((19, b"3"), known_object(18, b"2", era=2), b"3"),
+        ((17, b"3"), known_object(18, b"2", era=2), "known"),
+    ],
+    ids=[
+        "the copy has an older object",
+        "the copy has an object that was deleted since",
+        "the object did not change",
+        "an object with a larger revision is newer, whenever it was written",
+        "an object written after a deletion is newer",
+        "an unknown object is taken over",
+        "the copy lacks an object",
+        "an object may have been deleted since, or changed without this daemon's knowledge",
+        "an object of the era that is missing was deleted",
+        "within the era the larger revision is newer",
+        "within the era the smaller revision is older",
+    ],
+)
+def test_first_listing_of_a_new_era(
+    fake_time: FakeTime,
+    listed: tuple[int, bytes] | None,
+    known: VersionedObject | None,
+    expected: bytes | str | None,
+) -> None:
+    result = read_in_era_2(make_reader(fake_time), {"a": listed} if listed else {}, known)
+    assert newer_body(result, known) == expected
+
+
+def test_what_is_written_after_the_first_listing_is_newer_than_all_before(
+    fake_time: FakeTime,
+) -> None:
+    reader, known = make_reader(fake_time), known_object(90, b"2")
+    read_in_era_2(reader, {}, None)
+    listing = make_listing({"a": (FIRST_REVISION + 1, b"3")}, FIRST_REVISION + 1)
+    assert newer_body(reader.read(KIND, listing, {known.key: known}), known) == b"3"
+
+
+def test_an_object_that_disappears_within_the_era_was_deleted(fake_time: FakeTime) -> None:
+    """Its version may still be that of the era before."""
+    reader, known = make_reader(fake_time), known_object(15, b"1")
+    read_in_era_2(reader, {"a": (15, b"1")}, known)
+    assert newer_body(read_in_era_2(reader, {}, known), known) is None
+
+
+@pytest.mark.parametrize(
+    ("listed", "known", "expected"),
+    [
+        ((15, b"1"), known_object(18, b"2"), b"1"),
+        (None, known_object(18, b"2"), None),
+        ((15, b"2"), known_object(18, b"2"), "known"),
+    ],
+    ids=["older object", "missing object", "the same content"],
+)
+def test_the_listing_counts_once_operators_had_time_to_write_again(
+    fake_time: FakeTime,
+    listed: tuple[int, bytes] | None,
+    known: VersionedObject,
+    expected: bytes | str | None,
+) -> None:
+    """Operators could otherwise never go back to what the copy holds: writing it changes nothing"""
+    reader = make_reader(fake_time)
+    objects = {"a": listed} if listed else {}
+    first = read_in_era_2(reader, objects, known)
+    assert newer_body(first, known) == "known"
+    assert bool(first.held) == (expected != "known")
+    fake_time.advance(SETTLE_SECONDS + 1)
+    assert newer_body(read_in_era_2(reader, objects, known), known) == expected
+
+
+def test_a_daemon_that_starts_after_a_restore_does_not_make_the_copy_newer(
+    fake_time: FakeTime,
+) -> None:
+    """What it lists must not replace what the others know."""
+    reader = ListingReader(lambda kind, name, body: 0, fake_time.read)
+    result = read_in_era_2(reader, {"a": (15, b"1")}, None)
+    assert result.objects[0].head.order < known_object(18, b"2").head.order
+
+
+def test_a_second_restore_does_not_make_what_it_holds_newer_than_the_first_loss(
+    fake_time: FakeTime,
+) -> None:
+    """An object that was lost in the first one and not written again stays in force."""
+    reader, known = make_reader(fake_time), known_object(18, b"2")
+    read_in_era_2(reader, {"a": (15, b"1")}, known)
+    listing = make_listing({"a": (15, b"1")}, FIRST_REVISION + 5, era=3)
+    assert newer_body(reader.read(KIND, listing, {known.key: known}), known) == "known"
+
+
+def test_a_store_without_eras_is_never_doubted(fake_time: FakeTime) -> None:
+    reader = ListingReader(lambda kind, name, body: 0, fake_time.read)
+    known = known_object(5, b"1", era=0)
+    result = reader.read(KIND, make_listing({}, 9, era=0), {known.key: known})
+    assert newer_body(result, known) is None
+    result = reader.read(KIND, make_listing({"a": (6, b"2")}, 9, era=0), {known.key: known})
+    assert newer_body(result, known) == b"2"
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -25,6 +25,7 @@
 from kingcuppond.membership.messages import Member
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.store.era import EraTracker
 
 NEAR_SECONDS = 0.0001
 FAR_SECONDS = 0.0005
@@ -172,6 +173,7 @@
             configuration,
             SuspectTable(vm, clock, journal),
             cast(PeerTransport, transport),
+            EraTracker(),
             clock,
             journal,
             Random(f"{self.rng.random()}"),
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -19,6 +19,7 @@
 from kingcuppond.membership.messages import IntroductionReply, Member, Rumours, StateReply
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.store.era import EraTracker
 
 
 @attrs.define
@@ -52,6 +53,7 @@
         Configuration(journal),
         SuspectTable("vm-1", clock, journal),
         cast(PeerTransport, transport),
+        EraTracker(),
         clock,
         journal,
         Random(1),
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -10,6 +10,7 @@
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.events.journal import Journal
 from kingcuppond.platform.configuration import PLATFORM_FORMAT
+from kingcuppond.store.era import make_version
 
 COLUMNS = [
     *("Name", "Host", "PathPrefix", "Kind", "Timeout", "TargetLatency", "Priority", "Service"),
@@ -114,6 +115,20 @@
     assert set(configuration.classes_by_name) == {"r1"}
 
 
+def test_a_lower_number_of_the_operators_never_replaces_a_higher_one() -> None:
+    """A restored store offers an older configuration at a newer version."""
+    configuration = make_configuration()
+    for version, release in [(make_version(1, 7), 12), (make_version(2, 5), 10)]:
+        body = encode(ROWS[:1] if release == 12 else ROWS, release)
+        assert PLATFORM_FORMAT.release_of("config", "main", body) == release
+        configuration.merge([VersionedObject("main", version, body, "config", release)])
+    assert configuration.release == 12
+    assert set(configuration.classes_by_name) == {"r1"}
+    body = encode(ROWS, 12)
+    configuration.merge([VersionedObject("main", make_version(2, 6), body, "config", 12)])
+    assert len(configuration.classes_by_name) == len(ROWS)
+
+
 def test_objects_of_different_kinds_may_share_a_name() -> None:
     configuration = make_configuration()
     configuration.is_complete = True
