Tests of whole fleets across a restore of the store

A daemon that hears of a new era tells it with its pings: 200 simulated daemons know it within 2 s, as they do a change of the configuration. A data centre that was cut off across the restore does not bring back objects of the earlier era, though their revisions are larger.

--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -81,6 +81,7 @@
     gossip: Gossip
     configuration: Configuration
     transport: "SimulatedTransport"
+    eras: EraTracker
     tasks: list["asyncio.Task[Any]"] = attrs.field(factory=list)
     is_joined: bool = False
 
@@ -168,17 +169,18 @@
         )
         transport = SimulatedTransport(self, me)
         configuration = Configuration(journal)
+        eras = EraTracker()
         gossip = Gossip(
             Directory(me, clock, journal),
             configuration,
             SuspectTable(vm, clock, journal),
             cast(PeerTransport, transport),
-            EraTracker(),
+            eras,
             clock,
             journal,
             Random(f"{self.rng.random()}"),
         )
-        daemon = SimulatedDaemon(vm, gossip, configuration, transport)
+        daemon = SimulatedDaemon(vm, gossip, configuration, transport, eras)
         self.daemons_by_vm[vm] = daemon
         return daemon
 
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -12,6 +12,7 @@
 from kingcuppond.configuration.replica import VersionedObject
 from kingcuppond.membership.contacts import choose_contacts, rank_bridges
 from kingcuppond.membership.messages import Member, ServerState
+from kingcuppond.store.era import make_version
 from tests.membership.network import Network, SimulatedDaemon, run_simulated, wait_until
 
 DATA_CENTRES = 5
@@ -93,6 +94,41 @@
     run_simulated(scenario)
 
 
+def test_an_era_of_the_store_is_known_everywhere_in_time() -> None:
+    """Only a few daemons call the store, but each has something to write again."""
+
+    async def scenario(network: Network) -> None:
+        daemons = await start(network, 200)
+        daemons[7].eras.observe(2)
+        await wait_until(lambda: all(it.eras.era == 2 for it in daemons), CONFIGURATION_SECONDS)
+
+    run_simulated(scenario)
+
+
+def test_a_data_centre_cut_off_across_a_restore_brings_nothing_old_back() -> None:
+    """Its objects of the earlier era have larger revisions than those written since."""
+
+    async def scenario(network: Network) -> None:
+        daemons = await start(network, 50)
+        old, new = (
+            VersionedObject("budget/measuring", make_version(era, revision), body)
+            for era, revision, body in [(1, 90, b'{"bytes_per_second":1}'), (2, 20, None)]
+        )
+        daemons[0].gossip.spread_objects([old])
+        await asyncio.sleep(CONFIGURATION_SECONDS)
+        network.is_cut = lambda a, b: (a.data_centre == "dc-2") != (b.data_centre == "dc-2")
+        daemons[0].gossip.spread_objects([new])
+        await asyncio.sleep(CONFIGURATION_SECONDS)
+        versions = {it.configuration.version for it in in_data_centre(daemons, "dc-2")}
+        assert versions == {old.version}
+        network.is_cut = lambda a, b: False
+        await wait_until(
+            lambda: {it.configuration.version for it in daemons} == {new.version}, 10.0
+        )
+
+    run_simulated(scenario)
+
+
 def test_changes_arrive_while_bridges_fail() -> None:
     async def scenario(network: Network) -> None:
         daemons = await start(network, 60)
