Test fleets start anywhere in their range of ports

Two test runs on one machine took the same ports at the same time: the failing run of test_evacuations_after_a_restore_are_in_force also had 'address already in use' for the port of a link between a daemon and the store.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -374,7 +374,7 @@
     """Return free ports below the range that the system uses for outgoing connections.
 
     Each parallel test worker has its own range, and a process takes no port twice before it has
-    been through the whole range.
+    been through the whole range.  It starts anywhere in it, as another test run may use the same.
     """
     ports: list[int] = []
     while len(ports) < count:
@@ -391,6 +391,8 @@
 def _port_range() -> Iterator[int]:
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw9").removeprefix("gw"))
     first = FIRST_PORT + PORTS_PER_WORKER * (worker % 10)
+    start = first + os.getpid() % PORTS_PER_WORKER
+    yield from range(start, first + PORTS_PER_WORKER)
     while True:
         yield from range(first, first + PORTS_PER_WORKER)
 
