Deletions between a restore and the first listing are found in the history

Callers would have seen: a data centre whose evacuation ended just after the store was restored, before any daemon had listed it, gets no work for another minute. Cause: an object that the restored store lacks was either lost or deleted since, and counts as lost. Now the watcher that misses an object reads the store's recent history; a deletion there that is later than the known object counts. test_an_evacuation_that_ends_before_the_first_listing_is_over failed before.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -6,9 +6,10 @@
 daemon was told in the era is certain to have been written in it.  Such an object counts as one of
 an earlier era: it replaces the known object only if its revision is larger.
 
-What the copy lacks therefore stays in force until it is written again.  A write after the restore
-and before the first listing may look like the copy.  So ``SETTLE_SECONDS`` after a daemon has heard
-of the era, by when the operators have written again what was lost, the listing counts as it is.
+What the copy lacks therefore stays in force until it is written again.  A deletion of an object
+that the copy had is seen in the store's history.  Another write after the restore and before the
+first listing may look like the copy.  So ``SETTLE_SECONDS`` after a daemon has heard of the era, by
+when the operators have written again what was lost, the listing counts as it is.
 """
 
 from collections.abc import Callable, Mapping
@@ -30,11 +31,14 @@
 
     :param objects: the listed objects, and those that it shows to be deleted, with versions that
         are ordered across eras
-    :param held: keys of known objects that the store has older or not at all, since it was restored
+    :param older: names of known objects that the store has older, since it was restored
+    :param missing: names of known objects that the store lacks, since it was restored or because
+        they were deleted since; the history of the store may tell
     """
 
     objects: list[VersionedObject]
-    held: list[ObjectKey]
+    older: list[str]
+    missing: list[str]
 
 
 @attrs.define
@@ -58,15 +62,21 @@
         return self.now() - self._era_heard_at > SETTLE_SECONDS
 
     def read(
-        self, kind: str, listing: Listing, known: Mapping[ObjectKey, VersionedObject]
+        self,
+        kind: str,
+        listing: Listing,
+        known: Mapping[ObjectKey, VersionedObject],
+        deletions_by_name: Mapping[str, int] | None = None,
     ) -> ReadListing:
         """Return what a listing proves.
 
         :param known: the objects of all kinds that this daemon has
+        :param deletions_by_name: versions of the newest deletions in the history before the listing
         """
         self._enter_era(listing.version)
         listed = {(kind, item.name): item for item in listing.items}
-        result = ReadListing([], [])
+        deletions_by_name = deletions_by_name or {}
+        result = ReadListing([], [], [])
         for key, item in listed.items():
             found = known.get(key)
             version = self._version(item, found)
@@ -74,14 +84,18 @@
             listed_object = VersionedObject(item.name, version, item.body, kind, release)
             result.objects.append(listed_object)
             if found is not None and _is_older(listed_object, found):
-                result.held.append(key)
+                result.older.append(item.name)
         for key, found in known.items():
             if found.kind != kind or found.body is None or key in listed:
                 continue
             if self._is_deleted(found, listing.version):
                 result.objects.append(VersionedObject(found.name, listing.version, None, kind))
             elif era_of(found.version) < self._era:
-                result.held.append(key)
+                version = self._deletion_version(found, deletions_by_name.get(found.name, 0))
+                if version > found.version:
+                    result.objects.append(VersionedObject(found.name, version, None, kind))
+                else:
+                    result.missing.append(found.name)
         self._keys_of_era.update(listed)
         return result
 
@@ -105,6 +119,12 @@
             return item.version
         return make_version(era_of(known.version), revision)
 
+    def _deletion_version(self, known: VersionedObject, version: int) -> int:
+        """Return the version of a deletion in the history, which may be that of the copy."""
+        if revision_of(version) > self._first_revision:
+            return version
+        return make_version(era_of(known.version), revision_of(version))
+
     def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
         # The listing may be stale: it proves nothing about changes newer than its version.
         if known.version >= listed_version:
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -29,7 +29,7 @@
 from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
-from kingcuppond.store.era import format_version
+from kingcuppond.store.era import era_of, format_version, make_version, revision_of
 from kingcuppond.store.interface import Listing, Store, StoreError, WatchResult, watch_until_error
 
 MAX_WATCHERS_PER_DATA_CENTRE: Final = 3
@@ -54,6 +54,11 @@
 FIRST_READ_SPREAD_SECONDS: Final = 0.3
 """Of many daemons that restart together, the first to read the store inform the others sooner."""
 
+HISTORY_REVISIONS: Final = (256, 32, 4)
+"""How far to look back for deletions; the store may have dropped the older part of its history."""
+
+HISTORY_WAIT_MS: Final = 1
+
 WATCH_ALONE_AFTER_SECONDS: Final = 2.0
 """How long a daemon waits for others to send the configuration before it watches for itself."""
 
@@ -181,8 +186,12 @@
         listed = await self._store.list(kind)
         if listed.is_error():
             return Error(listed.error)
-        result = self._reader.read(kind, listed.ok, self._configuration.objects_by_key)
-        self._record_held(kind, [name for _, name in result.held])
+        known = self._configuration.objects_by_key
+        result = self._reader.read(kind, listed.ok, known)
+        if result.missing:
+            deletions = await self._read_deletions(kind, listed.ok.version)
+            result = self._reader.read(kind, listed.ok, known, deletions)
+        self._record_held(kind, result.older + result.missing)
         self._gossip.spread_objects(result.objects)
         self._configuration.version = max(self._configuration.version, listed.ok.version)
         self._listed_kinds.add(kind)
@@ -201,6 +210,18 @@
         listings = [await self.refresh(kind) for kind in self._configuration.format.kinds]
         return all(listing.is_ok() for listing in listings)
 
+    async def _read_deletions(self, kind: str, version: int) -> dict[str, int]:
+        """Return the newest deletions before a version by name, as far as the history goes."""
+        for revisions in HISTORY_REVISIONS:
+            after = make_version(era_of(version), max(revision_of(version) - revisions, 0))
+            watched = await self._store.watch(kind, after, HISTORY_WAIT_MS)
+            if watched.is_ok():
+                changes = watched.ok.changes
+                return {it.name: it.version for it in changes if it.body is None}
+            if not watched.error.is_version_expired:
+                break
+        return {}
+
     def _make_watch_loop(self, kind: str) -> Callable[[], Coroutine[Any, Any, None]]:
         return lambda: self.run(kind)
 
--- a/tests/configuration/test_listings.py
+++ b/tests/configuration/test_listings.py
@@ -95,6 +95,24 @@
     assert newer_body(reader.read(KIND, listing, {known.key: known}), known) == b"3"
 
 
+@pytest.mark.parametrize(
+    ("deleted_at", "expected"),
+    [(19, None), (17, "known"), (FIRST_REVISION + 1, None), (0, "known")],
+    ids=["later than known", "maybe of the copy", "of the new era", "not in the history"],
+)
+def test_a_deletion_in_the_history_counts(
+    fake_time: FakeTime, deleted_at: int, expected: str | None
+) -> None:
+    """An evacuation that ended just after the restore would otherwise last for a minute more."""
+    reader, known = make_reader(fake_time), known_object(18, b"2")
+    read_in_era_2(reader, {}, None)
+    listing = make_listing({}, FIRST_REVISION + 2)
+    deletions = {"a": make_version(2, deleted_at)} if deleted_at else {}
+    result = reader.read(KIND, listing, {known.key: known}, deletions)
+    assert newer_body(result, known) == expected
+    assert bool(result.missing) == (expected == "known")
+
+
 def test_an_object_that_disappears_within_the_era_was_deleted(fake_time: FakeTime) -> None:
     """Its version may still be that of the era before."""
     reader, known = make_reader(fake_time), known_object(15, b"1")
@@ -122,7 +140,7 @@
     objects = {"a": listed} if listed else {}
     first = read_in_era_2(reader, objects, known)
     assert newer_body(first, known) == "known"
-    assert bool(first.held) == (expected != "known")
+    assert bool(first.older or first.missing) == (expected != "known")
     fake_time.advance(SETTLE_SECONDS + 1)
     assert newer_body(read_in_era_2(reader, objects, known), known) == expected
 
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -192,6 +192,16 @@
     await wait_for_data_centres_out(fleet)
 
 
+async def test_an_evacuation_that_ends_before_the_first_listing_is_over(fleet: Fleet) -> None:
+    """Guards against a deletion that no daemon watched and that looks like a loss of the store."""
+    put_object(fleet, "evacuations", "dc-1", {})
+    await wait_for_data_centres_out(fleet, "dc-1")
+    await asyncio.to_thread(fleet.restore_platform, seconds=0.0, down_seconds=DOWN_SECONDS)
+    delete_object(fleet, "evacuations", "dc-1")
+    await asyncio.sleep(LISTED_SECONDS)
+    await wait_for_data_centres_out(fleet)
+
+
 @pytest.mark.parametrize("fault", ["frozen", "cut off"])
 async def test_a_daemon_that_missed_the_restore_does_not_bring_old_objects_back(
     fleet: Fleet, fault: str
