A command doesn't take a restored copy's content for its own change

What operators saw: a command whose write was never executed ended with exit code 0, if the store was restored meanwhile and the copy held an older state with the wanted content (or, for a removal, lacked the object), though the daemons have the later content in force. Cause: reading back compared revisions and content, of two states of the store. Change: if the era rose since the command read the object, the outcome is unknown (exit code 4), and the message says why. Store names the era tracker that its client already has.

--- a/kingcuppond/operators/changes.py
+++ b/kingcuppond/operators/changes.py
@@ -2,7 +2,9 @@
 
 Of two operators who change the same object at the same time, one gets a conflict.  When the store's
 answer to a write is lost, the object is read back; the write is never repeated, since a second
-write could undo a change that another operator made in between.
+write could undo a change that another operator made in between.  If the store is restored from a
+copy meanwhile, what is read back tells nothing of the write: the copy may hold an older state with
+the same content.
 """
 
 import asyncio
@@ -62,6 +64,7 @@
     read = await store.get(CONFIGURATION_KIND, name)
     if read.is_error():
         return Error(_store_failure(read.error))
+    era = store.eras.era
     found = read.ok
     version = ABSENT_VERSION if found is None else found.version
     if expected is not None and expected != version:
@@ -77,20 +80,22 @@
     if written.is_ok():
         return Ok(Changed(written.ok))
     if written.error.is_outcome_unknown:
-        return await _read_back(store, name, body, version)
+        return await _read_back(store, name, body, version, era)
     if written.error.is_conflict:
         return Error(_version_conflict(name, version))
     return Error(_store_failure(written.error))
 
 
 async def _read_back(
-    store: Store, name: str, body: bytes | None, version: int
+    store: Store, name: str, body: bytes | None, version: int, era: int
 ) -> Result[Changed, ChangeError]:
     for _ in range(READ_BACK_ATTEMPTS):
         await asyncio.sleep(READ_BACK_INTERVAL_SECONDS)
         read = await store.get(CONFIGURATION_KIND, name)
         if read.is_error():
             continue
+        if store.eras.era != era:
+            return Error(_unknown_outcome(name, "the store was restored from a copy meanwhile"))
         current = ABSENT_VERSION if read.ok is None else read.ok.version
         if current == version:
             # The write may still be in flight, so the old version does not prove that it failed.
@@ -98,8 +103,7 @@
         if _has_content(read.ok, body):
             return Ok(Changed(current))
         return Error(_version_conflict(name, current))
-    detail = f"the platform's answer was lost; it is unknown whether {name} was changed"
-    return Error(ChangeError(f"{detail}; check it before you try again", EXIT_UNKNOWN))
+    return Error(_unknown_outcome(name, "the platform's answer was lost"))
 
 
 def _has_content(found: StoredObject | None, body: bytes | None) -> bool:
@@ -108,6 +112,11 @@
     return is_same_json(found.body, body)
 
 
+def _unknown_outcome(name: str, cause: str) -> ChangeError:
+    message = f"{cause}; it is unknown whether {name} was changed; check it before you try again"
+    return ChangeError(message, EXIT_UNKNOWN)
+
+
 def _version_conflict(name: str, version: int) -> ChangeError:
     message = f"{name} was changed by someone else (now version {version}); nothing was written"
     return ChangeError(message, EXIT_CONFLICT)
--- a/kingcuppond/store/interface.py
+++ b/kingcuppond/store/interface.py
@@ -19,6 +19,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.store.era import EraTracker
+
 ABSENT_VERSION: Final = 0
 
 T = TypeVar("T")
@@ -85,6 +87,9 @@
 class Store(Protocol):
     """Operations that the daemon and the commands need from a store."""
 
+    eras: EraTracker
+    """The newest era of the store that this process has heard of."""
+
     calls_by_operation: dict[str, int]
     """Number of requests made so far, by ``read``, ``watch`` and ``write``."""
 
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -3,6 +3,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from kingcuppond.store.era import EraTracker
 from kingcuppond.store.interface import (
     ABSENT_VERSION,
     ListedObject,
@@ -22,6 +23,7 @@
     """
 
     objects: dict[tuple[str, str], StoredObject] = attrs.field(factory=dict)
+    eras: EraTracker = attrs.field(factory=EraTracker)
     version: int = 0
     faults: list[str] = attrs.field(factory=list)
     late: list[tuple[str, str, bytes, int]] = attrs.field(factory=list)
