A registration that a restore of the store has lost is written again

What operators saw: after the store came back from a copy without the daemons' objects, none came back, so a starting daemon (without seeds) or a command finds no daemon to ask. Cause: a daemon registers once. Change: a registered daemon that hears of a new era registers again, spread over 10 s; it reads its object first, so a copy that has it costs a read. A leaving daemon doesn't, and one that was not registered makes no call. Objects that come back are left. E211 tells that it is done.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -258,6 +258,7 @@
             self._seed_addresses(),
             self.watcher.has_rank,
         )
+        self.eras.on_new_era.append(self.registration.on_new_era)
 
     def _make_gate(self) -> None:
         """Create the gate and the port for the server beside this daemon."""
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -52,6 +52,9 @@
 REGISTRATION_UNREADABLE: Final = Event(
     209, "warning", "registration of daemon {member} can't be read: {error}"
 )
+REGISTERED_AGAIN: Final = Event(
+    211, "info", "this daemon is registered in the store that was restored as era {era}"
+)
 DATA_CENTRE_SUSPECTED: Final = Event(
     210, "warning", "no member of {data_centre} answers: {pinged} more were pinged"
 )
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -9,6 +9,10 @@
 deleted on a planned stop.  It is not a heartbeat: liveness is detected by pings.  Registered
 daemons, and a daemon that knows no other, re-read the listing periodically, so that two groups of
 daemons that do not know each other merge.
+
+A store that is restored from a copy may have lost the object, so a registered daemon then registers
+again.  Objects that come back are left: an address that does not answer only costs a joining daemon
+a timeout.
 """
 
 import asyncio
@@ -48,6 +52,9 @@
 
 ROLE_CHECK_INTERVAL_SECONDS: Final = 1.0
 
+REWRITE_SPREAD_SECONDS: Final = 10.0
+"""Of 2,000 daemons without seeds all are registered; the store takes 400 writes a second."""
+
 
 class Registration:
     """Joins a daemon to the fleet, and registers it in the store if others should find it there.
@@ -81,11 +88,21 @@
         self._has_rank = has_rank
         self._version: int | None = None
         self._may_exist = False
+        self._is_rewrite_due = False
+        # 0 until the first answer of the store: what was written before it is not lost.
+        self._era = 0
+
+    def on_new_era(self, era: int) -> None:
+        """Have this daemon registered again: a restored store may have lost its object."""
+        if self._era:
+            self._version = None
+            self._is_rewrite_due = self.is_registered
+        self._era = era
 
     async def run(self) -> None:
         """Join and register, then re-read the listing periodically."""
         await asyncio.gather(self._join_through_seeds(), self._join_through_store())
-        await asyncio.gather(self._register_when_ranked(), self._relist())
+        await asyncio.gather(self._keep_registered(), self._relist())
 
     async def _join_through_seeds(self) -> None:
         while self._seeds and not self.has_contacted_members:
@@ -109,12 +126,23 @@
         while not self.has_contacted_members and self._clock.monotonic() < end:
             await asyncio.sleep(SEED_RETRY_SECONDS / 4)
 
-    async def _register_when_ranked(self) -> None:
-        while not self.is_registered:
+    async def _keep_registered(self) -> None:
+        while True:
             await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.0))
-            if self._has_rank():
+            if self._is_rewrite_due:
+                await self._register_again()
+            elif not self.is_registered and self._has_rank():
                 await self._register_with_backoff()
 
+    async def _register_again(self) -> None:
+        await asyncio.sleep(REWRITE_SPREAD_SECONDS * self._rng.random())
+        # The store may be restored once more while this daemon registers.
+        self._is_rewrite_due = False
+        self.is_registered = False
+        await self._register_with_backoff()
+        if self.is_registered:
+            self._journal.record(catalogue.REGISTERED_AGAIN, era=self._era)
+
     async def _relist(self) -> None:
         while True:
             is_alone = len(self._directory.members_by_vm) == 1
@@ -125,7 +153,7 @@
 
     async def _register_with_backoff(self) -> None:
         backoff_seconds = INITIAL_BACKOFF_SECONDS
-        while not self.is_registered:
+        while not self.is_registered and not self._directory.me.is_leaving:
             registered = await self._register()
             if registered.is_ok():
                 self.is_registered = True
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -266,6 +266,16 @@
     assert fleet.runs(VM_NAMES[1])["runs_by_id"], "the other servers are called"
 
 
+async def test_daemons_whose_registration_the_copy_lacks_can_be_found(fleet: Fleet) -> None:
+    """Guards against a fleet that a starting daemon can't join, since nobody registers again."""
+    url = f"http://{fleet.platform}/objects/daemon"
+    await asyncio.to_thread(fleet.restore_platform, seconds=60.0, down_seconds=DOWN_SECONDS)
+    assert get_json(url)["items"] == []
+    await wait_until(
+        lambda: {it["Metadata"]["Name"] for it in get_json(url)["items"]} == set(VM_NAMES)
+    )
+
+
 def apply_browse(fleet: Fleet, within_ms: int, *options: str) -> tuple[int, str]:
     """Change the class ``browse``; return the exit code and the output of the command."""
     file = fleet.folder / f"apply-{within_ms}.json"
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -9,6 +9,7 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
+from kingcuppond.membership import registration as registration_module
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member
@@ -104,3 +105,72 @@
     loop.run_until_complete(scenario())
     loop.close()
     assert len(gossip.addresses) >= 3
+
+
+async def restore(
+    store: FakeStore,
+    registration: Registration,
+    monkeypatch: pytest.MonkeyPatch,
+    is_lost: bool = True,
+) -> None:
+    """Restore the store from a copy, and let the daemon register again if need be.
+
+    :param is_lost: whether the copy lacks all objects, or else none
+    """
+    monkeypatch.setattr(registration_module, "ROLE_CHECK_INTERVAL_SECONDS", 0.01)
+    monkeypatch.setattr(registration_module, "REWRITE_SPREAD_SECONDS", 0.01)
+    monkeypatch.setattr(registration_module, "INITIAL_BACKOFF_SECONDS", 0.01)
+    if is_lost:
+        store.objects.clear()
+        store.version = 0
+    registration.on_new_era(2)
+    running = asyncio.create_task(registration._keep_registered())
+    await asyncio.sleep(0.2)
+    running.cancel()
+
+
+@pytest.mark.parametrize("faults", [[], ["lost"], ["dropped", "refused"]], ids=str)
+async def test_a_registration_lost_in_a_restore_is_written_again(
+    faults: list[str],
+    store: FakeStore,
+    registration: Registration,
+    journal: Journal,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    registration.on_new_era(1)
+    await registration._join_through_store()
+    store.faults = list(faults)
+    await restore(store, registration, monkeypatch)
+    assert (DAEMON_KIND, "vm-1") in store.objects
+    assert registration.is_registered
+    assert 211 in [entry.number for entry in journal.entries]
+
+
+async def test_a_registration_that_the_copy_has_is_not_written_again(
+    store: FakeStore, registration: Registration, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    registration.on_new_era(1)
+    await registration._join_through_store()
+    await restore(store, registration, monkeypatch, is_lost=False)
+    assert store.writes == 1
+
+
+async def test_a_leaving_daemon_does_not_register_again(
+    store: FakeStore, registration: Registration, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its object would outlive it."""
+    registration.on_new_era(1)
+    await registration._join_through_store()
+    registration._directory.publish_own_change(is_leaving=True)
+    await restore(store, registration, monkeypatch)
+    assert store.objects == {}
+
+
+async def test_a_daemon_that_was_not_registered_makes_no_call_after_a_restore(
+    store: FakeStore, registration: Registration, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All daemons of the fleet hear of the restore at once."""
+    registration._has_rank = lambda: False
+    registration.on_new_era(1)
+    await restore(store, registration, monkeypatch)
+    assert (store.reads, store.writes) == (0, 0)
