--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -52,6 +52,9 @@
 REGISTRATION_UNREADABLE: Final = Event(
     209, "warning", "registration of daemon {member} can't be read: {error}"
 )
+REGISTERED_AGAIN: Final = Event(
+    211, "info", "this daemon is registered in the store that was restored as era {era}"
+)
 DATA_CENTRE_SUSPECTED: Final = Event(
     210, "warning", "no member of {data_centre} answers: {pinged} more were pinged"
 )
@@ -84,6 +87,9 @@
 DEPARTURE_UNREADABLE: Final = Event(
     411, "warning", "record of an earlier departure can't be read: {error}"
 )
+DEPARTURE_REWRITTEN: Final = Event(
+    412, "info", "the departure of {instance} is recorded in the restored store"
+)
 CALL_ANSWERED: Final = Event(501, "debug", "call {call} answered {status} by {member}")
 CALL_NOT_RUN: Final = Event(502, "info", "call {call} not run: {reason}")
 CALL_UNKNOWN: Final = Event(503, "warning", "call {call} has an unknown outcome: {reason}")
