Events of a planned stop: late requests, the close, requests without an answer

Logs couldn't tell the hypotheses of the incident apart: nothing told how long after SIGTERM a request was read, what was left of the grace and of its deadline, when and with how much in progress the connections were closed, and who closed the connection of a request without an answer. E512, E110 and E513 tell that; E510 of the same request id tells whether it was passed on. No behaviour changes.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -34,7 +34,7 @@
 from kingcuppond.gate.incarnation import Incarnation
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.counts import CallCounts
-from kingcuppond.ingress.draining import StopPlan, wait_until_drained
+from kingcuppond.ingress.draining import StopPlan, start_grace_period, wait_until_drained
 from kingcuppond.ingress.http_server import listen, make_server, stop_accepting
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.ready import make_ready_handler
@@ -171,10 +171,12 @@
         self.journal.record(
             catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
         )
+        limit_seconds = self.settings.grace_ms / 1000
+        self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
         self.directory.publish_own_change(is_leaving=True)
         self.gate.admission.process_queue()
         plan = StopPlan(
-            limit_seconds=self.settings.grace_ms / 1000,
+            limit_seconds=limit_seconds,
             is_idle=lambda: self.port.is_idle,
             seconds_since_last_request=lambda: self.clock.monotonic() - self.port.last_request_at,
             stop_accepting=self._stop_accepting,
@@ -186,6 +188,10 @@
 
     async def on_stop(self) -> None:
         """Close everything."""
+        self.port.is_closing = True
+        self.journal.record(
+            catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.port.in_progress
+        )
         for runner in reversed(self._runners):
             await runner.cleanup()
         self.claim_coordinator.stop()
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -37,6 +37,9 @@
     108, "warning", "this process did not run for {seconds} s; it asks the others before it acts"
 )
 CATCH_UP_FAILED: Final = Event(109, "warning", "nobody answered this daemon after its pause")
+DAEMON_DRAINED: Final = Event(
+    110, "info", "daemon {vm} closes its connections: {in_flight} calls in progress"
+)
 MEMBER_JOINED: Final = Event(201, "info", "discovered member {member} of {data_centre}")
 MEMBER_CHANGED: Final = Event(202, "info", "member {member} is {state}")
 MEMBER_SUSPECTED: Final = Event(203, "warning", "member {member} does not answer")
@@ -89,6 +92,12 @@
 REQUEST_REJECTED: Final = Event(509, "info", "request {request} rejected before routing: {reason}")
 CALL_SENT: Final = Event(510, "debug", "call {call} sent to {member}")
 REQUEST_ANSWERED: Final = Event(511, "debug", "request {request} answered {status} after {ms} ms")
+REQUEST_WHILE_LEAVING: Final = Event(
+    512, "debug", "request {request} was read {leaving_ms} ms after this daemon began to leave"
+)
+REQUEST_UNANSWERED: Final = Event(
+    513, "debug", "request {request} has no answer: {closed_by} closed its connection"
+)
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -30,6 +31,29 @@
 """Time before the limit that is reserved for the daemon to close its connections itself."""
 
 
+@attrs.frozen
+class GracePeriod:
+    """The time in which a leaving daemon still serves callers.
+
+    :param started: monotonic time at which the daemon began to leave, in seconds
+    :param ends: monotonic time at which it closes its connections, in seconds, infinite if it waits
+        until all calls have ended
+    """
+
+    started: float
+    ends: float
+
+
+def start_grace_period(now: float, limit_seconds: float) -> GracePeriod:
+    """Return the grace period of a daemon that begins to leave now.
+
+    :param limit_seconds: the time limit, 0 for none
+    """
+    if not limit_seconds:
+        return GracePeriod(now, math.inf)
+    return GracePeriod(now, now + limit_seconds - CLOSE_BEFORE_LIMIT_SECONDS)
+
+
 @attrs.frozen
 class StopPlan:
     """The inputs of draining.
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -23,6 +23,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
+from kingcuppond.ingress.draining import GracePeriod
 from kingcuppond.ingress.http_server import problem_response
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
@@ -54,6 +55,8 @@
     :param wait_until_current: waits, if this process was paused, until it is up to date
     :param in_progress: number of requests that are being served
     :param last_request_at: monotonic time of the last caller's request, in seconds
+    :param grace: the grace period, once this daemon is leaving
+    :param is_closing: whether this daemon is closing its connections
     """
 
     vm: str
@@ -74,6 +77,8 @@
     wait_until_current: Callable[[], Awaitable[None]]
     in_progress: int = 0
     last_request_at: float = float("-inf")
+    grace: GracePeriod | None = None
+    is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -89,6 +94,9 @@
         try:
             await self.wait_until_current()
             return await self._serve_caller(request, started)
+        except asyncio.CancelledError:
+            self._record_unanswered(request, started)
+            raise
         finally:
             self.in_progress -= 1
 
@@ -126,6 +134,8 @@
             )
             return self._refuse(request, parsed.error)
         caller_request = parsed.ok
+        if self.grace is not None:
+            self._record_while_leaving(caller_request, self.grace)
         result = await self._run(caller_request)
         name = caller_request.class_of_work.name
         if result.is_error():
@@ -134,7 +144,7 @@
             return self._refuse(request, result.error, retry_after_seconds=delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_closing())
+            response = await send_answer(request, answer, {}, self._is_leaving())
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -265,13 +275,36 @@
         dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
         response = problem_response(failure, dialect, retry_after_seconds)
         response.headers.update(extra_headers or {})
-        if self._is_closing() or not request.content.at_eof():
+        if self._is_leaving() or not request.content.at_eof():
             response.force_close()
         return response
 
-    def _is_closing(self) -> bool:
+    def _is_leaving(self) -> bool:
         return self.gate.directory.me.is_leaving
 
+    def _record_while_leaving(self, caller_request: CallerRequest, grace: GracePeriod) -> None:
+        now = self.clock.monotonic()
+        self.journal.record(
+            catalogue.REQUEST_WHILE_LEAVING,
+            call=caller_request.call.id,
+            request=caller_request.call.request_id,
+            leaving_ms=round((caller_request.started - grace.started) * 1000),
+            grace_left_ms=None if math.isinf(grace.ends) else round((grace.ends - now) * 1000),
+            deadline_left_ms=round((caller_request.call.deadline - now) * 1000),
+            class_of_work=caller_request.class_of_work.name,
+        )
+
+    def _record_unanswered(self, request: web.BaseRequest, started: float) -> None:
+        now = self.clock.monotonic()
+        grace = self.grace
+        self.journal.record(
+            catalogue.REQUEST_UNANSWERED,
+            request=request.headers.get(self.dialect.request_id_header, "without id"),
+            closed_by="this daemon" if self.is_closing else "the caller",
+            ms=round((now - started) * 1000),
+            leaving_ms=None if grace is None else round((now - grace.started) * 1000),
+        )
+
     def _record_failure(self, caller_request: CallerRequest, failure: Failure) -> None:
         self.counts.count_failure(
             caller_request.class_of_work.name, caller_request.call.service, failure
--- a/kingcuppond/operators/logs.py
+++ b/kingcuppond/operators/logs.py
@@ -36,6 +36,7 @@
         catalogue.STORE_DOWN,
         catalogue.CONFIGURATION_CHANGED,
         catalogue.DAEMON_LEAVING,
+        catalogue.DAEMON_DRAINED,
         catalogue.DAEMON_STARTED,
         catalogue.LINES_DROPPED,
     )
@@ -47,6 +48,7 @@
         catalogue.CALL_UNKNOWN,
         catalogue.REQUEST_ANSWERED,
         catalogue.REQUEST_REJECTED,
+        catalogue.REQUEST_UNANSWERED,
     )
 )
 
