A leaving daemon refuses requests that may not end before it stops

Callers saw: requests that came late in the grace period of a planned stop were sent to a server and cut when the daemon was killed, among them requests that must not be repeated. Cause: the port didn't know of the grace period. New connections were accepted until one second before its end, and open ones delivered requests until the close; nothing compared what was left with the time that a request may take. Change: the port has the grace period. In its first 2.5 s, in which callers may not have noticed, only requests are refused that usually take longer than what is left. After that a request is served only if its deadline is in the grace period. A refusal says that the request has not run, closes the connection and is spread like that of an outage: the daemon is away for longer than a burst lasts. Price: requests between 2.5 s and the end whose deadline is later than it are refused, also those that would have ended in time. The stand-in's daemons get the grace_ms of the deployment, 5500 instead of 6000.

--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -3,7 +3,9 @@
 The other daemons are told first, and new work from them is refused.  Callers that still connect
 are served, and their connections are closed after the answer.  Without a time limit, draining waits
 until all calls in progress have ended.  With one, callers are accepted until they had time to
-notice that this daemon is not ready; calls in progress may use the time that is left.
+notice that this daemon is not ready; calls in progress may use the time that is left.  A request
+that may not end in that time is refused before it is sent to a server, so that its caller can go
+elsewhere.
 """
 
 import asyncio
@@ -24,6 +26,13 @@
 UNREADY_NOTICED_SECONDS: Final = 3.3
 """Readiness is probed once a second, and callers stay away after two failed probes."""
 
+SERVED_AS_USUAL_SECONDS: Final = 2.5
+"""Time for callers to notice that this daemon is not ready: the second failed probe comes within
+two seconds, and requests may be on their way."""
+
+SERVED_AS_USUAL_SHARE: Final = 0.5
+"""The largest part of a short grace period in which requests are served as usual."""
+
 STOP_ACCEPTING_BEFORE_LIMIT_SECONDS: Final = 1.0
 """Time before the limit without new callers, so that those accepted can be answered."""
 
@@ -43,6 +52,22 @@
     started: float
     ends: float
 
+    def may_serve(self, now: float, deadline: float, typical_seconds: float) -> bool:
+        """Return whether a request that has just arrived may be sent to a server.
+
+        At first callers have not noticed yet, so only a request that would usually take too long is
+        refused.  Later, few callers come, and a request must end in time whatever its server does.
+
+        :param deadline: monotonic time at which the request is answered at the latest, in seconds
+        :param typical_seconds: typical latency of its class
+        """
+        usual_seconds = min(
+            SERVED_AS_USUAL_SECONDS, (self.ends - self.started) * SERVED_AS_USUAL_SHARE
+        )
+        if now - self.started < usual_seconds:
+            return now + typical_seconds <= self.ends
+        return deadline <= self.ends
+
 
 def start_grace_period(now: float, limit_seconds: float) -> GracePeriod:
     """Return the grace period of a daemon that begins to leave now.
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -181,6 +181,13 @@
 
     async def _run(self, caller_request: CallerRequest) -> Result[Answer, Failure]:
         call = caller_request.call
+        if self.grace is not None and not self.grace.may_serve(
+            self.clock.monotonic(),
+            call.deadline,
+            self.router.sender.typical_seconds(call.class_name),
+        ):
+            detail = f"{self.vm} is leaving and may stop before the request has ended"
+            return Result.Error(NotRun(Reason.LEAVING, detail))
         level = self.suspects.level(call.fingerprint)
         if level is QuarantineLevel.HELD:
             detail = f"request {call.fingerprint} made servers fail and is temporarily quarantined"
--- a/kingcuppond/ingress/retry_after.py
+++ b/kingcuppond/ingress/retry_after.py
@@ -23,6 +23,7 @@
     Reason.ISOLATED,
     Reason.DATA_CENTRE_OUT,
     Reason.UNREACHABLE,
+    Reason.LEAVING,
 )
 """Reasons that last longer than a lack of room does."""
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,6 +79,7 @@
     :param linked_servers: names of VMs whose daemon reaches its server through its own ``Link``
     :param is_on_platform: whether daemons and servers use the protocol of the users' platform
     :param first_start: the setting ``is_first_start`` of all daemons, if ``is_on_platform``
+    :param grace_ms: the setting ``grace_ms`` of all daemons, if ``is_on_platform``
     """
 
     plans: Sequence[VmPlan]
@@ -89,6 +90,7 @@
     log_level: str = "info"
     is_on_platform: bool = False
     first_start: bool = True
+    grace_ms: int = 5500
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
@@ -333,7 +335,7 @@
                 "ready_address": ready,
                 "application_address": server,
                 "is_first_start": self.first_start,
-                "grace_ms": 6000,
+                "grace_ms": self.grace_ms,
                 "suspect_hold_ms": 0,
                 "watch_wait_ms": 20_000,
             }
--- /dev/null
+++ b/tests/failures/test_planned_stop.py
@@ -0,0 +1,143 @@
+"""A planned stop with a time limit loses no request, with real processes and stand-ins.
+
+As on the users' platform, a daemon that is still there at the end of its time is killed.
+"""
+
+import asyncio
+import itertools
+import signal
+import time
+from collections.abc import Iterator
+
+import aiohttp
+import attrs
+import pytest
+
+from standins.fleet import Fleet, plan_service
+from tests.failures.test_platform import HOST, VM_NAMES, configure, runs_of
+
+PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1}, "--slots", "32")
+KILL_SECONDS = 6.0
+SERVICE_MS = 1500
+TIMEOUT_MS = 2000
+STOPPING = VM_NAMES[0]
+_IDS = itertools.count(1)
+
+
+@attrs.frozen
+class Reply:
+    """What a caller saw.
+
+    :param sent_at: seconds after SIGTERM
+    :param status: HTTP status, or 0 if the connection was refused or broke
+    :param runs: how often the request ran
+    """
+
+    id: str
+    sent_at: float
+    status: int
+    is_closing: bool
+    seconds: float
+    runs: int
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether it ran and was given up before its deadline."""
+        return bool(self.runs) and self.status != 200 and self.seconds < TIMEOUT_MS / 1000
+
+
+@attrs.define
+class Caller:
+    """A caller with a connection of its own, which may have been opened before SIGTERM."""
+
+    fleet: Fleet
+    session: aiohttp.ClientSession
+
+    async def send(self, method: str, path: str, deadline_ms: int = TIMEOUT_MS) -> tuple[str, int]:
+        reply = await self.send_at(time.monotonic(), 0.0, method, path, deadline_ms)
+        return reply.id, reply.status
+
+    async def send_at(
+        self, stopped_at: float, after: float, method: str, path: str, deadline_ms: int = TIMEOUT_MS
+    ) -> Reply:
+        request_id = f"stop-{next(_IDS)}"
+        headers = {
+            "Host": HOST,
+            "X-Kingcuppond-Attempt-Id": request_id,
+            "X-Kingcuppond-Deadline-Ms": str(deadline_ms),
+        }
+        await asyncio.sleep(max(0.0, stopped_at + after - time.monotonic()))
+        started = time.monotonic()
+        address = self.fleet.vms_by_name[STOPPING].caller
+        data = b"body" if method == "POST" else None
+        try:
+            async with self.session.request(
+                method, f"http://{address}{path}", headers=headers, data=data
+            ) as response:
+                await response.read()
+                status = response.status
+                is_closing = response.headers.get("Connection", "").lower() == "close"
+        except (aiohttp.ClientError, OSError):
+            status, is_closing = 0, True
+        seconds = time.monotonic() - started
+        runs = await asyncio.to_thread(runs_of, self.fleet, request_id)
+        return Reply(request_id, started - stopped_at, status, is_closing, seconds, runs)
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    with Fleet(PLANS, is_on_platform=True, log_level="debug") as running:
+        configure(running)
+        running.wait_until_ready()
+        yield running
+
+
+async def stop_as_the_platform_does(fleet: Fleet, stopped_at: float) -> bool:
+    """Send SIGTERM, and SIGKILL at the end of the time.
+
+    :return: whether the daemon exited by itself
+    """
+    fleet.signal(STOPPING, "daemon", signal.SIGTERM)
+    process = fleet.vms_by_name[STOPPING].processes_by_role["daemon"]
+    while time.monotonic() < stopped_at + KILL_SECONDS:
+        if process.poll() is not None:
+            return True
+        await asyncio.sleep(0.02)
+    fleet.kill(STOPPING, "daemon")
+    return False
+
+
+async def open_caller(fleet: Fleet, is_kept: bool) -> Caller:
+    timeout = aiohttp.ClientTimeout(total=20)
+    caller = Caller(fleet, aiohttp.ClientSession(timeout=timeout))
+    caller.session._retry_connection = False
+    if is_kept:
+        _, status = await caller.send("GET", "/read/1")
+        assert status == 200
+    return caller
+
+
+async def test_late_requests_of_a_planned_stop_are_not_sent_and_cut(fleet: Fleet) -> None:
+    """Requests that came late in the grace period were sent to a server and cut at its end."""
+    moments = [1.5, 2.4, 2.8, 3.2, 3.6, 4.0, 4.4, 4.8, 5.0, 5.2]
+    kinds = [("GET", "/read"), ("POST", "/book")]
+    cases = [(*kind, is_kept) for kind in kinds for is_kept in (True, False)]
+    callers = {
+        (at, case): await open_caller(fleet, case[2])
+        for at, case in itertools.product(moments, cases)
+    }
+    stopped_at = time.monotonic()
+    calls = [
+        caller.send_at(stopped_at, at, case[0], f"{case[1]}/1?ms={SERVICE_MS}")
+        for (at, case), caller in callers.items()
+    ]
+    replies, _ = await asyncio.gather(
+        asyncio.gather(*calls), stop_as_the_platform_does(fleet, stopped_at)
+    )
+    for caller in callers.values():
+        await caller.session.close()
+    assert [reply for reply in replies if reply.is_cut] == []
+    assert {reply.status for reply in replies if not reply.runs} <= {0, 503}
+    early = [reply for reply in replies if reply.sent_at < 2.5]
+    assert {reply.status for reply in early} == {200}, "callers have not noticed yet"
+    assert all(reply.is_closing for reply in replies)
