A stop ends within its time limit, and what is still in progress is answered

Callers saw: requests in progress at the end of a planned stop lost their connection; the process was killed, with no answer and no line in its log. Cause: the time limit bounded only the wait before the close. Change: at the end of the grace period the port refuses what still arrives and answers each call in progress, of callers and of other daemons, that its outcome is unknown (502). The refusal holds also for a stop without a time limit: a request on an open connection that came after the last check was cut after 2 s. Result: the test of this commit, two requests of 9 s, got status 0 at the kill before; now 502 after more than 5.0 s, and the daemon exits by itself. A call that waits for its claim at that moment is told "unknown" too, though it has not run.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -188,12 +188,11 @@
 
     async def on_stop(self) -> None:
         """Close everything."""
-        self.port.is_closing = True
         self.journal.record(
             catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.port.in_progress
         )
-        for runner in reversed(self._runners):
-            await runner.cleanup()
+        await self.port.close()
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.claim_coordinator.stop()
         self.gossip.stop()
         await self.transport.close()
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -25,6 +25,10 @@
 STALL_TIMEOUT_SECONDS: Final = 30.0
 LISTEN_BACKLOG: Final = 1024
 
+CLOSE_SECONDS: Final = 0.1
+"""How long a server that is closed waits for its handlers, and once more after cancelling them.
+What is worth a longer wait has been waited for before."""
+
 KEEP_ALIVE_SECONDS: Final = 120.0
 """Longer than callers keep an idle connection, so that no request races with its close."""
 
@@ -103,7 +107,7 @@
     :return: the runner, whose ``cleanup`` stops the server, or why the address can't be used
     """
     host, port = split_address(address)
-    runner = web.ServerRunner(server, shutdown_timeout=LINGER_SECONDS)
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
     await runner.setup()
     try:
         await web.TCPSite(runner, host, port, backlog=LISTEN_BACKLOG).start()
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -28,7 +28,7 @@
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
-from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.budgets import WindowBudget
@@ -45,6 +45,11 @@
 
 REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
 
+ANSWER_SECONDS: Final = 0.1
+"""Time for calls that were given up to be answered."""
+
+POLL_SECONDS: Final = 0.01
+
 
 @attrs.define
 class CallPort:
@@ -80,6 +85,7 @@
     grace: GracePeriod | None = None
     is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
+    _waiting_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller or of another daemon."""
@@ -115,6 +121,32 @@
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
         return self.in_progress == 0 and not self._claimed_tasks
 
+    async def close(self) -> None:
+        """Refuse further requests, and answer those in progress that their outcome is unknown."""
+        self.is_closing = True
+        for task in self._waiting_tasks:
+            task.cancel()
+        end = self.clock.monotonic() + ANSWER_SECONDS
+        while self.in_progress and self.clock.monotonic() < end:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _result_until_close(
+        self, result: Awaitable[Result[Answer, Failure]]
+    ) -> Result[Answer, Failure]:
+        """Wait for the result of a call, until this daemon closes its connections."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._waiting_tasks.add(task)
+        try:
+            return await result
+        except asyncio.CancelledError:
+            # The task is cancelled also if the caller disconnects.
+            if not self.is_closing or task.uncancel():
+                raise
+            return Result.Error(Unknown(Reason.LEAVING, f"{self.vm} stops during the call"))
+        finally:
+            self._waiting_tasks.discard(task)
+
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
         parsed = await read_request(
             request,
@@ -136,7 +168,7 @@
         caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
-        result = await self._run(caller_request)
+        result = await self._result_until_close(self._run(caller_request))
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
@@ -181,11 +213,7 @@
 
     async def _run(self, caller_request: CallerRequest) -> Result[Answer, Failure]:
         call = caller_request.call
-        if self.grace is not None and not self.grace.may_serve(
-            self.clock.monotonic(),
-            call.deadline,
-            self.router.sender.typical_seconds(call.class_name),
-        ):
+        if not self._may_serve(call):
             detail = f"{self.vm} is leaving and may stop before the request has ended"
             return Result.Error(NotRun(Reason.LEAVING, detail))
         level = self.suspects.level(call.fingerprint)
@@ -219,7 +247,7 @@
             return self._refuse(request, verified.error, {})
         self.clock.observe(verified.ok.stamp)
         call = self._make_relayed_call(request, verified.ok, started)
-        result = await self.gate.run(call)
+        result = await self._result_until_close(self.gate.run(call))
         if result.is_error():
             return self._refuse(request, result.error, self._report_headers())
         answer = result.ok
@@ -289,6 +317,14 @@
     def _is_leaving(self) -> bool:
         return self.gate.directory.me.is_leaving
 
+    def _may_serve(self, call: Call) -> bool:
+        if self.is_closing:
+            return False
+        typical_seconds = self.router.sender.typical_seconds(call.class_name)
+        return self.grace is None or self.grace.may_serve(
+            self.clock.monotonic(), call.deadline, typical_seconds
+        )
+
     def _record_while_leaving(self, caller_request: CallerRequest, grace: GracePeriod) -> None:
         now = self.clock.monotonic()
         self.journal.record(
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -18,6 +18,7 @@
 
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1}, "--slots", "32")
 KILL_SECONDS = 6.0
+FULL_WAIT_SECONDS = 5.0
 SERVICE_MS = 1500
 TIMEOUT_MS = 2000
 STOPPING = VM_NAMES[0]
@@ -107,6 +108,28 @@
     return False
 
 
+async def test_a_request_that_outlasts_a_planned_stop_is_answered(fleet: Fleet) -> None:
+    """The daemon waited for it beyond its time limit, and was killed before it had answered."""
+    configure(fleet, 2, Timeout="20000ms", Kind="unsafe")
+    await asyncio.sleep(1.0)
+    callers = [await open_caller(fleet, is_kept) for is_kept in (True, False)]
+    stopped_at = time.monotonic()
+    calls = [
+        caller.send_at(stopped_at, 1.0, "GET", "/read/1?ms=9000", 15_000) for caller in callers
+    ]
+    replies, is_exit_by_itself = await asyncio.gather(
+        asyncio.gather(*calls), stop_as_the_platform_does(fleet, stopped_at)
+    )
+    for caller in callers:
+        await caller.session.close()
+    assert [(reply.status, reply.runs, reply.is_closing) for reply in replies] == [
+        (502, 1, True),
+        (502, 1, True),
+    ], "they ran, so their outcome is unknown"
+    assert all(reply.sent_at + reply.seconds > FULL_WAIT_SECONDS for reply in replies)
+    assert is_exit_by_itself
+
+
 async def open_caller(fleet: Fleet, is_kept: bool) -> Caller:
     timeout = aiohttp.ClientTimeout(total=20)
     caller = Caller(fleet, aiohttp.ClientSession(timeout=timeout))
