--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -26,9 +26,9 @@
 UNREADY_NOTICED_SECONDS: Final = 3.3
 """Readiness is probed once a second, and callers stay away after two failed probes."""
 
-SERVED_AS_USUAL_SECONDS: Final = 2.5
+SERVED_AS_USUAL_SECONDS: Final = 2.9
 """Time for callers to notice that this daemon is not ready: the second failed probe comes within
-two seconds, and requests may be on their way."""
+two seconds, on a busy machine somewhat later."""
 
 SERVED_AS_USUAL_SHARE: Final = 0.5
 """The largest part of a short grace period in which requests are served as usual."""
