--- /dev/null
+++ b/tests/ingress/test_port.py
@@ -0,0 +1,145 @@
+"""What the port answers while the daemon leaves and when it closes its connections."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import attrs
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+from expression import Ok, Result
+from prometheus_client import CollectorRegistry
+
+from kingcuppond.clock import Clock
+from kingcuppond.configuration.objects import ClassOfWork, encode
+from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.dialect import DEADLINE_HEADER, NATIVE_DIALECT
+from kingcuppond.events.journal import Journal
+from kingcuppond.ingress.counts import CallCounts
+from kingcuppond.ingress.draining import start_grace_period
+from kingcuppond.ingress.port import CallPort
+from kingcuppond.outcomes import OUTCOME_HEADER, Failure
+from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.routing.call import Answer, Call
+from tests.conftest import FakeTime
+
+LIMIT_SECONDS = 5.5
+
+
+@attrs.define
+class FakeRouter:
+    """A router whose calls take as long as a test wants.
+
+    :param calls: the calls that it was given
+    :param may_end: set when the calls may end
+    """
+
+    rng: Random
+    calls: list[Call] = attrs.field(factory=list)
+    may_end: asyncio.Event = attrs.field(factory=asyncio.Event)
+    sender: Any = attrs.field(
+        factory=lambda: SimpleNamespace(typical_seconds=lambda _class_name: 0.1)
+    )
+
+    async def run(self, call: Call) -> Result[Answer, Failure]:
+        self.calls.append(call)
+        await self.may_end.wait()
+        return Ok(Answer(200, (), b"done"))
+
+
+async def _is_current() -> None:
+    """Return at once: this process was not paused."""
+
+
+def make_port(clock: Clock, journal: Journal) -> tuple[CallPort, FakeRouter]:
+    configuration = Configuration(journal)
+    shop = ClassOfWork("book", "shop", "/shop", 4000, at_most_once=True)
+    configuration.merge([VersionedObject("class/book", 1, encode(shop))])
+    configuration.is_complete = True
+    router = FakeRouter(Random(1))
+    me = SimpleNamespace(is_leaving=True)
+    gate: Any = SimpleNamespace(directory=SimpleNamespace(me=me))
+    unused: Any = None
+    port = CallPort(
+        vm="vm-1",
+        service="shop",
+        dialect=NATIVE_DIALECT,
+        choose_service=lambda class_of_work: class_of_work.service,
+        configuration=configuration,
+        gate=gate,
+        router=router,  # type: ignore[arg-type]
+        guard=unused,
+        suspects=SuspectTable("vm-1", clock, journal),
+        counts=CallCounts(CollectorRegistry()),
+        report_budget=unused,
+        fleet_key=b"",
+        clock=clock,
+        journal=journal,
+        next_id=lambda: "id",
+        wait_until_current=_is_current,
+    )
+    return port, router
+
+
+async def send(port: CallPort, deadline_ms: int) -> web.StreamResponse:
+    headers = {DEADLINE_HEADER: str(deadline_ms)}
+    return await port.handle_caller(make_mocked_request("POST", "/shop/a", headers=headers))
+
+
+@pytest.mark.parametrize(("after_seconds", "is_served"), [(0.0, True), (2.0, True), (3.5, False)])
+async def test_a_late_request_is_refused_before_it_is_sent(
+    clock: Clock, journal: Journal, fake_time: FakeTime, after_seconds: float, is_served: bool
+) -> None:
+    """A request whose deadline was later than the grace period was sent, and cut at its end."""
+    port, router = make_port(clock, journal)
+    router.may_end.set()
+    port.grace = start_grace_period(clock.monotonic(), LIMIT_SECONDS)
+    fake_time.advance(after_seconds)
+    response = await send(port, deadline_ms=4000)
+    assert (response.status, len(router.calls)) == ((200, 1) if is_served else (503, 0))
+    assert response.headers[OUTCOME_HEADER] == ("answered" if is_served else "not-run")
+    assert response.keep_alive is False
+    (entry,) = [entry for entry in journal.entries if entry.number == 512]
+    assert entry.fields["leaving_ms"] == after_seconds * 1000
+    assert entry.fields["deadline_left_ms"] == 4000
+
+
+async def test_the_close_answers_what_is_in_progress(clock: Clock, journal: Journal) -> None:
+    """Calls in progress at the end of the grace period lost their connection unanswered."""
+    port, router = make_port(clock, journal)
+    port.grace = start_grace_period(clock.monotonic(), LIMIT_SECONDS)
+    calls = [asyncio.create_task(send(port, deadline_ms=4000)) for _ in range(3)]
+    await asyncio.sleep(0)
+    assert len(router.calls) == 3
+    await port.close()
+    responses = await asyncio.gather(*calls)
+    assert {response.status for response in responses} == {504}
+    assert {response.headers[OUTCOME_HEADER] for response in responses} == {"unknown"}
+
+
+@pytest.mark.parametrize("limit_seconds", [0.0, LIMIT_SECONDS])
+async def test_a_request_that_arrives_at_the_close_is_not_sent(
+    clock: Clock, journal: Journal, limit_seconds: float
+) -> None:
+    """A request on a kept connection was sent while the connections were being closed."""
+    port, router = make_port(clock, journal)
+    port.grace = start_grace_period(clock.monotonic(), limit_seconds)
+    await port.close()
+    response = await send(port, deadline_ms=100)
+    assert (response.status, router.calls) == (503, [])
+
+
+async def test_a_caller_that_disconnects_at_the_close_gets_no_answer(
+    clock: Clock, journal: Journal
+) -> None:
+    port, _ = make_port(clock, journal)
+    port.grace = start_grace_period(clock.monotonic(), LIMIT_SECONDS)
+    call = asyncio.create_task(send(port, deadline_ms=4000))
+    await asyncio.sleep(0)
+    call.cancel()
+    await port.close()
+    with pytest.raises(asyncio.CancelledError):
+        await call
+    assert [entry.number for entry in journal.entries if entry.number == 513] == [513]
