A request that has not arrived whole when the daemon stops is refused, not dropped

Callers saw: a closed connection, though the request has certainly not run and could be sent elsewhere. The wait for the rest of the request now ends at the close like that for a result, with 503. The test got no bytes before.

--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import attrs
 from aiohttp import web
@@ -50,6 +50,8 @@
 
 POLL_SECONDS: Final = 0.01
 
+T = TypeVar("T")
+
 
 @attrs.define
 class CallPort:
@@ -122,7 +124,7 @@
         return self.in_progress == 0 and not self._claimed_tasks
 
     async def close(self) -> None:
-        """Refuse further requests, and answer those in progress that their outcome is unknown."""
+        """Refuse further requests, and answer those in progress without a result of a server."""
         self.is_closing = True
         for task in self._waiting_tasks:
             task.cancel()
@@ -130,10 +132,13 @@
         while self.in_progress and self.clock.monotonic() < end:
             await asyncio.sleep(POLL_SECONDS)
 
-    async def _result_until_close(
-        self, result: Awaitable[Result[Answer, Failure]]
-    ) -> Result[Answer, Failure]:
-        """Wait for the result of a call, until this daemon closes its connections."""
+    async def _until_close(
+        self, result: Awaitable[Result[T, Failure]], failure: Failure
+    ) -> Result[T, Failure]:
+        """Wait for a result until this daemon closes its connections.
+
+        :param failure: the result if there is none by then
+        """
         task = asyncio.current_task()
         assert task is not None
         self._waiting_tasks.add(task)
@@ -143,20 +148,23 @@
             # The task is cancelled also if the caller disconnects.
             if not self.is_closing or task.uncancel():
                 raise
-            return Result.Error(Unknown(Reason.LEAVING, f"{self.vm} stops during the call"))
+            return Result.Error(failure)
         finally:
             self._waiting_tasks.discard(task)
 
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        parsed = await read_request(
-            request,
-            self.configuration,
-            self.dialect,
-            self.service,
-            self.choose_service,
-            started,
-            self.clock.monotonic,
-            self.next_id,
+        parsed = await self._until_close(
+            read_request(
+                request,
+                self.configuration,
+                self.dialect,
+                self.service,
+                self.choose_service,
+                started,
+                self.clock.monotonic,
+                self.next_id,
+            ),
+            NotRun(Reason.LEAVING, f"{self.vm} stops before the request has arrived"),
         )
         if parsed.is_error():
             self.journal.record(
@@ -168,7 +176,7 @@
         caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
-        result = await self._result_until_close(self._run(caller_request))
+        result = await self._until_close(self._run(caller_request), self._stopped_during_call())
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
@@ -247,7 +255,7 @@
             return self._refuse(request, verified.error, {})
         self.clock.observe(verified.ok.stamp)
         call = self._make_relayed_call(request, verified.ok, started)
-        result = await self._result_until_close(self.gate.run(call))
+        result = await self._until_close(self.gate.run(call), self._stopped_during_call())
         if result.is_error():
             return self._refuse(request, result.error, self._report_headers())
         answer = result.ok
@@ -317,6 +325,9 @@
     def _is_leaving(self) -> bool:
         return self.gate.directory.me.is_leaving
 
+    def _stopped_during_call(self) -> Unknown:
+        return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
+
     def _may_serve(self, call: Call) -> bool:
         if self.is_closing:
             return False
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -135,11 +135,12 @@
     configure(fleet, 2, Timeout="20000ms")
     await asyncio.sleep(1.0)
     host, port = fleet.vms_by_name[STOPPING].caller.split(":")
-    _, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await asyncio.open_connection(host, int(port))
     head = f"POST /read/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Kingcuppond-Attempt-Id: half\r\n"
     writer.write(f"{head}X-Kingcuppond-Deadline-Ms: 15000\r\nContent-Length: 9\r\n\r\nb".encode())
     await writer.drain()
     assert await stop_as_the_platform_does(fleet, time.monotonic())
+    assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has certainly not run"
     writer.close()
 
 
