--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -3,10 +3,13 @@
 The other daemons are told first, and new work from them is refused.  Callers that still connect
 are served, and their connections are closed after the answer.  Without a time limit, draining waits
 until all calls in progress have ended.  With one, callers are accepted until they had time to
-notice that this daemon is not ready; calls in progress may use the time that is left.
+notice that this daemon is not ready; calls in progress may use the time that is left.  A request
+that may not end in that time is refused before it is sent to a server, so that its caller can go
+elsewhere.
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -23,6 +26,13 @@
 UNREADY_NOTICED_SECONDS: Final = 3.3
 """Readiness is probed once a second, and callers stay away after two failed probes."""
 
+SERVED_AS_USUAL_SECONDS: Final = 2.9
+"""Time for callers to notice that this daemon is not ready: the second failed probe comes within
+two seconds, on a busy machine somewhat later."""
+
+SERVED_AS_USUAL_SHARE: Final = 0.5
+"""The largest part of a short grace period in which requests are served as usual."""
+
 STOP_ACCEPTING_BEFORE_LIMIT_SECONDS: Final = 1.0
 """Time before the limit without new callers, so that those accepted can be answered."""
 
@@ -30,6 +40,44 @@
 """Time before the limit that is reserved for the daemon to close its connections itself."""
 
 
+@attrs.frozen
+class GracePeriod:
+    """The time in which a leaving daemon still serves callers.
+
+    :param started: monotonic time at which the daemon began to leave, in seconds
+    :param ends: monotonic time at which it closes its connections, in seconds, infinite if it waits
+        until all calls have ended
+    """
+
+    started: float
+    ends: float
+
+    def may_serve(self, now: float, deadline: float, typical_seconds: float) -> bool:
+        """Return whether a request that has just arrived may be sent to a server.
+
+        It may if its deadline is in time.  At first, when callers have not noticed yet, it is
+        enough that requests of its class usually end in time.
+
+        :param deadline: monotonic time at which the request is answered at the latest, in seconds
+        :param typical_seconds: typical latency of its class
+        """
+        usual_seconds = min(
+            SERVED_AS_USUAL_SECONDS, (self.ends - self.started) * SERVED_AS_USUAL_SHARE
+        )
+        is_early = now - self.started < usual_seconds
+        return deadline <= self.ends or (is_early and now + typical_seconds <= self.ends)
+
+
+def start_grace_period(now: float, limit_seconds: float) -> GracePeriod:
+    """Return the grace period of a daemon that begins to leave now.
+
+    :param limit_seconds: the time limit, 0 for none
+    """
+    if not limit_seconds:
+        return GracePeriod(now, math.inf)
+    return GracePeriod(now, now + limit_seconds - CLOSE_BEFORE_LIMIT_SECONDS)
+
+
 @attrs.frozen
 class StopPlan:
     """The inputs of draining.
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import attrs
 from aiohttp import web
@@ -23,11 +23,12 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
+from kingcuppond.ingress.draining import GracePeriod
 from kingcuppond.ingress.http_server import problem_response
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
-from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.budgets import WindowBudget
@@ -44,6 +45,14 @@
 
 REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
 
+ANSWER_SECONDS: Final = 0.1
+"""Time for calls that were given up to be answered."""
+
+POLL_SECONDS: Final = 0.01
+"""Interval at which the close looks whether all are answered."""
+
+T = TypeVar("T")
+
 
 @attrs.define
 class CallPort:
@@ -54,6 +63,8 @@
     :param wait_until_current: waits, if this process was paused, until it is up to date
     :param in_progress: number of requests that are being served
     :param last_request_at: monotonic time of the last caller's request, in seconds
+    :param grace: the grace period, once this daemon is leaving
+    :param is_closing: whether this daemon is closing its connections
     """
 
     vm: str
@@ -74,7 +85,10 @@
     wait_until_current: Callable[[], Awaitable[None]]
     in_progress: int = 0
     last_request_at: float = float("-inf")
+    grace: GracePeriod | None = None
+    is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
+    _waiting_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller or of another daemon."""
@@ -89,6 +103,9 @@
         try:
             await self.wait_until_current()
             return await self._serve_caller(request, started)
+        except asyncio.CancelledError:
+            self._record_unanswered(request, started)
+            raise
         finally:
             self.in_progress -= 1
 
@@ -107,16 +124,48 @@
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
         return self.in_progress == 0 and not self._claimed_tasks
 
+    async def close(self) -> None:
+        """Refuse further requests, and answer those in progress without a result of a server."""
+        self.is_closing = True
+        for task in self._waiting_tasks:
+            task.cancel()
+        end = self.clock.monotonic() + ANSWER_SECONDS
+        while self.in_progress and self.clock.monotonic() < end:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _until_close(
+        self, result: Awaitable[Result[T, Failure]], failure: Failure
+    ) -> Result[T, Failure]:
+        """Wait for a result until this daemon closes its connections.
+
+        :param failure: the result if there is none by then
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        self._waiting_tasks.add(task)
+        try:
+            return await result
+        except asyncio.CancelledError:
+            # The task is cancelled also if the caller disconnects.
+            if not self.is_closing or task.uncancel():
+                raise
+            return Result.Error(failure)
+        finally:
+            self._waiting_tasks.discard(task)
+
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        parsed = await read_request(
-            request,
-            self.configuration,
-            self.dialect,
-            self.service,
-            self.choose_service,
-            started,
-            self.clock.monotonic,
-            self.next_id,
+        parsed = await self._until_close(
+            read_request(
+                request,
+                self.configuration,
+                self.dialect,
+                self.service,
+                self.choose_service,
+                started,
+                self.clock.monotonic,
+                self.next_id,
+            ),
+            NotRun(Reason.LEAVING, f"{self.vm} stops before the request has arrived"),
         )
         if parsed.is_error():
             self.journal.record(
@@ -126,7 +175,9 @@
             )
             return self._refuse(request, parsed.error)
         caller_request = parsed.ok
-        result = await self._run(caller_request)
+        if self.grace is not None:
+            self._record_while_leaving(caller_request, self.grace)
+        result = await self._until_close(self._run(caller_request), self._stopped_during_call())
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
@@ -134,7 +185,7 @@
             return self._refuse(request, result.error, retry_after_seconds=delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_closing())
+            response = await send_answer(request, answer, {}, self._is_leaving())
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -171,6 +222,9 @@
 
     async def _run(self, caller_request: CallerRequest) -> Result[Answer, Failure]:
         call = caller_request.call
+        if not self._may_serve(call):
+            detail = f"{self.vm} is leaving and may stop before the request has ended"
+            return Result.Error(NotRun(Reason.LEAVING, detail))
         level = self.suspects.level(call.fingerprint)
         if level is QuarantineLevel.HELD:
             detail = f"request {call.fingerprint} made servers fail and is temporarily quarantined"
@@ -202,7 +256,7 @@
             return self._refuse(request, verified.error, {})
         self.clock.observe(verified.ok.stamp)
         call = self._make_relayed_call(request, verified.ok, started)
-        result = await self.gate.run(call)
+        result = await self._until_close(self.gate.run(call), self._stopped_during_call())
         if result.is_error():
             return self._refuse(request, result.error, self._report_headers())
         answer = result.ok
@@ -265,13 +319,47 @@
         dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
         response = problem_response(failure, dialect, retry_after_seconds)
         response.headers.update(extra_headers or {})
-        if self._is_closing() or not request.content.at_eof():
+        if self._is_leaving() or not request.content.at_eof():
             response.force_close()
         return response
 
-    def _is_closing(self) -> bool:
+    def _is_leaving(self) -> bool:
         return self.gate.directory.me.is_leaving
 
+    def _stopped_during_call(self) -> Unknown:
+        return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
+
+    def _may_serve(self, call: Call) -> bool:
+        if self.is_closing:
+            return False
+        typical_seconds = self.router.sender.typical_seconds(call.class_name)
+        return self.grace is None or self.grace.may_serve(
+            self.clock.monotonic(), call.deadline, typical_seconds
+        )
+
+    def _record_while_leaving(self, caller_request: CallerRequest, grace: GracePeriod) -> None:
+        now = self.clock.monotonic()
+        self.journal.record(
+            catalogue.REQUEST_WHILE_LEAVING,
+            call=caller_request.call.id,
+            request=caller_request.call.request_id,
+            leaving_ms=round((caller_request.started - grace.started) * 1000),
+            grace_left_ms=None if math.isinf(grace.ends) else round((grace.ends - now) * 1000),
+            deadline_left_ms=round((caller_request.call.deadline - now) * 1000),
+            class_of_work=caller_request.class_of_work.name,
+        )
+
+    def _record_unanswered(self, request: web.BaseRequest, started: float) -> None:
+        now = self.clock.monotonic()
+        grace = self.grace
+        self.journal.record(
+            catalogue.REQUEST_UNANSWERED,
+            request=request.headers.get(self.dialect.request_id_header, "without id"),
+            closed_by="this daemon" if self.is_closing else "the caller",
+            ms=round((now - started) * 1000),
+            leaving_ms=None if grace is None else round((now - grace.started) * 1000),
+        )
+
     def _record_failure(self, caller_request: CallerRequest, failure: Failure) -> None:
         self.counts.count_failure(
             caller_request.class_of_work.name, caller_request.call.service, failure
