A refusal without the request's id is no proof on a used connection

Cause: a 503, 429 or 421 without X-Kingcuppond-Attempt-Id was taken as the refusal of whatever request was waiting, because of its position on the connection. An id was compared only if there was one. On a kept connection it may be a late or repeated answer to an earlier request. Calls at most once always had a connection of their own, so that this reached repeatable calls only.

Change: an exchange knows whether its request was the first one on the connection and passes that to the check of the answer. On a connection that was used before, a refusal counts only with the request's id; otherwise the connection is closed and the outcome is unknown. A request that has no id gets a connection of its own, since no answer could be told from the one to it.

tests/routing/test_exchange.py, test_calls.py: calls adapted to the new argument, with the same expectations.

--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -95,8 +95,8 @@
     :param failure_headers: returns the headers that report a failure to a caller, given the seconds
         after which it may retry
     :param server_headers: returns the headers that are sent to a server
-    :param classify_answer: classifies a server's answer by its status, its headers and those of the
-        request
+    :param classify_answer: classifies a server's answer by its status, its headers, those of the
+        request, and whether the request was the first one on its connection
     :param parse_server_report: parses the state that a server reports with an answer
     """
 
@@ -106,7 +106,7 @@
     failure_status: Callable[[Failure], int]
     failure_headers: Callable[[Failure, float], dict[str, str]]
     server_headers: Callable[[ServerRequest], dict[str, str]]
-    classify_answer: Callable[[int, Headers, Headers], AnswerKind]
+    classify_answer: Callable[[int, Headers, Headers, bool], AnswerKind]
     parse_server_report: Callable[[Headers], ServerReport]
 
 
@@ -125,7 +125,9 @@
     }
 
 
-def _classify_answer(status: int, headers: Headers, _request: Headers) -> AnswerKind:
+def _classify_answer(
+    status: int, headers: Headers, _request: Headers, _is_first_on_connection: bool
+) -> AnswerKind:
     if status == 503 and headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
         return AnswerKind.NOT_RUN
     return AnswerKind.ANSWERED
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -21,7 +21,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ServiceProperties
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import AnswerKind, Dialect, ServerReport, ServerRequest
+from kingcuppond.dialect import AnswerKind, Dialect, Headers, ServerReport, ServerRequest
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
@@ -53,8 +53,8 @@
     """Admits calls to the local server and tracks its state.
 
     :param session: reuses its connections; for calls that may be repeated
-    :param fresh_session: opens a connection for each call, for calls that must not be repeated;
-        bytes sent after an earlier answer cannot be read as the answer to such a call
+    :param fresh_session: opens a connection for each call, for calls that must not be repeated or
+        have no id; bytes sent after an earlier answer cannot be read as the answer to such a call
     :param server_timeout_seconds: a server that reports nothing for this long is considered absent
     :param suspect_delay_seconds: how long the failure of a call that may have taken the server down
         is delayed, so that all daemons know of the suspect first; 0 disables the delay
@@ -294,24 +294,26 @@
             self.incarnations.current.id,
         )
         headers.update(self.dialect.server_headers(server_request))
-        classify = self.dialect.classify_answer
+
+        def classify(status: int, answer_headers: Headers, is_first: bool) -> AnswerKind:
+            return self.dialect.classify_answer(status, answer_headers, headers, is_first)
+
         result = await exchange(
-            self.fresh_session if call.at_most_once else self.session,
+            self._session_for(call),
             self.address,
             call.method,
             call.target,
             headers,
             call.body,
             call.deadline,
-            accept=lambda status, answer_headers: classify(status, answer_headers, headers)
-            is not AnswerKind.UNUSABLE,
+            accept=lambda *received: classify(*received) is not AnswerKind.UNUSABLE,
         )
         if result.is_error():
             return Error(result.error)
         answer_headers = result.ok.headers
         answer = result.ok.answer
         self.observer.record_report(answer_headers)
-        kind = classify(answer.status, answer_headers, headers)
+        kind = classify(answer.status, answer_headers, result.ok.is_first_on_connection)
         if kind is AnswerKind.ANSWERED:
             return Ok(answer)
         await answer.close()
@@ -321,6 +323,11 @@
             NotRun(Reason.SHED_BY_SERVER, f"the server on {self.directory.me.vm} shed the call")
         )
 
+    def _session_for(self, call: Call) -> aiohttp.ClientSession:
+        # On a reused connection, only the request's id shows that an answer belongs to it.
+        lacks_id = bool(self.dialect.request_id_header) and not call.request_id
+        return self.fresh_session if call.at_most_once or lacks_id else self.session
+
     def _track_stream(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> Answer:
         # The call stays in flight until its streamed answer has ended.
         source = answer.chunks
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -1,6 +1,7 @@
 """Names and formats of the headers on the users' platform's requests and answers.
 
-``X-Kingcuppond-Not-Executed`` and 421 mean that the server did not run the request.  Any other
+``X-Kingcuppond-Not-Executed`` and 421 mean that the server did not run the request.  Without the
+request's id they are accepted only on a connection that carried no earlier request.  Any other
 answer must carry ``X-Kingcuppond-Server-Seal``, which shows that a server made it, the request's
 id, and no content encoding, since none was requested.  An answer with the id of another request is
 always unusable.
@@ -63,10 +64,13 @@
     return headers
 
 
-def _classify_answer(status: int, headers: Headers, request: Headers) -> AnswerKind:
-    if headers.get(REQUEST_ID_HEADER, request.get(REQUEST_ID_HEADER)) != request.get(
-        REQUEST_ID_HEADER
-    ):
+def _classify_answer(
+    status: int, headers: Headers, request: Headers, is_first_on_connection: bool
+) -> AnswerKind:
+    answered_id = headers.get(REQUEST_ID_HEADER)
+    if answered_id is None and not is_first_on_connection:
+        return AnswerKind.UNUSABLE
+    if answered_id is not None and answered_id != request.get(REQUEST_ID_HEADER):
         return AnswerKind.UNUSABLE
     if status == 421:
         return AnswerKind.OTHER_INSTANCE
@@ -74,7 +78,7 @@
         return AnswerKind.NOT_RUN
     if SERVER_SEAL_HEADER not in headers or "Content-Encoding" in headers:
         return AnswerKind.UNUSABLE
-    if REQUEST_ID_HEADER not in headers and REQUEST_ID_HEADER in request:
+    if answered_id is None and REQUEST_ID_HEADER in request:
         return AnswerKind.UNUSABLE
     return AnswerKind.ANSWERED
 
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -51,18 +51,26 @@
 
 @attrs.frozen
 class ReceivedAnswer:
-    """An answer with all its headers, also those that are not forwarded."""
+    """An answer with all its headers, also those that are not forwarded.
+
+    :param is_first_on_connection: whether its connection carried no earlier request
+    """
 
     headers: Any
     answer: Answer
+    is_first_on_connection: bool
 
 
-AcceptAnswer = Callable[[int, Any], bool]
-"""Decides by its status and headers whether an answer belongs to the request."""
+AcceptAnswer = Callable[[int, Any, bool], bool]
+"""Decides by its status and headers whether an answer belongs to the request.
+
+The third argument tells whether the request was the first one on its connection.  On a connection
+that was used before, an answer may also be a late or repeated one to an earlier request.
+"""
 
 
 class _TrackingResponseHandler(ResponseHandler):
-    """Records how a connection ended, and closes it if it delivers bytes that are no answer.
+    """Counts requests, records how a connection ended, and closes it if it delivers no answer.
 
     aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
     reading a chunk header that never ends, and keeps answers to no request in memory while the
@@ -71,11 +79,13 @@
 
     is_lost = False
     lost_exc: BaseException | None = None
+    requests = 0
     _answers = 0
     _useless_bytes = 0
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
+        self.requests += 1
         self._answers = 0
         self._useless_bytes = 0
         super().set_response_params(**params)
@@ -167,7 +177,7 @@
     body: Body,
     deadline: float,
     continue_seconds: float | None = None,
-    accept: AcceptAnswer = lambda status, headers: True,
+    accept: AcceptAnswer = lambda status, headers, is_first_on_connection: True,
 ) -> Result[ReceivedAnswer, Failure]:
     """Send a request and receive its answer, whose body is left to be streamed if it is long.
 
@@ -194,9 +204,11 @@
                 expect100=continue_seconds is not None,
             )
             continue_timeout.reschedule(None)
-            if not accept(response.status, response.headers):
+            is_first = _is_first_on_connection(response)
+            if not accept(response.status, response.headers, is_first):
                 raise InvalidAnswerError("the answer does not belong to the request")
-            return Ok(await _receive(response, method, deadline))
+            answer = await _receive(response, method, deadline)
+            return Ok(ReceivedAnswer(response.headers, answer, is_first))
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
     except TimeoutError:
@@ -240,9 +252,12 @@
     return True
 
 
-async def _receive(
-    response: aiohttp.ClientResponse, method: str, deadline: float
-) -> ReceivedAnswer:
+def _is_first_on_connection(response: aiohttp.ClientResponse) -> bool:
+    protocol = response._protocol
+    return isinstance(protocol, _TrackingResponseHandler) and protocol.requests == 1
+
+
+async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Answer:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
     length = response.content_length
@@ -251,13 +266,13 @@
         body = await response.read()
         if method != "HEAD" and response.status not in (204, 304) and len(body) != length:
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
-        return ReceivedAnswer(response.headers, Answer(response.status, headers, body))
+        return Answer(response.status, headers, body)
     if length is None and "chunked" not in response.headers.get("Transfer-Encoding", "").lower():
         body = await _read_to_close(response)
-        return ReceivedAnswer(response.headers, Answer(response.status, headers, body))
+        return Answer(response.status, headers, body)
     answer = Answer(response.status, headers, chunks=_stream(response, deadline))
     answer.close = lambda: _release(response)
-    return ReceivedAnswer(response.headers, answer)
+    return answer
 
 
 async def _read_to_close(response: aiohttp.ClientResponse) -> bytes:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -54,7 +54,31 @@
     ],
 )
 def test_kind_of_answer(status: int, headers: dict[str, str], expected: AnswerKind) -> None:
-    assert PLATFORM_DIALECT.classify_answer(status, headers, {ID: "a"}) is expected
+    assert PLATFORM_DIALECT.classify_answer(status, headers, {ID: "a"}, True) is expected
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {**SEAL, ID: "a"}, AnswerKind.ANSWERED),
+        (503, {"X-Kingcuppond-Not-Executed": "1", ID: "a"}, AnswerKind.NOT_RUN),
+        (503, {"X-Kingcuppond-Not-Executed": "1"}, AnswerKind.UNUSABLE),
+        (421, {"X-Kingcuppond-Instance-Id": "i", ID: "a"}, AnswerKind.OTHER_INSTANCE),
+        (421, {"X-Kingcuppond-Instance-Id": "i"}, AnswerKind.UNUSABLE),
+    ],
+    ids=[
+        "success",
+        "refused by the server",
+        "refusal without an id",
+        "another incarnation",
+        "another incarnation without an id",
+    ],
+)
+def test_kind_of_answer_on_a_used_connection(
+    status: int, headers: dict[str, str], expected: AnswerKind
+) -> None:
+    """Only the id shows that the answer is not one to an earlier request."""
+    assert PLATFORM_DIALECT.classify_answer(status, headers, {ID: "a"}, False) is expected
 
 
 @pytest.mark.parametrize(
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -99,7 +99,7 @@
             CIMultiDict(),
             Body(),
             time.monotonic() + 1,
-            accept=lambda status, headers: False,
+            accept=lambda status, headers, is_first_on_connection: False,
         )
         await session.close()
         assert isinstance(result.error, Unknown)
