Bytes on an idle connection to a server close it

A repeatable request could get the outcome of an earlier one, or fail with an answer that could not be parsed.

Cause: the connection was closed only when a second answer was complete. If its first bytes came while the connection was idle, they stayed in the library's parser, which is replaced for each request: the rest was then read as the answer to the next request.

Change: any byte after a complete answer and before the next request closes the connection. What comes in one segment with the end of an answer can't be seen there; the check of the id covers it.

Evidence: test_start_of_a_refusal_on_an_idle_connection_closes_it failed before at all four offsets: twice the next call was taken as not run (before the check of ids), twice it failed with a bad status line. test_rest_of_a_refusal_is_not_the_answer_to_the_next_request passes at every offset.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -74,7 +74,8 @@
 
     aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
     reading a chunk header that never ends, and keeps answers to no request in memory while the
-    connection is idle.
+    connection is idle.  If such an answer has only begun, aiohttp drops that part and reads the
+    rest as the answer to the next request.
     """
 
     is_lost = False
@@ -98,14 +99,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, and close the connection if they lead to no answer."""
+        if data and self._is_answer_complete():
+            self._close()
+            return
         before = self._progress()
         super().data_received(data)
         is_useful = self._progress() != before
         self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
         if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
-            self._should_close = True
-            if self.transport is not None:
-                self.transport.abort()
+            self._close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
@@ -113,6 +115,14 @@
         self.lost_exc = exc
         super().connection_lost(exc)
 
+    def _is_answer_complete(self) -> bool:
+        return self._answers > 0 and self._payload is not None and self._payload.is_eof()
+
+    def _close(self) -> None:
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def _progress(self) -> tuple[int, int]:
         """Return the number of answers begun, and the bytes of the body of the newest one."""
         return self._answers, 0 if self._payload is None else self._payload.total_bytes
--- a/tests/gate/test_stale_refusals.py
+++ b/tests/gate/test_stale_refusals.py
@@ -163,6 +163,30 @@
         assert server.connections == 2
 
 
+@pytest.mark.parametrize("start", [1, 2, 9, 20])
+async def test_start_of_a_refusal_on_an_idle_connection_closes_it(start: int) -> None:
+    """The rest would be read as the answer to the next request."""
+    stale = b"\r\n" + refusal("503 Full", "")
+    script = [[answer("a"), stale[:start]], [stale[start:], answer("b")]]
+    async with serving(*script) as server, gate_of(server) as gate:
+        assert (await run(gate, "a")).is_ok()
+        await asyncio.sleep(2 * ANSWER_PAUSE_SECONDS)
+        server.pieces_by_request = [[answer("b")]]
+        assert (await run(gate, "b")).is_ok()
+        assert server.connections == 2
+
+
+async def test_rest_of_a_refusal_is_not_the_answer_to_the_next_request() -> None:
+    """Its start comes in one segment with an answer, where it can't be noticed."""
+    stale = b"\r\n" + refusal("503 Full", "")
+    for start in range(1, len(stale)):
+        script = [[answer("a") + stale[:start]], [stale[start:] + answer("b")]]
+        async with serving(*script) as server, gate_of(server) as gate:
+            assert (await run(gate, "a")).is_ok()
+            result = await run(gate, "b")
+            assert result.is_ok() or isinstance(result.error, Unknown)
+
+
 @pytest.mark.parametrize("stale", REFUSALS.values(), ids=REFUSALS)
 async def test_refusal_of_an_earlier_request_is_not_read_by_a_call_at_most_once(
     stale: bytes,
