An answer between daemons names the call that it belongs to

Cause: daemons keep their connections to each other for all calls, also those at most once, and nothing in an answer named the call: a refusal or an answer was taken for the waiting call because of its position.

Change: a gate's answer to a relayed call carries Kingcuppond-Call, the id of the attempt. An answer with another id closes the connection and leaves the outcome unknown. A refusal without an id counts only if the call was the first one on its connection; so a call that fails the check of its sender closes the connection. An answer of a server without the header is still accepted, since daemons are upgraded one after another and older ones don't send it. The header is never taken over from a server, nor passed on to a caller.

--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -33,6 +33,7 @@
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
 from kingcuppond.routing.headers import (
+    CALL_HEADER,
     GATE_REPORT_HEADER,
     MAC_HEADER,
     RELAY_HEADER,
@@ -199,17 +200,20 @@
             self.clock.fleet_ms(),
         )
         if verified.is_error():
-            return self._refuse(request, verified.error, {})
+            response = self._refuse(request, verified.error, {})
+            # Without the id of the call, its sender trusts the answer only on a new connection.
+            response.force_close()
+            return response
         self.clock.observe(verified.ok.stamp)
         call = self._make_relayed_call(request, verified.ok, started)
         result = await self.gate.run(call)
         if result.is_error():
-            return self._refuse(request, result.error, self._report_headers())
+            return self._refuse(request, result.error, self._relay_headers(call))
         answer = result.ok
         try:
             # Relaying daemons close their connections once this daemon has left the fleet.
             return await send_answer(
-                request, answer, self._report_headers(answer.begun_slowdown), False
+                request, answer, self._relay_headers(call, answer.begun_slowdown), False
             )
         except InvalidAnswerError as exc:
             raise ConnectionResetError(str(exc)) from exc
@@ -243,12 +247,16 @@
             is_last_resort=relay.is_last_resort,
         )
 
-    def _report_headers(self, begun_slowdown: float = 1.0) -> dict[str, str]:
-        """Return the header with the gate's load report, or none if the budget is used up."""
+    def _relay_headers(self, call: Call, begun_slowdown: float = 1.0) -> dict[str, str]:
+        """Return the headers for a relaying daemon.
+
+        They are the id of the call and, unless the budget is used up, the gate's load report.
+        """
+        headers = {CALL_HEADER: call.id}
         text = self.gate.report(begun_slowdown).encode()
-        if not self.report_budget.take(REPORT_OVERHEAD_BYTES + len(text)):
-            return {}
-        return {GATE_REPORT_HEADER: text}
+        if self.report_budget.take(REPORT_OVERHEAD_BYTES + len(text)):
+            headers[GATE_REPORT_HEADER] = text
+        return headers
 
     def _refuse(
         self,
--- a/kingcuppond/routing/headers.py
+++ b/kingcuppond/routing/headers.py
@@ -11,6 +11,8 @@
 RELAY_HEADER: Final = "Kingcuppond-Relay"
 MAC_HEADER: Final = "Kingcuppond-Mac"
 GATE_REPORT_HEADER: Final = "Kingcuppond-Gate"
+CALL_HEADER: Final = "Kingcuppond-Call"
+"""In an answer between daemons: the id of the call that it belongs to."""
 
 HOP_BY_HOP: Final = frozenset(
     {
@@ -27,7 +29,9 @@
     }
 )
 RELAY_HEADERS: Final = frozenset(name.lower() for name in (RELAY_HEADER, MAC_HEADER))
-OWN_ANSWER_HEADERS: Final = frozenset(name.lower() for name in (OUTCOME_HEADER, GATE_REPORT_HEADER))
+OWN_ANSWER_HEADERS: Final = frozenset(
+    name.lower() for name in (OUTCOME_HEADER, GATE_REPORT_HEADER, CALL_HEADER)
+)
 
 
 def end_to_end(
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
+from kingcuppond.dialect import Headers
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.gate import Gate
@@ -19,7 +20,13 @@
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate
 from kingcuppond.routing.exchange import ReceivedAnswer, exchange
-from kingcuppond.routing.headers import GATE_REPORT_HEADER, MAC_HEADER, RELAY_HEADER, to_multidict
+from kingcuppond.routing.headers import (
+    CALL_HEADER,
+    GATE_REPORT_HEADER,
+    MAC_HEADER,
+    RELAY_HEADER,
+    to_multidict,
+)
 from kingcuppond.routing.view import DEFAULT_LATENCY_SECONDS, parse_report
 from kingcuppond.typical_latency import TypicalLatencies
 
@@ -128,6 +135,7 @@
             call.body,
             call.deadline,
             continue_seconds=self._continue_seconds(call),
+            accept=lambda _status, headers, is_first: _belongs_to(call, headers, is_first),
         )
         return await self._read_result(result, candidate)
 
@@ -187,6 +195,18 @@
         return Error(Unknown(reason, detail))
 
 
+def _belongs_to(call: Call, headers: Headers, is_first_on_connection: bool) -> bool:
+    """Return whether the answer of another daemon belongs to a call.
+
+    Only a refusal of a call that could not be read has no id.  A daemon of an earlier version sends
+    none at all; it must not make the answers of servers unusable during an upgrade.
+    """
+    answered_id = headers.get(CALL_HEADER)
+    if answered_id is None:
+        return is_first_on_connection or headers.get(OUTCOME_HEADER) == Outcome.ANSWERED
+    return answered_id == call.id
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
 
