An answer in a transfer coding other than chunked is not whole

A server whose answer names a coding like "chunked, x" or "xchunked" and whose connection was reset could pass as a whole answer with an empty or short body.

Cause: any Transfer-Encoding that contains "chunked" was streamed as a chunked answer. The library reads one whose last coding is not chunked to the end of the connection and takes a reset for that end. Besides, the body stayed encoded while its header was dropped.

Change: only an answer without the field, or with exactly one coding, chunked, is accepted. Any other one leaves the outcome unknown.

Evidence: test_answer_in_another_transfer_coding_is_not_whole failed before with both parsers of the library: with "xchunked" and "chunked, x" every reset in the body, and one right after the head, left an answer that looked whole, with an empty or short body.

The other tests of the file cut heads and bodies at each offset, closed and reset, with both parsers; they passed before and stay as proofs.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -270,6 +270,9 @@
 async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Answer:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
+    codings = response.headers.getall("Transfer-Encoding", [])
+    if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        raise InvalidAnswerError(f"the answer has the transfer codings {codings}")
     length = response.content_length
     is_short = length is not None and length <= MAX_BUFFERED_ANSWER_BYTES
     if method == "HEAD" or is_short:
@@ -277,7 +280,7 @@
         if method != "HEAD" and response.status not in (204, 304) and len(body) != length:
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
         return Answer(response.status, headers, body)
-    if length is None and "chunked" not in response.headers.get("Transfer-Encoding", "").lower():
+    if length is None and not codings:
         body = await _read_to_close(response)
         return Answer(response.status, headers, body)
     answer = Answer(response.status, headers, chunks=_stream(response, deadline))
