An answer that has no body is whole without a length

What callers saw: a 204 or 304 of a server without Content-Length came to them as a failure with an unknown outcome.

Cause: the code took every answer without a length or chunks for one that ends with its connection, and such an answer must be closed to be whole. An answer with these statuses has no body and ends with its head.

Evidence: test_answer_that_has_no_body_is_whole failed before in its four cases without a length (kept or closed afterwards); its other four passed.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -45,6 +45,7 @@
 """Most bytes in a row without a whole head or a part of a body, and so the longest head."""
 
 FIRST_FINAL_STATUS: Final = 200
+BODILESS_STATUSES: Final = (204, 304)
 
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -275,9 +276,10 @@
         raise InvalidAnswerError(f"the answer has the transfer codings {codings}")
     length = response.content_length
     is_short = length is not None and length <= MAX_BUFFERED_ANSWER_BYTES
-    if method == "HEAD" or is_short:
+    has_no_body = method == "HEAD" or response.status in BODILESS_STATUSES
+    if has_no_body or is_short:
         body = await response.read()
-        if method != "HEAD" and response.status not in (204, 304) and len(body) != length:
+        if not has_no_body and len(body) != length:
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
         return Answer(response.status, headers, body)
     if length is None and not codings:
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -76,6 +76,15 @@
         assert isinstance(await fetch(address), Unknown)
 
 
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 5\r\n"], ids=["no length", "length"])
+@pytest.mark.parametrize("end", ["stay", "close"])
+async def test_answer_that_has_no_body_is_whole(status: bytes, framing: bytes, end: str) -> None:
+    """It ends with its head, and not with its connection."""
+    async with serving(b"HTTP/1.1 " + status + b"\r\n" + framing + b"\r\n", end) as address:
+        assert await fetch(address) == b""
+
+
 @pytest.mark.parametrize("end", ["reset", "close"])
 async def test_answer_shorter_than_its_content_length_is_truncated(end: str) -> None:
     async with serving(FRAMED[:-2], end) as address:
