A streamed answer that breaks off resets the connection

A client of HTTP/1.0 got a 200 with a short body that looked whole, if the server's answer broke off while it was streamed.

Cause: such a client knows no chunks, so that an answer without a length ends with the connection. It was aborted, but aborting a transport closes its socket in the regular way if nothing is left unread. Besides, only two kinds of failures aborted it; a handler that was cancelled, as at the end of a stop, left the connection to be closed.

Change: the connection is reset, and after any failure.

Evidence: test_broken_answer_without_a_length_is_reset failed before (the client read a regular end). Its cases with chunks and with a length passed before. With a killed process the kernel still closes the connection in the regular way.

--- a/kingcuppond/ingress/responses.py
+++ b/kingcuppond/ingress/responses.py
@@ -1,18 +1,24 @@
 """Forwarding a server's answer to the client, unchanged except for hop-by-hop headers.
 
-If a streamed answer breaks off, the client's connection is aborted, so that the client sees an
+If a streamed answer breaks off, the client's connection is reset, so that the client sees an
 incomplete body.
 """
 
 import asyncio
+import socket
+import struct
+from typing import Final
 
 from aiohttp import web
 
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
 from kingcuppond.outcomes import OUTCOME_HEADER, Outcome
-from kingcuppond.routing.call import Answer, InvalidAnswerError
+from kingcuppond.routing.call import Answer
 from kingcuppond.routing.headers import to_multidict
 
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
+
 
 async def send_answer(
     request: web.BaseRequest, answer: Answer, extra_headers: dict[str, str], is_closing: bool
@@ -55,12 +61,19 @@
             async with asyncio.timeout(STALL_TIMEOUT_SECONDS):
                 await response.write(chunk)
         await response.write_eof()
-    except (InvalidAnswerError, TimeoutError):
+    except BaseException:
         abort_connection(request)
         raise
 
 
 def abort_connection(request: web.BaseRequest) -> None:
-    """Abort the connection of a request, so that its client sees no end of the answer."""
-    if request.transport is not None:
-        request.transport.abort()
+    """Reset the connection of a request, so that its client sees no end of the answer.
+
+    To a client of HTTP/1.0, closing it would be the end of an answer that has no length.
+    """
+    if request.transport is None or request.transport.is_closing():
+        return
+    connected = request.transport.get_extra_info("socket")
+    if connected is not None:
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    request.transport.abort()
