A rejected answer closes its connection even if it is complete

What callers saw: after one answer that belonged to another request, further repeatable requests at that server could fail one after another, each with the answer to the one before.

Cause: a rejected answer was to close its connection, but a short one is complete when its head is looked at. Its connection is then back in the pool, and closing the response does nothing. The true answer arrived there for the next request.

Change: the connection itself is closed.

Evidence: test_connection_is_not_used_after_an_answer_of_another_request failed before in all six cases: the next call was sent on the same connection and read the late answer.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -101,14 +101,14 @@
     def data_received(self, data: bytes) -> None:
         """Receive bytes, and close the connection if they lead to no answer."""
         if data and self._is_answer_complete():
-            self._close()
+            self.close_at_once()
             return
         before = self._progress()
         super().data_received(data)
         is_useful = self._progress() != before
         self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
         if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
-            self._close()
+            self.close_at_once()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
@@ -119,7 +119,8 @@
     def _is_answer_complete(self) -> bool:
         return self._answers > 0 and self._payload is not None and self._payload.is_eof()
 
-    def _close(self) -> None:
+    def close_at_once(self) -> None:
+        """Close the connection, also if it is back in the pool."""
         self._should_close = True
         if self.transport is not None:
             self.transport.abort()
@@ -217,6 +218,7 @@
             continue_timeout.reschedule(None)
             is_first = _is_first_on_connection(response)
             if not accept(response.status, response.headers, is_first):
+                close_connection(response)
                 raise InvalidAnswerError("the answer does not belong to the request")
             answer = await _receive(response, method, deadline)
             return Ok(ReceivedAnswer(response.headers, answer, is_first))
@@ -268,6 +270,18 @@
     return isinstance(protocol, _TrackingResponseHandler) and protocol.requests == 1
 
 
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response whose head was just received.
+
+    A short response may be complete by then.  Its connection is back in the pool, and closing the
+    response would not close it.
+    """
+    protocol = response._protocol
+    response.close()
+    if isinstance(protocol, _TrackingResponseHandler):
+        protocol.close_at_once()
+
+
 async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Answer:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
--- a/tests/gate/test_stale_refusals.py
+++ b/tests/gate/test_stale_refusals.py
@@ -143,6 +143,17 @@
         assert (server.connections, server.requests) == (1, 2)
 
 
+@pytest.mark.parametrize("stale", REFUSALS.values(), ids=REFUSALS)
+async def test_connection_is_not_used_after_an_answer_of_another_request(stale: bytes) -> None:
+    """Each further call would get the answer to the one before."""
+    async with serving([answer("a")], [stale, answer("b")]) as server, gate_of(server) as gate:
+        assert (await run(gate, "a")).is_ok()
+        server.pieces_by_request = [[answer("c")]]
+        assert isinstance((await run(gate, "b")).error, Unknown)
+        assert (await run(gate, "c")).is_ok()
+        assert server.connections == 2
+
+
 @pytest.mark.parametrize("stale", REFUSALS.values(), ids=REFUSALS)
 async def test_refusal_after_an_answer_is_not_used(stale: bytes) -> None:
     """It comes in one segment with the answer."""
