The answer to a call is no health report

A cold server could get the full load, more than it bears.

Cause: health queries share the kept connections with repeatable calls, and any answer that came was taken for the one to the query. The repeated answer to a call has the status 200 and says nothing of being cold, so that the server was taken to be warm and healthy.

Change: an answer with the id of a request is no health report; it closes the connection.

Evidence: test_answer_to_a_call_is_no_health_report failed before: a server that had reported 900 ms of being cold was taken as warm. Health answers cut at each offset led to no report before either.

--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -77,11 +77,13 @@
 
     :param instance: its incarnation, empty if not reported
     :param cold_ms: how much longer it is cold, in milliseconds, ``None`` if not reported
+    :param request_id: id of the request that the answer belongs to, empty for a health answer
     """
 
     load: ServerLoad | None = None
     instance: str = ""
     cold_ms: int | None = None
+    request_id: str = ""
 
 
 @attrs.frozen
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -19,6 +19,8 @@
 from kingcuppond.dialect import Headers, ServerLoad, ServerReport
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.routing.call import InvalidAnswerError
+from kingcuppond.routing.exchange import close_connection
 
 MAX_FRESH_AGE_SECONDS: Final = 0.03
 """A sixteenth of the half second for which a machine's speed usually stays the same."""
@@ -101,8 +103,11 @@
                 asyncio.timeout(HEALTH_TIMEOUT_SECONDS),
                 self.session.get(url, allow_redirects=False) as answer,
             ):
+                if self.parse_server_report(answer.headers).request_id:
+                    close_connection(answer)
+                    raise InvalidAnswerError("the answer belongs to an earlier call")
                 await answer.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        except (aiohttp.ClientError, InvalidAnswerError, TimeoutError, OSError) as exc:
             # Not taken as a report; the calls themselves show whether the server is reachable.
             self.journal.record(
                 catalogue.HEALTH_CHECK_FAILED, address=self.address, error=repr(exc)
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -104,6 +104,7 @@
         load=parse_server_load(headers.get(SERVER_LOAD_HEADER, "")),
         instance=headers.get(INSTANCE_ID_HEADER, ""),
         cold_ms=int(cold) if cold.isdecimal() else None,
+        request_id=headers.get(REQUEST_ID_HEADER, ""),
     )
 
 
--- /dev/null
+++ b/tests/gate/test_observer.py
@@ -0,0 +1,67 @@
+"""Only the answer to a health query is taken as the server's report about its health."""
+
+import aiohttp
+
+from kingcuppond.clock import Clock
+from kingcuppond.dialect import ServerReport
+from kingcuppond.events.journal import Journal
+from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.platform.calls import PLATFORM_DIALECT
+from kingcuppond.routing.exchange import open_session
+from tests.gate.test_stale_refusals import answer, serving
+from tests.routing.test_truncated_heads import serving as cutting
+
+HEALTHY = b"HTTP/1.1 200 OK\r\nX-Kingcuppond-Instance-Id: i\r\nX-Kingcuppond-Server-Load: 3,0,8\r\n"
+HEALTHY_COLD = HEALTHY + b"X-Kingcuppond-Cold-Ms: 900\r\nContent-Length: 0\r\n\r\n"
+
+
+async def query(
+    address: str, times: int, shared_session: aiohttp.ClientSession | None = None
+) -> list[tuple[ServerReport, bool]]:
+    """Return the reports that the queries led to, and whether each was a good one."""
+    reports: list[tuple[ServerReport, bool]] = []
+    session = shared_session or open_session()
+    clock = Clock()
+    observer = ServerObserver(
+        session,
+        PLATFORM_DIALECT.parse_server_report,
+        lambda: "/health",
+        clock,
+        Journal("vm-1", clock),
+        lambda report, is_healthy: reports.append((report, is_healthy)),
+        address=address,
+    )
+    for _ in range(times):
+        observer.clear()
+        await observer.refresh()
+    if shared_session is None:
+        await session.close()
+    return reports
+
+
+async def test_answer_to_a_call_is_no_health_report() -> None:
+    """It says nothing of being cold, so that a cold server would get the full load."""
+    stale = answer("a")
+    async with serving([HEALTHY_COLD], [stale, HEALTHY_COLD]) as server:
+        reports = await query(server.address, times=2)
+        assert [(report.cold_ms, is_healthy) for report, is_healthy in reports] == [(900, True)]
+
+
+async def test_query_after_the_answer_to_a_call_gets_a_new_connection() -> None:
+    """On the old one, the late health answer would be read as the answer to a call."""
+    async with serving([answer("a")]) as server:
+        session = open_session()
+        assert await query(server.address, 1, session) == []
+        server.pieces_by_request = [[HEALTHY_COLD]]
+        assert len(await query(server.address, 1, session)) == 1
+        assert server.connections == 2
+        await session.close()
+
+
+async def test_cut_health_answer_is_no_report() -> None:
+    async with cutting() as server:
+        for cut in range(len(HEALTHY_COLD)):
+            server.answer = HEALTHY_COLD[:cut]
+            assert await query(server.address, times=1) == []
+        server.answer = HEALTHY_COLD
+        assert len(await query(server.address, times=1)) == 1
