--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -45,37 +45,49 @@
 """Most bytes in a row without a whole head or a part of a body, and so the longest head."""
 
 FIRST_FINAL_STATUS: Final = 200
+BODILESS_STATUSES: Final = (204, 304)
 
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 @attrs.frozen
 class ReceivedAnswer:
-    """An answer with all its headers, also those that are not forwarded."""
+    """An answer with all its headers, also those that are not forwarded.
+
+    :param is_first_on_connection: whether its connection carried no earlier request
+    """
 
     headers: Any
     answer: Answer
+    is_first_on_connection: bool
 
 
-AcceptAnswer = Callable[[int, Any], bool]
-"""Decides by its status and headers whether an answer belongs to the request."""
+AcceptAnswer = Callable[[int, Any, bool], bool]
+"""Decides by its status and headers whether an answer belongs to the request.
+
+The third argument tells whether the request was the first one on its connection.  On a connection
+that was used before, an answer may also be a late or repeated one to an earlier request.
+"""
 
 
 class _TrackingResponseHandler(ResponseHandler):
-    """Records how a connection ended, and closes it if it delivers bytes that are no answer.
+    """Counts requests, records how a connection ended, and closes it if it delivers no answer.
 
     aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
     reading a chunk header that never ends, and keeps answers to no request in memory while the
-    connection is idle.
+    connection is idle.  If such an answer has only begun, aiohttp drops that part and reads the
+    rest as the answer to the next request.
     """
 
     is_lost = False
     lost_exc: BaseException | None = None
+    requests = 0
     _answers = 0
     _useless_bytes = 0
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
+        self.requests += 1
         self._answers = 0
         self._useless_bytes = 0
         super().set_response_params(**params)
@@ -88,14 +100,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, and close the connection if they lead to no answer."""
+        if data and self._is_answer_complete():
+            self.close_at_once()
+            return
         before = self._progress()
         super().data_received(data)
         is_useful = self._progress() != before
         self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
         if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
-            self._should_close = True
-            if self.transport is not None:
-                self.transport.abort()
+            self.close_at_once()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
@@ -103,6 +116,15 @@
         self.lost_exc = exc
         super().connection_lost(exc)
 
+    def _is_answer_complete(self) -> bool:
+        return self._answers > 0 and self._payload is not None and self._payload.is_eof()
+
+    def close_at_once(self) -> None:
+        """Close the connection, also if it is back in the pool."""
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def _progress(self) -> tuple[int, int]:
         """Return the number of answers begun, and the bytes of the body of the newest one."""
         return self._answers, 0 if self._payload is None else self._payload.total_bytes
@@ -167,7 +189,7 @@
     body: Body,
     deadline: float,
     continue_seconds: float | None = None,
-    accept: AcceptAnswer = lambda status, headers: True,
+    accept: AcceptAnswer = lambda status, headers, is_first_on_connection: True,
 ) -> Result[ReceivedAnswer, Failure]:
     """Send a request and receive its answer, whose body is left to be streamed if it is long.
 
@@ -194,9 +216,12 @@
                 expect100=continue_seconds is not None,
             )
             continue_timeout.reschedule(None)
-            if not accept(response.status, response.headers):
+            is_first = _is_first_on_connection(response)
+            if not accept(response.status, response.headers, is_first):
+                close_connection(response)
                 raise InvalidAnswerError("the answer does not belong to the request")
-            return Ok(await _receive(response, method, deadline))
+            answer = await _receive(response, method, deadline)
+            return Ok(ReceivedAnswer(response.headers, answer, is_first))
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
     except TimeoutError:
@@ -240,24 +265,43 @@
     return True
 
 
-async def _receive(
-    response: aiohttp.ClientResponse, method: str, deadline: float
-) -> ReceivedAnswer:
+def _is_first_on_connection(response: aiohttp.ClientResponse) -> bool:
+    protocol = response._protocol
+    return isinstance(protocol, _TrackingResponseHandler) and protocol.requests == 1
+
+
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response whose head was just received.
+
+    A short response may be complete by then.  Its connection is back in the pool, and closing the
+    response would not close it.
+    """
+    protocol = response._protocol
+    response.close()
+    if isinstance(protocol, _TrackingResponseHandler):
+        protocol.close_at_once()
+
+
+async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Answer:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
+    codings = response.headers.getall("Transfer-Encoding", [])
+    if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        raise InvalidAnswerError(f"the answer has the transfer codings {codings}")
     length = response.content_length
     is_short = length is not None and length <= MAX_BUFFERED_ANSWER_BYTES
-    if method == "HEAD" or is_short:
+    has_no_body = method == "HEAD" or response.status in BODILESS_STATUSES
+    if has_no_body or is_short:
         body = await response.read()
-        if method != "HEAD" and response.status not in (204, 304) and len(body) != length:
+        if not has_no_body and len(body) != length:
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
-        return ReceivedAnswer(response.headers, Answer(response.status, headers, body))
-    if length is None and "chunked" not in response.headers.get("Transfer-Encoding", "").lower():
+        return Answer(response.status, headers, body)
+    if length is None and not codings:
         body = await _read_to_close(response)
-        return ReceivedAnswer(response.headers, Answer(response.status, headers, body))
+        return Answer(response.status, headers, body)
     answer = Answer(response.status, headers, chunks=_stream(response, deadline))
     answer.close = lambda: _release(response)
-    return ReceivedAnswer(response.headers, answer)
+    return answer
 
 
 async def _read_to_close(response: aiohttp.ClientResponse) -> bytes:
