--- a/tests/gate/test_stale_refusals.py
+++ b/tests/gate/test_stale_refusals.py
@@ -110,7 +110,9 @@
             await session.close()
 
 
-async def run(gate: Gate, request_id: str, at_most_once: bool = False) -> Result[Answer, Failure]:
+async def run(
+    gate: Gate, request_id: str, at_most_once: bool = False, seconds: float = 10.0
+) -> Result[Answer, Failure]:
     call = Call(
         id=f"vm-1/1/{request_id}",
         class_name="read",
@@ -119,7 +121,7 @@
         target="/",
         headers=((ID, request_id),) if request_id else (),
         body=Body(),
-        deadline=time.monotonic() + 10.0,
+        deadline=time.monotonic() + seconds,
         depth=0,
         retry_budget=0,
         at_most_once=at_most_once,
