During a stop a request whose deadline is in time is served, though its class is slow

It is answered at its deadline at the latest, so the typical latency of its class doesn't matter. The test of a class that usually takes longer than what is left failed for such a request.

--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -30,7 +30,7 @@
 """Time for callers to notice that this daemon is not ready: the second failed probe comes within
 two seconds, on a busy machine somewhat later."""
 
-SERVED_AS_USUAL_SHARE: Final = 0.5
+SERVED_AS_USUAL_SHARE: Final = 0.6
 """The largest part of a short grace period in which requests are served as usual."""
 
 STOP_ACCEPTING_BEFORE_LIMIT_SECONDS: Final = 1.0
@@ -55,8 +55,8 @@
     def may_serve(self, now: float, deadline: float, typical_seconds: float) -> bool:
         """Return whether a request that has just arrived may be sent to a server.
 
-        At first callers have not noticed yet, so only a request that would usually take too long is
-        refused.  Later, few callers come, and a request must end in time whatever its server does.
+        It may if its deadline is in time.  At first, when callers have not noticed yet, it is
+        enough that requests of its class usually end in time.
 
         :param deadline: monotonic time at which the request is answered at the latest, in seconds
         :param typical_seconds: typical latency of its class
@@ -64,9 +64,8 @@
         usual_seconds = min(
             SERVED_AS_USUAL_SECONDS, (self.ends - self.started) * SERVED_AS_USUAL_SHARE
         )
-        if now - self.started < usual_seconds:
-            return now + typical_seconds <= self.ends
-        return deadline <= self.ends
+        is_early = now - self.started < usual_seconds
+        return deadline <= self.ends or (is_early and now + typical_seconds <= self.ends)
 
 
 def start_grace_period(now: float, limit_seconds: float) -> GracePeriod:
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -49,6 +49,7 @@
 """Time for calls that were given up to be answered."""
 
 POLL_SECONDS: Final = 0.01
+"""Interval at which the close looks whether all are answered."""
 
 T = TypeVar("T")
 
