The client of the store closes a connection that delivers bytes while it is idle

Callers saw nothing: we know of no store that writes an answer twice. Found by looking for the cause of answers that belong to other requests elsewhere: an answer written on an idle connection was taken as the one to the next write, a 200 as its acknowledgement, a 503 as 'not done'.

The tracked connections of the exchange with servers get a module of their own, and the client of the store uses them. test_an_answer_on_an_idle_connection_is_not_that_to_the_next_write failed before in both cases: the second write was never sent on.

--- /dev/null
+++ b/kingcuppond/http_connections.py
@@ -0,0 +1,83 @@
+"""Connections of HTTP clients that are closed if they deliver bytes that belong to no answer.
+
+Requests and answers on a connection belong together by their order alone.  A server that writes an
+answer twice, or late, would otherwise have it taken for the answer to the next request.
+"""
+
+import asyncio
+from functools import partial
+from typing import Any, Final
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+MAX_USELESS_BYTES: Final = 131_072
+"""Most bytes in a row without a whole head or a part of a body, and so the longest head."""
+
+FIRST_FINAL_STATUS: Final = 200
+
+
+class TrackedConnection(ResponseHandler):
+    """Counts requests, records how a connection ended, and closes it if it delivers no answer.
+
+    aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
+    reading a chunk header that never ends, and keeps answers to no request in memory while the
+    connection is idle.  If such an answer has only begun, aiohttp drops that part and reads the
+    rest as the answer to the next request.
+    """
+
+    is_lost = False
+    lost_exc: BaseException | None = None
+    requests = 0
+    _answers = 0
+    _useless_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self.requests += 1
+        self._answers = 0
+        self._useless_bytes = 0
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Count the answers; an interim one is none."""
+        message, _ = data
+        self._answers += message.code >= FIRST_FINAL_STATUS
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Receive bytes, and close the connection if they lead to no answer."""
+        if data and self._is_answer_complete():
+            self.close_at_once()
+            return
+        before = self._progress()
+        super().data_received(data)
+        is_useful = self._progress() != before
+        self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
+        if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
+            self.close_at_once()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record the end of the connection."""
+        self.is_lost = True
+        self.lost_exc = exc
+        super().connection_lost(exc)
+
+    def _is_answer_complete(self) -> bool:
+        return self._answers > 0 and self._payload is not None and self._payload.is_eof()
+
+    def close_at_once(self) -> None:
+        """Close the connection, also if it is back in the pool."""
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _progress(self) -> tuple[int, int]:
+        """Return the number of answers begun, and the bytes of the body of the newest one."""
+        return self._answers, 0 if self._payload is None else self._payload.total_bytes
+
+
+def track_connections(connector: aiohttp.BaseConnector) -> None:
+    """Make a connector open tracked connections; to be called in the event loop."""
+    factory: Any = partial(TrackedConnection, loop=asyncio.get_running_loop())
+    connector._factory = factory
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -26,6 +26,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
+from kingcuppond.http_connections import track_connections
 from kingcuppond.store.era import EraTracker, era_of, make_version, revision_of
 from kingcuppond.store.interface import (
     ABSENT_VERSION,
@@ -255,6 +256,7 @@
             connector = aiohttp.TCPConnector(
                 limit=0, socket_factory=_make_socket, resolver=_NumericAddressResolver()
             )
+            track_connections(connector)
             self._session = aiohttp.ClientSession(
                 connector=connector, cookie_jar=aiohttp.DummyCookieJar()
             )
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -10,16 +10,15 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
-from functools import partial
 from typing import Any, Final
 
 import aiohttp
 import attrs
-from aiohttp.client_proto import ResponseHandler
 from expression import Error, Ok, Result
 from multidict import CIMultiDict
 from yarl import URL
 
+from kingcuppond.http_connections import TrackedConnection, track_connections
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
@@ -41,10 +40,6 @@
 MAX_UNFRAMED_BYTES: Final = 8_388_608
 """An answer without a length is buffered, since only its end shows whether it is complete."""
 
-MAX_USELESS_BYTES: Final = 131_072
-"""Most bytes in a row without a whole head or a part of a body, and so the longest head."""
-
-FIRST_FINAL_STATUS: Final = 200
 BODILESS_STATUSES: Final = (204, 304)
 
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -70,66 +65,6 @@
 """
 
 
-class _TrackingResponseHandler(ResponseHandler):
-    """Counts requests, records how a connection ended, and closes it if it delivers no answer.
-
-    aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
-    reading a chunk header that never ends, and keeps answers to no request in memory while the
-    connection is idle.  If such an answer has only begun, aiohttp drops that part and reads the
-    rest as the answer to the next request.
-    """
-
-    is_lost = False
-    lost_exc: BaseException | None = None
-    requests = 0
-    _answers = 0
-    _useless_bytes = 0
-
-    def set_response_params(self, **params: Any) -> None:
-        """Prepare for the answer to the next request."""
-        self.requests += 1
-        self._answers = 0
-        self._useless_bytes = 0
-        super().set_response_params(**params)
-
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        """Count the answers; an interim one is none."""
-        message, _ = data
-        self._answers += message.code >= FIRST_FINAL_STATUS
-        super().feed_data(data, size)
-
-    def data_received(self, data: bytes) -> None:
-        """Receive bytes, and close the connection if they lead to no answer."""
-        if data and self._is_answer_complete():
-            self.close_at_once()
-            return
-        before = self._progress()
-        super().data_received(data)
-        is_useful = self._progress() != before
-        self._useless_bytes = 0 if is_useful else self._useless_bytes + len(data)
-        if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
-            self.close_at_once()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record the end of the connection."""
-        self.is_lost = True
-        self.lost_exc = exc
-        super().connection_lost(exc)
-
-    def _is_answer_complete(self) -> bool:
-        return self._answers > 0 and self._payload is not None and self._payload.is_eof()
-
-    def close_at_once(self) -> None:
-        """Close the connection, also if it is back in the pool."""
-        self._should_close = True
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _progress(self) -> tuple[int, int]:
-        """Return the number of answers begun, and the bytes of the body of the newest one."""
-        return self._answers, 0 if self._payload is None else self._payload.total_bytes
-
-
 def open_session(reuses_connections: bool = True) -> aiohttp.ClientSession:
     """Open a session that never retries a request by itself.
 
@@ -139,8 +74,7 @@
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_IDLE_SECONDS)
     else:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    factory: Any = partial(_TrackingResponseHandler, loop=asyncio.get_running_loop())
-    connector._factory = factory
+    track_connections(connector)
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -267,7 +201,7 @@
 
 def _is_first_on_connection(response: aiohttp.ClientResponse) -> bool:
     protocol = response._protocol
-    return isinstance(protocol, _TrackingResponseHandler) and protocol.requests == 1
+    return isinstance(protocol, TrackedConnection) and protocol.requests == 1
 
 
 def close_connection(response: aiohttp.ClientResponse) -> None:
@@ -278,7 +212,7 @@
     """
     protocol = response._protocol
     response.close()
-    if isinstance(protocol, _TrackingResponseHandler):
+    if isinstance(protocol, TrackedConnection):
         protocol.close_at_once()
 
 
@@ -316,7 +250,7 @@
         body += await response.content.readany()
     if len(body) > MAX_UNFRAMED_BYTES:
         raise InvalidAnswerError("an answer without a length is too large to be buffered")
-    if not isinstance(protocol, _TrackingResponseHandler) or not protocol.is_lost:
+    if not isinstance(protocol, TrackedConnection) or not protocol.is_lost:
         raise InvalidAnswerError("the answer has no length and its connection was not closed")
     if protocol.lost_exc is not None:
         raise InvalidAnswerError(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -187,3 +187,30 @@
     assert (await running.store.get("kind", "a")).is_ok()
     await running.set_faults(refuse_status=503, refused_hosts=["127.0.0.1"])
     assert (await running.store.get("kind", "a")).is_error()
+
+
+@pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable"])
+async def test_an_answer_on_an_idle_connection_is_not_that_to_the_next_write(status: str) -> None:
+    """A write that the store never saw would count as done, or as not done."""
+    body = b'{"Metadata":{"Name":"a","Rev":7}}'
+    answer = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+    writes = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal writes
+        await reader.readuntil(b"\r\n\r\n")
+        writes += 1
+        writer.write(answer)
+        await asyncio.sleep(0.05)
+        writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    store = PlatformStore(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    for count in (1, 2):
+        await store.delete("kind", "a", 7)
+        assert writes == count
+        await asyncio.sleep(0.2)
+    await store.close()
+    server.close()
