A late notice of leaving doesn't replace that of the next incarnation

There is one departure object for each VM. A draining heartbeat of an earlier incarnation that arrives late replaced the departure of the present one, in the store and in what is written again after a restore, so a daemon that restarts could send calls to a server that leaves. Found from reading; not seen in a run. Change: a departure is ignored if its incarnation started before the recorded one. Evidence: test_a_late_notice_does_not_replace_the_departure_of_the_next_incarnation failed before.

--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -78,6 +78,9 @@
 
     async def record(self, incarnation: Incarnation) -> None:
         """Write that an incarnation is leaving; log an event if the store fails or times out."""
+        if self._leaving is not None and 0 < incarnation.born_ms < self._leaving.born_ms:
+            # A late notice: the object must keep the departure of the later incarnation.
+            return
         self._leaving = incarnation
         if self._recorded == incarnation:
             return
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -176,3 +176,13 @@
     store = FakeStore()
     await restore_and_rewrite(store, make_departure_store(store, journal), monkeypatch)
     assert (store.reads, store.writes) == (0, 0)
+
+
+async def test_a_late_notice_does_not_replace_the_departure_of_the_next_incarnation(
+    journal: Journal,
+) -> None:
+    store = FakeStore()
+    departures = make_departure_store(store, journal)
+    await departures.record(NEXT)
+    await departures.record(LEAVING)
+    assert (await make_departure_store(store, journal).load()).ok == NEXT
