Small fleets write again at once what a restore has lost

The spread that protects the store from 2,000 daemons (2 s for departures, 10 s for registrations) also held in fleets of three, where it only left a gap: a daemon that restarts in it forgets the departure. The spread now grows with the number of living members, to the same values at 2,000.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -291,6 +291,7 @@
             self.journal,
             self.rng,
             self.gate.incarnations.is_superseded,
+            lambda: self.directory.living_count,
         )
         self.eras.on_new_era.append(self.departures.on_new_era)
         self.server_port = ServerPort(
--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -27,8 +27,8 @@
 RECORD_TIMEOUT_SECONDS: Final = 0.6
 """Less than the second after which the server stops waiting and asks another daemon."""
 
-REWRITE_SPREAD_SECONDS: Final = 2.0
-"""In a release, a third of 2,000 servers may be leaving; the store takes 400 writes a second."""
+REWRITE_SPREAD_SECONDS_PER_MEMBER: Final = 0.001
+"""In a release a third of the servers may be leaving; the store takes 400 writes a second."""
 
 INITIAL_BACKOFF_SECONDS: Final = 0.2
 MAX_BACKOFF_SECONDS: Final = 5.0
@@ -40,6 +40,7 @@
 
     :param vm: name of this VM
     :param is_superseded: returns whether a later incarnation of the server has announced itself
+    :param count_members: returns the number of living members of the fleet
     """
 
     vm: str
@@ -47,6 +48,7 @@
     journal: Journal
     rng: Random
     is_superseded: Callable[[Incarnation], bool]
+    count_members: Callable[[], int]
     # Most VMs have no object yet; if this one has, the first write fails and it is read.
     _version: int | None = ABSENT_VERSION
     _recorded: Incarnation | None = None
@@ -110,7 +112,8 @@
         while True:
             await self._is_rewrite_due.wait()
             self._is_rewrite_due.clear()
-            await asyncio.sleep(REWRITE_SPREAD_SECONDS * self.rng.random())
+            spread_seconds = REWRITE_SPREAD_SECONDS_PER_MEMBER * self.count_members()
+            await asyncio.sleep(spread_seconds * self.rng.random())
             await self._rewrite()
 
     async def _rewrite(self) -> None:
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -52,8 +52,8 @@
 
 ROLE_CHECK_INTERVAL_SECONDS: Final = 1.0
 
-REWRITE_SPREAD_SECONDS: Final = 10.0
-"""Of 2,000 daemons without seeds all are registered; the store takes 400 writes a second."""
+REWRITE_SPREAD_SECONDS_PER_MEMBER: Final = 0.005
+"""Without seeds all daemons are registered; the store takes 400 writes a second."""
 
 
 class Registration:
@@ -135,7 +135,8 @@
                 await self._register_with_backoff()
 
     async def _register_again(self) -> None:
-        await asyncio.sleep(REWRITE_SPREAD_SECONDS * self._rng.random())
+        spread_seconds = REWRITE_SPREAD_SECONDS_PER_MEMBER * self._directory.living_count
+        await asyncio.sleep(spread_seconds * self._rng.random())
         # The store may be restored once more while this daemon registers.
         self._is_rewrite_due = False
         self.is_registered = False
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -21,7 +21,9 @@
     store: FakeStore, journal: Journal, incarnations: IncarnationTracker | None = None
 ) -> DepartureStore:
     tracker = incarnations or IncarnationTracker()
-    return DepartureStore("vm-1", cast(Store, store), journal, Random(1), tracker.is_superseded)
+    return DepartureStore(
+        "vm-1", cast(Store, store), journal, Random(1), tracker.is_superseded, lambda: 1
+    )
 
 
 async def restore_and_rewrite(
@@ -34,7 +36,6 @@
 
     :param is_lost: whether the copy lacks all objects, or else none
     """
-    monkeypatch.setattr(departures_module, "REWRITE_SPREAD_SECONDS", 0.0)
     monkeypatch.setattr(departures_module, "INITIAL_BACKOFF_SECONDS", 0.01)
     if is_lost:
         store.objects.clear()
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -118,7 +118,6 @@
     :param is_lost: whether the copy lacks all objects, or else none
     """
     monkeypatch.setattr(registration_module, "ROLE_CHECK_INTERVAL_SECONDS", 0.01)
-    monkeypatch.setattr(registration_module, "REWRITE_SPREAD_SECONDS", 0.01)
     monkeypatch.setattr(registration_module, "INITIAL_BACKOFF_SECONDS", 0.01)
     if is_lost:
         store.objects.clear()
