--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -30,7 +30,7 @@
 """Time for callers to notice that this daemon is not ready: the second failed probe comes within
 two seconds, on a busy machine somewhat later."""
 
-SERVED_AS_USUAL_SHARE: Final = 0.5
+SERVED_AS_USUAL_SHARE: Final = 0.6
 """The largest part of a short grace period in which requests are served as usual."""
 
 STOP_ACCEPTING_BEFORE_LIMIT_SECONDS: Final = 1.0
