A claim that a restore of the store has lost still prevents a second run

Cause: at most once rested on the store's log alone. A claim that the copy lacks was granted again, and a conditional write with a revision of before could match one that was given out again. Change: - Segments are kept by era. Those of earlier eras are read and hold their keys, but only a record in a segment of the present era grants. A key may be held by several attempts. - When a daemon hears of a new era, it appends what its copies of the logs hold and the store lacks, has the claims of its own attempts written again, and then publishes the era (Member.store_era). - New claims are refused as "not run" until all living members have published it. - A grant names its era, and starts no run if the owner knows a newer one. What daemons ask each other about claims moves from the guard to peers.py. Events E605 to E607 are new.

--- a/kingcuppond/claims/attempts.py
+++ b/kingcuppond/claims/attempts.py
@@ -9,7 +9,13 @@
 
 import attrs
 
-from kingcuppond.claims.messages import AttemptQuery, AttemptReply, AttemptState, CachedAnswer
+from kingcuppond.claims.messages import (
+    AttemptQuery,
+    AttemptReply,
+    AttemptState,
+    CachedAnswer,
+    ClaimRecord,
+)
 
 MAX_KNOWN_ATTEMPTS: Final = 10_000
 MAX_CACHED_ANSWER_BYTES: Final = 4_000_000
@@ -21,6 +27,7 @@
     rest: str = ""
     state: AttemptState = AttemptState.RUNNING
     answer: CachedAnswer | None = None
+    claim: ClaimRecord | None = None
 
 
 @attrs.define
@@ -40,6 +47,20 @@
         while len(self._attempts_by_id) > MAX_KNOWN_ATTEMPTS:
             self._evict_answer(self._attempts_by_id.popitem(last=False)[1])
 
+    def record_grant(self, claim: ClaimRecord) -> None:
+        """Record that an attempt may run from now on, as its claim was granted."""
+        found = self._attempts_by_id.get(claim.attempt)
+        if found is not None:
+            found.claim = claim
+
+    def granted_claims(self) -> list[ClaimRecord]:
+        """Return the claims of all attempts that have run, may have run or may still run."""
+        return [
+            entry.claim
+            for entry in self._attempts_by_id.values()
+            if entry.claim is not None and entry.state is not AttemptState.NOT_RUN
+        ]
+
     def remove(self, attempt: str) -> None:
         """Remove an attempt whose claim was refused."""
         self._attempts_by_id.pop(attempt, None)
--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -4,22 +4,35 @@
 write is in flight share the next write, so the number of writes grows with the number of shards
 and not with the number of claims.  Two daemons may both act as coordinator of a shard; the log's
 conditional write then fails for one of them, which reloads the log.
+
+After the store was restored from a copy, claims may be missing from the log, so a new claim is
+granted only once all living members have published that theirs are in the log of the present era
+(see ``renewal.py``).  Until then a coordinator writes only releases and such older claims.
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 from expression import Result
 
 from kingcuppond.claims.log import ShardLog
-from kingcuppond.claims.messages import ClaimRecord, ClaimReply, ClaimRequest, Verdict
+from kingcuppond.claims.messages import (
+    ClaimRecord,
+    ClaimReply,
+    ClaimRequest,
+    RenewalReply,
+    RenewalRequest,
+    Verdict,
+)
 from kingcuppond.clock import Clock
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member
+from kingcuppond.store.era import EraTracker
 from kingcuppond.store.interface import Store, StoreError
 
 SHARD_COUNT: Final = 64
@@ -30,6 +43,10 @@
 MAX_GROUP_RECORDS: Final = 500
 SHARD_IDLE_SECONDS: Final = 600.0
 EXPIRY_INTERVAL_SECONDS: Final = 600.0
+CONFIRMATION_WAIT_SECONDS: Final = 0.5
+"""How long a new claim waits for the other members; a rumour crosses the fleet in about 0.3 s."""
+
+CONFIRMATION_POLL_SECONDS: Final = 0.02
 UNAVAILABLE: Final = ClaimReply(Verdict.UNAVAILABLE)
 
 
@@ -48,10 +65,38 @@
     return sorted(living, key=lambda member: rendezvous_hash(f"claims-{shard}", member.vm))
 
 
+def make_confirmed_era(directory: Directory, has_joined: Callable[[], bool]) -> Callable[[], int]:
+    """Return a function that returns the newest era that all living members have published.
+
+    A member that is discovered later does not lower the era: nothing is known of its claims, as of
+    those of a dead one.
+
+    :param has_joined: returns whether the directory holds the other members
+    """
+    generation = -1
+    era = 0
+
+    def confirmed_era() -> int:
+        nonlocal generation, era
+        if generation != directory.generation and has_joined():
+            generation = directory.generation
+            era = max(era, min(member.store_era for member in directory.living()))
+        return era
+
+    return confirmed_era
+
+
 @attrs.define
 class _PendingRecord:
-    record: ClaimRecord
+    """A record that waits to be written.
+
+    :param record: ``None`` if only the log is to be brought to the present era
+    :param is_renewal: the record is a claim that was granted before
+    """
+
+    record: ClaimRecord | None
     reply: "asyncio.Future[ClaimReply]"
+    is_renewal: bool = False
 
 
 @attrs.define
@@ -64,14 +109,28 @@
     tokens: float = COMMIT_BURST
     refilled_at: float = 0.0
     last_expiry_at: float = 0.0
+    is_confirmed: bool = True
 
 
 class ClaimCoordinator:
-    """The shards that this daemon coordinates."""
+    """The shards that this daemon coordinates.
 
-    def __init__(self, store: Store, clock: Clock, journal: Journal) -> None:
+    :param eras: the newest era of the store that this daemon knows
+    :param confirmed_era: returns the newest era in whose log the claims of all living members are
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        eras: EraTracker,
+        confirmed_era: Callable[[], int],
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
         self.commits = 0
         self._store = store
+        self._eras = eras
+        self._confirmed_era = confirmed_era
         self._clock = clock
         self._journal = journal
         self._shards_by_number: dict[int, _Shard] = {}
@@ -80,17 +139,68 @@
         """Handle a claim request from another daemon."""
         if not 0 <= request.shard < SHARD_COUNT:
             return UNAVAILABLE
+        self._eras.observe(request.era)
         return await self.submit(request.shard, request.record)
 
+    async def on_renewal_request(self, _sender: str, request: RenewalRequest) -> RenewalReply:
+        """Handle a renewal request from another daemon."""
+        if not 0 <= request.shard < SHARD_COUNT:
+            return RenewalReply(is_done=False)
+        self._eras.observe(request.era)
+        return await self.renew(request)
+
     async def submit(self, shard_number: int, record: ClaimRecord) -> ClaimReply:
         """Write a record with the next group and return the result."""
+        if not record.is_release and not await self._wait_for_confirmation():
+            return UNAVAILABLE
+        return await self._enqueue(shard_number, record)
+
+    async def renew(self, request: RenewalRequest) -> RenewalReply:
+        """Write claims again that were granted in an earlier era."""
+        replies = await asyncio.gather(
+            *(
+                self._enqueue(request.shard, record, is_renewal=True)
+                for record in (request.records or (None,))
+            )
+        )
+        return RenewalReply(
+            is_done=all(_is_granted_in(reply, request.era) for reply in replies),
+            holders=tuple(reply.holder for reply in replies if reply.holder is not None),
+        )
+
+    async def renew_own(self, era: int) -> bool:
+        """Write the claims of this daemon's copies of the logs that the restored store lacks.
+
+        :return: whether all copies are of the given era or a newer one
+        """
+        requests = [RenewalRequest(number, (), era) for number in self._shards_by_number]
+        replies = await asyncio.gather(*(self.renew(request) for request in requests))
+        return all(reply.is_done for reply in replies)
+
+    async def _enqueue(
+        self, shard_number: int, record: ClaimRecord | None, is_renewal: bool = False
+    ) -> ClaimReply:
         shard = self._open_shard(shard_number)
         reply: asyncio.Future[ClaimReply] = asyncio.get_running_loop().create_future()
-        shard.pending.append(_PendingRecord(record, reply))
+        shard.pending.append(_PendingRecord(record, reply, is_renewal))
         shard.last_used = self._clock.monotonic()
         shard.wake.set()
         return await reply
 
+    async def _wait_for_confirmation(self) -> bool:
+        """Return whether the claims of all living members are in the log of the present era."""
+        end = self._clock.monotonic() + CONFIRMATION_WAIT_SECONDS
+        while self._confirmed_era() < self._eras.era:
+            if self._clock.monotonic() >= end:
+                self._journal.record(
+                    catalogue.CLAIM_UNCONFIRMED,
+                    confirmed=self._confirmed_era(),
+                    era=self._eras.era,
+                )
+                return False
+            await asyncio.sleep(CONFIRMATION_POLL_SECONDS)
+        return True
+
     def stop(self) -> None:
         """Cancel the tasks of all shards; pending records are answered as unavailable."""
         for shard in self._shards_by_number.values():
@@ -138,53 +248,82 @@
         try:
             await self._commit(shard, group)
         except Exception as exc:
-            shard.log = ShardLog(shard.log.shard, self._store)
+            shard.log.unload()
             self._journal.record(catalogue.TASK_FAILED, task="claims", error=repr(exc))
         finally:
             _reply_all(group, UNAVAILABLE)
 
     async def _commit(self, shard: _Shard, group: list[_PendingRecord]) -> None:
+        log = shard.log
         for _ in range(MAX_COMMIT_ATTEMPTS):
-            if not shard.log.is_loaded:
-                loaded = await shard.log.load(self._clock.fleet_ms())
-                if loaded.is_error():
-                    await self._wait_before_retry(loaded)
-                    continue
-            group, records = self._reject_held(shard.log, group)
+            prepared = await self._prepare(shard)
+            if prepared.is_error():
+                await self._wait_before_retry(prepared)
+                continue
+            group, records = self._select(shard, group)
             if not records:
-                _reply_all(group, ClaimReply(Verdict.GRANTED))
+                _grant_all(log, group)
                 return
             self.commits += 1
-            written = await shard.log.append(records)
+            written = await log.append(records)
             if written.is_ok():
-                _reply_all(group, ClaimReply(Verdict.GRANTED))
+                _grant_all(log, group)
                 return
             self._journal.record(
-                catalogue.CLAIMS_RELOADED, shard=shard.log.shard, why=written.error.message
+                catalogue.CLAIMS_RELOADED, shard=log.shard, why=written.error.message
             )
             await self._wait_before_retry(written)
 
-    def _reject_held(
-        self, log: ShardLog, group: list[_PendingRecord]
+    async def _prepare(self, shard: _Shard) -> Result[None, StoreError]:
+        """Bring the copy of a log up to date, and append the claims that the store has lost."""
+        log = shard.log
+        confirmed_era = self._confirmed_era()
+        if confirmed_era >= log.era and not shard.is_confirmed:
+            # A late write may have changed earlier segments since they were read, so that a claim
+            # that was to be written again was already there.
+            log.unload()
+        if not log.is_loaded or log.era < self._eras.era:
+            loaded = await log.load(self._clock.fleet_ms())
+            if loaded.is_error():
+                return loaded
+            shard.is_confirmed = confirmed_era >= log.era
+        return await log.append_lost()
+
+    def _select(
+        self, shard: _Shard, group: list[_PendingRecord]
     ) -> tuple[list[_PendingRecord], list[ClaimRecord]]:
-        """Refuse the claims whose keys other attempts hold.
+        """Refuse the claims whose keys other attempts hold, and those that can't be granted yet.
 
         :return: the group without the refused claims, and those of its records that need a write
         """
+        log = shard.log
         accepted = []
         records: list[ClaimRecord] = []
-        claimed_by_key: dict[bytes, ClaimRecord] = {}
+        claimed_by_key = {
+            pending.record.key: pending.record
+            for pending in group
+            if pending.is_renewal and pending.record is not None
+        }
         for pending in group:
             record = pending.record
+            if record is None or record.is_release or pending.is_renewal:
+                accepted.append(pending)
+                if record is not None and not log.is_redundant(record) and record not in records:
+                    records.append(record)
+                continue
+            if not shard.is_confirmed:
+                _reply_all([pending], UNAVAILABLE)
+                continue
             holder = log.holder(record) or claimed_by_key.get(record.key)
-            if not record.is_release and holder is not None and holder.attempt != record.attempt:
+            if holder is not None and holder.attempt != record.attempt:
                 _reply_all([pending], ClaimReply(Verdict.HELD, holder))
                 continue
             accepted.append(pending)
-            if not log.is_redundant(record) and record not in records:
+            own = log.claim_of(record)
+            is_written = own is not None and own.era == log.era
+            if not is_written and record not in records:
                 records.append(record)
-                if not record.is_release:
-                    claimed_by_key[record.key] = record
+                claimed_by_key[record.key] = record
         return accepted, records
 
     async def _wait_before_retry(self, result: Result[None, StoreError]) -> None:
@@ -199,6 +338,18 @@
             await shard.log.drop_expired(self._clock.fleet_ms())
 
 
+def _grant_all(log: ShardLog, group: list[_PendingRecord]) -> None:
+    """Confirm all records of a group, which are in the log."""
+    for pending in group:
+        record = pending.record if pending.is_renewal else None
+        holder = None if record is None else log.holder(record)
+        _reply_all([pending], ClaimReply(Verdict.GRANTED, holder, log.era))
+
+
+def _is_granted_in(reply: ClaimReply, era: int) -> bool:
+    return reply.verdict is Verdict.GRANTED and reply.era >= era
+
+
 def _reply_all(group: list[_PendingRecord], reply: ClaimReply) -> None:
     """Reply to all records of a group that have no reply yet."""
     for pending in group:
--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -15,7 +15,6 @@
 remembers the attempt.
 """
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 from typing import Final
@@ -23,29 +22,22 @@
 import attrs
 from expression import Error, Ok, Result
 
-from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.coordinator import UNAVAILABLE, ClaimCoordinator, coordinators_of, shard_of
 from kingcuppond.claims.messages import (
     AttemptQuery,
-    AttemptReply,
     AttemptState,
     CachedAnswer,
     ClaimRecord,
-    ClaimReply,
-    ClaimRequest,
     Verdict,
 )
+from kingcuppond.claims.peers import REPLY_TIMEOUT_SECONDS, ClaimPeers
 from kingcuppond.clock import Clock
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.directory import Directory
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
-from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.routing.call import Answer, Call
+from kingcuppond.store.era import EraTracker
 
-MAX_COORDINATORS_ASKED: Final = 3
 MAX_CLAIM_ROUNDS: Final = 4
-REPLY_TIMEOUT_SECONDS: Final = 1.0
 KEY_DIGEST_BYTES: Final = 16
 
 RunCall = Callable[[Call], Awaitable[Result[Answer, Failure]]]
@@ -60,30 +52,27 @@
 class ClaimGuard:
     """Runs a request with an idempotency key at most once.
 
+    :param eras: the newest era of the store that this daemon knows
     :param run: sends a call to a server
     :param next_id: generates the id of a new attempt
     """
 
     def __init__(
         self,
-        directory: Directory,
-        transport: PeerTransport,
-        coordinator: ClaimCoordinator,
+        peers: ClaimPeers,
+        eras: EraTracker,
         clock: Clock,
         journal: Journal,
         run: RunCall,
         next_id: Callable[[], str],
     ) -> None:
-        self._directory = directory
-        self._transport = transport
-        self._coordinator = coordinator
+        self._peers = peers
+        self._attempts = peers.attempts
+        self._eras = eras
         self._clock = clock
         self._journal = journal
         self._run = run
         self._next_id = next_id
-        self._attempts = AttemptTable()
-        transport.handlers_by_type[ClaimRequest] = coordinator.on_claim_request
-        transport.handlers_by_type[AttemptQuery] = self._on_attempt_query
 
     async def run_once(self, call: Call, key: str) -> Result[Answer, Failure]:
         """Run a call, or return the first answer again if its key has already run.
@@ -96,10 +85,13 @@
         for _ in range(MAX_CLAIM_ROUNDS):
             record = self._make_record(call, digest)
             self._attempts.start(call.id, call.fingerprint)
-            reply = await self._submit(record, call.deadline)
-            if reply.verdict is Verdict.GRANTED:
+            reply = await self._peers.submit(record, call.deadline)
+            self._eras.observe(reply.era)
+            # A claim that was granted before a restore is not used: the store may have lost it, and
+            # this daemon has already begun to write its earlier claims again.
+            if reply.verdict is Verdict.GRANTED and reply.era == self._eras.era:
                 return await self._run_granted(call, record)
-            if reply.verdict is Verdict.UNAVAILABLE or reply.holder is None:
+            if reply.verdict is not Verdict.HELD or reply.holder is None:
                 self._attempts.finish(call.id, AttemptState.NOT_RUN)
                 return Error(
                     NotRun(
@@ -122,6 +114,7 @@
         return ClaimRecord(digest, call.fingerprint, call.id, self._clock.fleet_ms())
 
     async def _run_granted(self, call: Call, record: ClaimRecord) -> Result[Answer, Failure]:
+        self._attempts.record_grant(record)
         self._journal.record(catalogue.CLAIM_GRANTED, key=record.key.hex(), attempt=call.id)
         try:
             result = await self._run(call)
@@ -153,7 +146,8 @@
             return Error(
                 NotRun(Reason.KEY_REUSED, "the idempotency key was used with another request")
             )
-        reply = await self._query_attempt(call, holder)
+        query = AttemptQuery(holder.attempt, holder.content, await call.body.digest())
+        reply = await self._peers.query(query, call.deadline)
         if reply.is_other_content:
             return Error(
                 NotRun(Reason.KEY_REUSED, "the idempotency key was used with another request")
@@ -172,58 +166,10 @@
             Unknown(Reason.KEY_RAN, "a request with this idempotency key has run or may have run")
         )
 
-    async def _query_attempt(self, call: Call, holder: ClaimRecord) -> AttemptReply:
-        query = AttemptQuery(holder.attempt, holder.content, await call.body.digest())
-        owner = self._directory.members_by_vm.get(holder.attempt.partition("/")[0])
-        if owner is None:
-            return AttemptReply(AttemptState.UNKNOWN)
-        if owner.vm == self._directory.me.vm:
-            return self._attempts.lookup(query)
-        timeout = self._reply_timeout(call.deadline)
-        reply = await self._transport.ask(owner.peer_address, query, AttemptReply, timeout)
-        return reply.default_value(AttemptReply(AttemptState.UNKNOWN))
-
-    async def _on_attempt_query(self, _sender: str, query: AttemptQuery) -> AttemptReply:
-        return self._attempts.lookup(query)
-
     async def _release(self, record: ClaimRecord) -> None:
         release = attrs.evolve(record, is_release=True, at_ms=self._clock.fleet_ms())
-        reply = await self._submit(release, self._clock.monotonic() + REPLY_TIMEOUT_SECONDS)
+        reply = await self._peers.submit(release, self._clock.monotonic() + REPLY_TIMEOUT_SECONDS)
         if reply.verdict is Verdict.GRANTED:
             self._journal.record(
                 catalogue.CLAIM_RELEASED, key=record.key.hex(), attempt=record.attempt
             )
-
-    async def _submit(self, record: ClaimRecord, deadline: float) -> ClaimReply:
-        """Have a record written by the shard's coordinator, or by the next in rank if it fails.
-
-        Submitting a record to several coordinators is safe: the log takes a record only once.
-        """
-        shard = shard_of(record.key)
-        for member in coordinators_of(shard, self._directory)[:MAX_COORDINATORS_ASKED]:
-            timeout = self._reply_timeout(deadline)
-            if timeout <= 0:
-                return UNAVAILABLE
-            if member.vm == self._directory.me.vm:
-                reply = await self._submit_locally(shard, record, timeout)
-            else:
-                request = ClaimRequest(shard, record)
-                result = await self._transport.ask(
-                    member.peer_address, request, ClaimReply, timeout
-                )
-                reply = result.default_value(UNAVAILABLE)
-            if reply.verdict is not Verdict.UNAVAILABLE:
-                return reply
-        return UNAVAILABLE
-
-    async def _submit_locally(self, shard: int, record: ClaimRecord, timeout: float) -> ClaimReply:
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._coordinator.submit(shard, record)
-        except TimeoutError:
-            return UNAVAILABLE
-
-    def _reply_timeout(self, deadline: float) -> float:
-        # Half of the time left, so that a second coordinator can still be asked and the call can
-        # still run.
-        return min(REPLY_TIMEOUT_SECONDS, (deadline - self._clock.monotonic()) / 2)
--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -8,19 +8,31 @@
 ordering depends on no lease and no clock.
 
 After a write whose answer was lost, the log is read again, and its content decides.
+
+A store that was restored from a copy has lost records, and may still execute writes that were sent
+before.  So each era of the store has segments of its own, and the order holds within an era.  The
+segments of earlier eras are read too, and their claims hold their keys, but only a record in a
+segment of the present era grants one: a late write may still replace the last earlier segment.  A
+key may be held by several attempts, and is free when all of them are released.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
 from expression import Error, Ok, Result
 
 from kingcuppond.claims.messages import ClaimRecord
-from kingcuppond.store.interface import ABSENT_VERSION, Store, StoreError, decode_body, encode_body
+from kingcuppond.claims.segments import Segment, SegmentId, read_segments
+from kingcuppond.store.era import era_of
+from kingcuppond.store.interface import ABSENT_VERSION, Store, StoreError, encode_body
 
 SEGMENT_BYTES: Final = 8192
 """A segment of at least this size is full; its last write may take it beyond."""
 
+MAX_APPENDED_RECORDS: Final = 500
+"""Most records in one write: about 70 kB, far below the store's limit for an object."""
+
 RETENTION_MS: Final = 86_400_000
 
 
@@ -31,17 +43,20 @@
     :param shard: number of the shard
     :param is_loaded: whether all segments have been read; false before the first load, and again
         after a write that conflicted or whose result is unknown
+    :param era: era of the store in which the copy was read
+    :param claims_by_key: claims that hold a key; of several, that of the newest era comes first
+    :param lost_claims: claims of the copy that a restored store lacks; see :meth:`append_lost`
     """
 
     shard: int
     store: Store
     is_loaded: bool = False
-    claims_by_key: dict[bytes, ClaimRecord] = attrs.field(factory=dict)
-    _segment_number: int = 0
-    _segment_version: int = ABSENT_VERSION
-    _segment_records: list[ClaimRecord] = attrs.field(factory=list)
-    _segment_bytes: int = 0
-    _last_record_ms_by_number: dict[int, int] = attrs.field(factory=dict)
+    era: int = 0
+    claims_by_key: dict[bytes, tuple[ClaimRecord, ...]] = attrs.field(factory=dict)
+    lost_claims: list[ClaimRecord] = attrs.field(factory=list)
+    _has_read_all: bool = False
+    _segment: Segment = attrs.field(factory=lambda: _first_segment(0))
+    _last_record_ms_by_id: dict[SegmentId, int] = attrs.field(factory=dict)
 
     @property
     def kind(self) -> str:
@@ -57,12 +72,18 @@
         listing = await self.store.list(self.kind)
         if listing.is_error():
             return Error(listing.error)
-        numbers = sorted(int(item.name) for item in listing.ok.items)
-        for number in numbers:
-            if number >= self._segment_number:
-                read = await self._read_segment(number, now_ms)
-                if read.is_error():
-                    return read
+        era = era_of(listing.ok.version)
+        if era < self.era:
+            return Error(StoreError(f"the listing is of era {era}, but the log of {self.era}"))
+        is_partial = self._has_read_all and era == self.era
+        read = read_segments(listing.ok.items, self._segment.id if is_partial else None)
+        if read.is_error():
+            return Error(read.error)
+        if not is_partial:
+            self._start_again(era)
+        for segment in read.ok:
+            self._take(segment, now_ms)
+        self._hold_lost_claims(now_ms)
         self.is_loaded = True
         return Ok(None)
 
@@ -72,81 +93,118 @@
         :return: an error with ``is_outcome_unknown`` or ``is_conflict`` does not tell whether the
             records are in the log; the log must then be loaded again
         """
-        number = self._segment_number
-        version = self._segment_version
-        old_records = self._segment_records
-        if self._segment_bytes >= SEGMENT_BYTES:
-            number, version, old_records = number + 1, ABSENT_VERSION, []
-        body = encode_body(old_records + records)
-        written = await self.store.put(self.kind, _segment_name(number), body, version)
+        dated = [attrs.evolve(record, era=self.era) for record in records]
+        last = self._segment
+        if last.size >= SEGMENT_BYTES:
+            last = Segment(SegmentId(self.era, last.id.number + 1), ABSENT_VERSION, [], 0)
+        body = encode_body(last.records + dated)
+        written = await self.store.put(self.kind, last.id.name, body, last.version)
+        if written.is_ok() and era_of(written.ok) != self.era:
+            message = "the store was restored before the write"
+            written = Error(StoreError(message, is_outcome_unknown=True))
         if written.is_error():
             if written.error.is_conflict or written.error.is_outcome_unknown:
                 self.is_loaded = False
             return Error(written.error)
-        self._set_current_segment(number, written.ok, old_records + records, len(body))
-        for record in records:
+        self._set_current(Segment(last.id, written.ok, last.records + dated, len(body)))
+        for record in dated:
             self._apply(record)
         return Ok(None)
 
+    async def append_lost(self) -> Result[None, StoreError]:
+        """Append the claims that this copy holds and the restored store lacks."""
+        while self.lost_claims:
+            appended = await self.append(self.lost_claims[:MAX_APPENDED_RECORDS])
+            if appended.is_error():
+                return appended
+            del self.lost_claims[:MAX_APPENDED_RECORDS]
+        return Ok(None)
+
+    def unload(self) -> None:
+        """Have the next load read all segments; the claims are kept in case the store lost them."""
+        self.is_loaded = False
+        self._has_read_all = False
+
+    def claim_of(self, record: ClaimRecord) -> ClaimRecord | None:
+        """Return the claim in the log of a record's own attempt, if any."""
+        claims = self.claims_by_key.get(record.key, ())
+        return next((claim for claim in claims if claim.attempt == record.attempt), None)
+
     def holder(self, record: ClaimRecord) -> ClaimRecord | None:
         """Return the claim of another attempt that holds the key of a record, if any."""
-        claim = self.claims_by_key.get(record.key)
-        return None if claim is None or claim.attempt == record.attempt else claim
+        claims = self.claims_by_key.get(record.key, ())
+        return next((claim for claim in claims if claim.attempt != record.attempt), None)
 
     def is_redundant(self, record: ClaimRecord) -> bool:
         """Return whether a record needs no write, as it is in the log or would have no effect."""
-        claim = self.claims_by_key.get(record.key)
-        if record.is_release:
-            return claim is None or claim.attempt != record.attempt
-        return claim is not None and claim.attempt == record.attempt
+        return (self.claim_of(record) is None) is record.is_release
 
     async def drop_expired(self, now_ms: int) -> None:
         """Delete segments whose records are all past their retention, but never the last one."""
         oldest_ms = now_ms - RETENTION_MS
-        for number, last_record_ms in list(self._last_record_ms_by_number.items()):
-            if number < self._segment_number and last_record_ms < oldest_ms:
-                found = await self.store.get(self.kind, _segment_name(number))
+        for id_, last_record_ms in list(self._last_record_ms_by_id.items()):
+            if id_ < self._segment.id and last_record_ms < oldest_ms:
+                found = await self.store.get(self.kind, id_.name)
                 if found.is_ok() and found.ok is not None:
-                    await self.store.delete(self.kind, _segment_name(number), found.ok.version)
-                del self._last_record_ms_by_number[number]
-        for key, claim in list(self.claims_by_key.items()):
-            if claim.at_ms < oldest_ms:
-                del self.claims_by_key[key]
-
-    async def _read_segment(self, number: int, now_ms: int) -> Result[None, StoreError]:
-        found = await self.store.get(self.kind, _segment_name(number))
-        if found.is_error():
-            return Error(found.error)
-        if found.ok is None:
-            return Ok(None)
-        decoded = decode_body(found.ok.body, list[ClaimRecord])
-        if decoded.is_error():
-            message = f"segment {number} of {self.kind}: {decoded.error.message}"
-            return Error(StoreError(message))
-        records = decoded.ok
-        self._set_current_segment(number, found.ok.version, records, len(found.ok.body))
-        for record in records:
+                    await self.store.delete(self.kind, id_.name, found.ok.version)
+                del self._last_record_ms_by_id[id_]
+        for key, claims in list(self.claims_by_key.items()):
+            self._set_claims(key, (claim for claim in claims if claim.at_ms >= oldest_ms))
+
+    def _start_again(self, era: int) -> None:
+        if era > self.era:
+            known = [claim for claims in self.claims_by_key.values() for claim in claims]
+            self.lost_claims = known + self.lost_claims
+        self.era = era
+        self.claims_by_key = {}
+        self._segment = _first_segment(era)
+        self._last_record_ms_by_id = {}
+        self._has_read_all = True
+
+    def _take(self, segment: Segment, now_ms: int) -> None:
+        if segment.id.era == self.era:
+            self._set_current(segment)
+        self._date(segment)
+        for record in segment.records:
             if record.at_ms > now_ms - RETENTION_MS:
                 self._apply(record)
-        return Ok(None)
 
-    def _set_current_segment(
-        self, number: int, version: int, records: list[ClaimRecord], size: int
-    ) -> None:
-        self._segment_number = number
-        self._segment_version = version
-        self._segment_records = records
-        self._segment_bytes = size
-        self._last_record_ms_by_number[number] = records[-1].at_ms if records else 0
+    def _hold_lost_claims(self, now_ms: int) -> None:
+        oldest_ms = now_ms - RETENTION_MS
+        still_lost = []
+        for claim in self.lost_claims:
+            known = self.claim_of(claim)
+            # A lost claim that is held since an earlier load is not in the store yet.
+            if claim.at_ms > oldest_ms and (known is None or known is claim):
+                still_lost.append(claim)
+                self._apply(claim)
+        self.lost_claims = still_lost
+
+    def _set_current(self, segment: Segment) -> None:
+        self._segment = segment
+        self._date(segment)
+
+    def _date(self, segment: Segment) -> None:
+        # Claims that were written again after a restore are older than the records before them.
+        newest_ms = max((record.at_ms for record in segment.records), default=0)
+        self._last_record_ms_by_id[segment.id] = newest_ms
 
     def _apply(self, record: ClaimRecord) -> None:
-        if not record.is_release:
-            self.claims_by_key.setdefault(record.key, record)
-            return
-        claim = self.claims_by_key.get(record.key)
-        if claim is not None and claim.attempt == record.attempt:
-            del self.claims_by_key[record.key]
-
-
-def _segment_name(number: int) -> str:
-    return f"{number:08d}"
+        others = [
+            claim
+            for claim in self.claims_by_key.get(record.key, ())
+            if claim.attempt != record.attempt
+        ]
+        claims = others if record.is_release else [*others, record]
+        self._set_claims(record.key, sorted(claims, key=lambda claim: -claim.era))
+
+    def _set_claims(self, key: bytes, claims: Iterable[ClaimRecord]) -> None:
+        remaining = tuple(claims)
+        if remaining:
+            self.claims_by_key[key] = remaining
+        else:
+            self.claims_by_key.pop(key, None)
+
+
+def _first_segment(era: int) -> Segment:
+    return Segment(SegmentId(era, 0), ABSENT_VERSION, [], 0)
--- a/kingcuppond/claims/messages.py
+++ b/kingcuppond/claims/messages.py
@@ -20,6 +20,7 @@
     :param attempt: id of the attempt that claims the key
     :param at_ms: the fleet's time in milliseconds
     :param is_release: the attempt has not run and never will, so its key is free again
+    :param era: era of the store's log to which the record was appended
     """
 
     key: bytes
@@ -27,14 +28,19 @@
     attempt: str
     at_ms: int
     is_release: bool = False
+    era: int = 0
 
 
 @attrs.frozen
 class ClaimRequest:
-    """Asks the coordinator of a shard to write a record."""
+    """Asks the coordinator of a shard to write a record.
+
+    :param era: the newest era of the store that the sender knows
+    """
 
     shard: int
     record: ClaimRecord
+    era: int = 0
 
 
 class Verdict(StrEnum):
@@ -49,11 +55,39 @@
 class ClaimReply:
     """The reply to a :class:`ClaimRequest`.
 
-    :param holder: the record of the attempt that holds the key, if the verdict is ``HELD``
+    :param holder: the record of another attempt that holds the key, if the verdict is ``HELD``;
+        a claim that is written again is granted even so
+    :param era: era of the store in which the record was found in the log, if it was granted
     """
 
     verdict: Verdict
     holder: ClaimRecord | None = None
+    era: int = 0
+
+
+@attrs.frozen
+class RenewalRequest:
+    """Asks the coordinator of a shard to write claims again that a restored store may have lost.
+
+    :param records: claims of the sender's attempts that were granted and may have run
+    :param era: the era of the store in which they must be in the log
+    """
+
+    shard: int
+    records: tuple[ClaimRecord, ...]
+    era: int
+
+
+@attrs.frozen
+class RenewalReply:
+    """The reply to a :class:`RenewalRequest`.
+
+    :param is_done: whether all records are in the log of the requested era or a newer one
+    :param holders: the records of other attempts that hold one of the keys too
+    """
+
+    is_done: bool
+    holders: tuple[ClaimRecord, ...] = ()
 
 
 class AttemptState(StrEnum):
--- /dev/null
+++ b/kingcuppond/claims/renewal.py
@@ -0,0 +1,103 @@
+"""Writes claims again after the store was restored from a copy, and then publishes the new era.
+
+The restored store may lack claims whose attempts have run.  Two daemons still know such a claim:
+the owner of the attempt, and the coordinator that wrote it.  When a daemon hears of a new era, it
+first writes what its copies of the logs hold and the store lacks, then has the claims of its own
+attempts written, and only then publishes the era in its description.  No coordinator grants a new
+claim in an era that a living member has not published.
+
+From the moment that a daemon knows the new era it starts no attempt by a claim that was granted in
+an earlier one, so the claims to be written again are those that it knows then.
+"""
+
+import asyncio
+from typing import Final
+
+from kingcuppond.claims.coordinator import MAX_GROUP_RECORDS, ClaimCoordinator, shard_of
+from kingcuppond.claims.messages import AttemptQuery, AttemptState, ClaimRecord, RenewalRequest
+from kingcuppond.claims.peers import REPLY_TIMEOUT_SECONDS, ClaimPeers
+from kingcuppond.clock import Clock
+from kingcuppond.events import catalogue
+from kingcuppond.events.journal import Journal
+from kingcuppond.membership.directory import Directory
+from kingcuppond.store.era import EraTracker
+
+RETRY_DELAY_SECONDS: Final = 0.1
+
+
+class ClaimRenewal:
+    """Brings the claims that this daemon knows into the log of each new era.
+
+    :param eras: the newest era of the store that this daemon knows
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: ClaimPeers,
+        coordinator: ClaimCoordinator,
+        eras: EraTracker,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._coordinator = coordinator
+        self._eras = eras
+        self._clock = clock
+        self._journal = journal
+        self._wake = asyncio.Event()
+        eras.on_new_era.append(lambda _era: self._wake.set())
+
+    async def run(self) -> None:
+        """Renew the claims whenever a new era becomes known."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._directory.me.store_era < self._eras.era:
+                if not await self.renew_all(self._eras.era):
+                    await asyncio.sleep(RETRY_DELAY_SECONDS)
+
+    async def renew_all(self, era: int) -> bool:
+        """Write all known claims to the log of an era, and publish the era.
+
+        :return: whether all of them are in the log
+        """
+        claims = self._peers.attempts.granted_claims()
+        if not await self._coordinator.renew_own(era):
+            return False
+        replies = await asyncio.gather(
+            *(self._peers.renew(request) for request in _make_requests(claims, era))
+        )
+        if not all(reply.is_done for reply in replies):
+            return False
+        self._journal.record(catalogue.CLAIMS_RENEWED, era=era, count=len(claims))
+        self._directory.publish_own_change(store_era=era)
+        attempts_by_key = {claim.key: claim.attempt for claim in claims}
+        for reply in replies:
+            for holder in reply.holders:
+                await self._report_second_holder(holder, attempts_by_key[holder.key])
+        return True
+
+    async def _report_second_holder(self, holder: ClaimRecord, attempt: str) -> None:
+        query = AttemptQuery(holder.attempt, holder.content, "")
+        reply = await self._peers.query(query, self._clock.monotonic() + REPLY_TIMEOUT_SECONDS)
+        if reply.state is not AttemptState.NOT_RUN:
+            self._journal.record(
+                catalogue.CLAIMED_TWICE,
+                key=holder.key.hex(),
+                attempt=attempt,
+                other=holder.attempt,
+                state=reply.state.value,
+            )
+
+
+def _make_requests(claims: list[ClaimRecord], era: int) -> list[RenewalRequest]:
+    claims_by_shard: dict[int, list[ClaimRecord]] = {}
+    for claim in claims:
+        claims_by_shard.setdefault(shard_of(claim.key), []).append(claim)
+    return [
+        RenewalRequest(shard, tuple(group[start : start + MAX_GROUP_RECORDS]), era)
+        for shard, group in claims_by_shard.items()
+        for start in range(0, len(group), MAX_GROUP_RECORDS)
+    ]
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -20,8 +20,11 @@
 from mode import Service
 from prometheus_client import CollectorRegistry
 
-from kingcuppond.claims.coordinator import ClaimCoordinator
+from kingcuppond.claims.attempts import AttemptTable
+from kingcuppond.claims.coordinator import ClaimCoordinator, make_confirmed_era
 from kingcuppond.claims.guard import ClaimGuard
+from kingcuppond.claims.peers import ClaimPeers
+from kingcuppond.claims.renewal import ClaimRenewal
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.configuration.watcher import Watcher
@@ -153,6 +156,7 @@
             "pause": self.pause_guard.run,
             "observer": self.gate.observer.run,
             "log": self.log_writer.run,
+            "claims": self.claim_renewal.run,
             **self.watcher.loops(),
         }
         loops.update({loop.__name__: loop for loop in self.gossip.loops()})
@@ -324,11 +328,28 @@
 
     def _make_ingress(self, fleet_key: bytes) -> None:
         """Create the port for calls and the guard of their idempotency keys."""
-        self.claim_coordinator = ClaimCoordinator(self.store, self.clock, self.journal)
-        self.guard = ClaimGuard(
+        eras = self.eras
+        self.claim_coordinator = ClaimCoordinator(
+            self.store,
+            eras,
+            make_confirmed_era(self.directory, lambda: self.registration.has_contacted_members),
+            self.clock,
+            self.journal,
+        )
+        claim_peers = ClaimPeers(
             self.directory,
             self.transport,
             self.claim_coordinator,
+            AttemptTable(),
+            eras,
+            self.clock,
+        )
+        self.claim_renewal = ClaimRenewal(
+            self.directory, claim_peers, self.claim_coordinator, eras, self.clock, self.journal
+        )
+        self.guard = ClaimGuard(
+            claim_peers,
+            eras,
             self.clock,
             self.journal,
             self.router.run,
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -116,6 +116,20 @@
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
 CLAIMS_RELOADED: Final = Event(604, "info", "claims of shard {shard} reloaded: {why}")
+CLAIMS_RENEWED: Final = Event(
+    605, "info", "{count} claims are in the log of era {era} of the store"
+)
+CLAIMED_TWICE: Final = Event(
+    606,
+    "error",
+    "claim {key} of attempt {attempt} was lost by the store and claimed again by attempt {other}, "
+    "whose state is {state}",
+)
+CLAIM_UNCONFIRMED: Final = Event(
+    607,
+    "info",
+    "new claim refused: the members confirm era {confirmed} of the store, not yet {era}",
+)
 STORE_DOWN: Final = Event(701, "warning", "store does not answer: {error}")
 STORE_BACK: Final = Event(702, "info", "store answers again")
 WATCH_FAILED: Final = Event(703, "warning", "watch failed or timed out: {error}")
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -27,6 +27,7 @@
     :param is_leaving: the daemon accepts no new work and is about to stop
     :param instance: id of the running server process, empty if servers do not report one
     :param born_ms: start time of the server in Unix milliseconds, 0 if unknown
+    :param store_era: newest era of the store in whose log all claims of the daemon are known to be
     """
 
     vm: str
@@ -41,6 +42,7 @@
     is_leaving: bool = False
     instance: str = ""
     born_ms: int = 0
+    store_era: int = 0
 
     @property
     def version(self) -> tuple[int, int]:
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -6,7 +6,14 @@
 
 from typing import Final
 
-from kingcuppond.claims.messages import AttemptQuery, AttemptReply, ClaimReply, ClaimRequest
+from kingcuppond.claims.messages import (
+    AttemptQuery,
+    AttemptReply,
+    ClaimReply,
+    ClaimRequest,
+    RenewalReply,
+    RenewalRequest,
+)
 from kingcuppond.membership.messages import (
     IntroductionReply,
     IntroductionRequest,
@@ -31,6 +38,8 @@
     "objects-reply": ObjectsReply,
     "claim-ask": ClaimRequest,
     "claim-reply": ClaimReply,
+    "claim-renewal-ask": RenewalRequest,
+    "claim-renewal-reply": RenewalReply,
     "recall-ask": AttemptQuery,
     "recall-reply": AttemptReply,
 }
--- a/tests/claims/test_log.py
+++ b/tests/claims/test_log.py
@@ -12,6 +12,7 @@
 from kingcuppond.claims.messages import ClaimRecord, ClaimReply, Verdict
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
+from kingcuppond.store.era import EraTracker
 from kingcuppond.store.interface import Store
 from tests.claims.fakes import FakeStore
 
@@ -28,6 +29,12 @@
     return ShardLog(0, cast(Store, store))
 
 
+def make_coordinator(store: FakeStore, clock: Clock) -> ClaimCoordinator:
+    return ClaimCoordinator(
+        cast(Store, store), EraTracker(), lambda: 0, clock, Journal("vm", clock)
+    )
+
+
 class Coordinators(RuleBasedStateMachine):
     """Two daemons that both act as coordinator of a shard, over a store with faults.
 
@@ -76,7 +83,7 @@
 
     async def _commit(self, daemon: int, record: ClaimRecord) -> ClaimReply:
         clock = Clock(lambda: NOW_MS / 1000, lambda: NOW_MS / 1000)
-        coordinator = ClaimCoordinator(cast(Store, self.store), clock, Journal("vm", clock))
+        coordinator = make_coordinator(self.store, clock)
         shard = coordinator._open_shard(0)
         shard.log = self.logs[daemon]
         reply = await coordinator.submit(0, record)
@@ -123,7 +130,7 @@
 async def test_many_claims_share_a_write() -> None:
     store = FakeStore()
     clock = Clock(lambda: NOW_MS / 1000, lambda: NOW_MS / 1000)
-    coordinator = ClaimCoordinator(cast(Store, store), clock, Journal("vm", clock))
+    coordinator = make_coordinator(store, clock)
     records = [ClaimRecord(i.to_bytes(16), "content", f"vm/1/{i}", NOW_MS) for i in range(100)]
     replies: list[Any] = await asyncio.gather(
         *(coordinator.submit(0, record) for record in records)
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -6,12 +6,13 @@
 import pytest
 
 from standins.fleet import plan_service
-from tests.failures.callers import send
+from tests.failures.callers import Reply, send
 from tests.failures.conftest import StartFleet
 
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1})
 FIRST, SECOND, THIRD = (plan.name for plan in PLANS)
 SLOW_PATH = "/shop/book?ms=800"
+RETRY_SECONDS = 15.0
 
 
 async def test_a_key_sent_to_all_daemons_at_once_runs_once(start_fleet: StartFleet) -> None:
@@ -154,5 +155,33 @@
     assert fleet.runs_of("k") == 1
 
 
+async def test_keys_run_once_though_the_store_lost_their_claims_and_a_coordinator_restarts(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = start_fleet(PLANS)
+    first, third = (fleet.vms_by_name[name].caller for name in (FIRST, THIRD))
+    keys = [f"k{i}" for i in range(12)]
+    await _send_until_run(third, "before")
+    fleet.copy_platform()
+    original = [await _send_until_run(first, key) for key in keys]
+    fleet.restore_platform(down_seconds=0.5)
+    fleet.kill(SECOND, "daemon")
+    fleet.start_daemon(SECOND)
+    fleet.wait_until_ready()
+    again = [await _send_until_run(third, key) for key in keys]
+    assert {key: fleet.runs_of(key) for key in keys} == dict.fromkeys(keys, 1)
+    assert [reply.body for reply in again] == [reply.body for reply in original]
+
+
+async def _send_until_run(address: str, key: str) -> Reply:
+    """Send a booking until it is not refused as "not run" any more."""
+    async with asyncio.timeout(RETRY_SECONDS):
+        while True:
+            reply = await send(address, "/shop/book", key=key, method="POST")
+            if reply.status != 503:
+                return reply
+            await asyncio.sleep(0.1)
+
+
 def _keys(names: list[str]) -> list[str]:
     return [f"{name}-{i}" for name in names for i in range(20)]
