--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -42,6 +42,7 @@
 
 
 FAILURE_TESTS: Final = "tests/failures/"
+STALE_REFUSAL_TESTS: Final = "tests/gate/test_stale_refusals.py::"
 MECHANISMS: Final = (
     Mechanism(
         "a request runs only with a granted claim",
@@ -101,6 +102,65 @@
         "        await response.write_eof()",
         FAILURE_TESTS + "test_outcomes.py::test_a_truncated_answer_is_never_a_success",
     ),
+    Mechanism(
+        "a broken answer resets the connection",
+        "ingress/responses.py",
+        "connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)",
+        "pass",
+        "tests/ingress/test_truncated_answers.py::test_broken_answer_without_a_length_is_reset",
+    ),
+    Mechanism(
+        "only chunked is accepted as a transfer coding",
+        "routing/exchange.py",
+        "if codings and [",
+        "if False and [",
+        "tests/routing/test_truncated_heads.py"
+        "::test_answer_in_another_transfer_coding_is_not_whole",
+    ),
+    Mechanism(
+        "an answer on a used connection needs the request's id",
+        "platform/calls.py",
+        "if answered_id is None and not is_first_on_connection:",
+        "if False:",
+        STALE_REFUSAL_TESTS + "test_refusal_read_instead_of_the_answer_leaves_the_outcome_unknown",
+    ),
+    Mechanism(
+        "bytes on an idle connection close it",
+        "routing/exchange.py",
+        "if data and self._is_answer_complete():",
+        "if False:",
+        STALE_REFUSAL_TESTS + "test_start_of_a_refusal_on_an_idle_connection_closes_it",
+    ),
+    Mechanism(
+        "a rejected answer closes its connection",
+        "routing/exchange.py",
+        "                close_connection(response)\n",
+        "",
+        STALE_REFUSAL_TESTS + "test_connection_is_not_used_after_an_answer_of_another_request",
+    ),
+    Mechanism(
+        "the answer of a daemon must belong to the call",
+        "routing/sender.py",
+        "return answered_id == call.id",
+        "return True",
+        "tests/routing/test_stale_relayed_answers.py"
+        "::test_answer_to_an_earlier_call_leaves_the_outcome_unknown",
+    ),
+    Mechanism(
+        "the answer of a daemon names the call",
+        "ingress/port.py",
+        "headers = {CALL_HEADER: call.id}",
+        "headers = dict[str, str]()",
+        "tests/ingress/test_relayed_calls.py"
+        "::test_refusal_of_a_relayed_call_on_a_used_connection_is_not_run",
+    ),
+    Mechanism(
+        "the answer to a call is no health report",
+        "gate/observer.py",
+        "if self.parse_server_report(answer.headers).request_id:",
+        "if False:",
+        "tests/gate/test_observer.py::test_answer_to_a_call_is_no_health_report",
+    ),
     Mechanism(
         "request bodies are streamed",
         "routing/call.py",
