grace_ms is 5500 again: a process needs time to end after its last connection

Beside other work (load 38 on 8 processors) 1 of 10 runs of the tests with 5800 failed: E103 5.54 s after SIGTERM, all connections closed, the process still there at 6.0 s. No request was lost.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -90,7 +90,7 @@
     log_level: str = "info"
     is_on_platform: bool = False
     first_start: bool = True
-    grace_ms: int = 5800
+    grace_ms: int = 5500
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
