A revision given out twice for one object shows that it was written since

Callers saw: requests to a data centre that is out of service, or none to one that is back, until the object changes again, if an object was lost in a restore and is written with another content at the very revision that it had.

Cause: the first listing of an era gives an object that may be of the copy the era of the known one. With the same revision its version is then that of the known object, so it is neither newer nor held as older: it is not taken up, and not looked at again after the settling time.

Evidence: the three new cases of test_listings failed before (known object and tombstone; a deletion in the history).

Change: if the copy had had that revision, its content would be the known one. With another content the object was written in a later era than the known one, and gets a version of the next era.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -4,7 +4,8 @@
 an object that is missing was deleted.  A store that was restored from a copy lists old objects in
 a new era.  The revision of the copy is not known, but nothing up to the first revision that this
 daemon was told in the era is certain to have been written in it.  Such an object counts as one of
-an earlier era: it replaces the known object only if its revision is larger.
+an earlier era: it replaces the known object only if its revision is larger, or the same with
+another content.
 
 What the copy lacks therefore stays in force until it is written again.  A deletion of an object
 that the copy had is seen in the store's history.  Another write after the restore and before the
@@ -117,13 +118,13 @@
             self.is_settled and not _is_same(known, item.body)
         ):
             return item.version
-        return make_version(era_of(known.version), revision)
+        return _version_after(known, revision, item.body)
 
     def _deletion_version(self, known: VersionedObject, version: int) -> int:
         """Return the version of a deletion in the history, which may be that of the copy."""
         if revision_of(version) > self._first_revision:
             return version
-        return make_version(era_of(known.version), revision_of(version))
+        return _version_after(known, revision_of(version), None)
 
     def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
         # The listing may be stale: it proves nothing about changes newer than its version.
@@ -133,6 +134,15 @@
         return is_of_era or self.is_settled
 
 
+def _version_after(known: VersionedObject, revision: int, body: bytes | None) -> int:
+    """Return the version of a change that may be of the era of the known object or a later one."""
+    era = era_of(known.version)
+    if revision == revision_of(known.version) and not _is_same(known, body):
+        # The revision was given out twice: a copy that had it would have the known content.
+        era += 1
+    return make_version(era, revision)
+
+
 def _is_older(listed: VersionedObject, known: VersionedObject) -> bool:
     is_of_earlier_era = listed.head.order < known.head.order
     return is_of_earlier_era and not _is_same(known, listed.body)
--- a/tests/configuration/test_listings.py
+++ b/tests/configuration/test_listings.py
@@ -59,6 +59,8 @@
         (None, known_object(18, b"2"), "known"),
         (None, known_object(5, b"2"), "known"),
         (None, known_object(19, b"2", era=2), None),
+        ((18, b"3"), known_object(18, b"2"), b"3"),
+        ((18, b"3"), known_object(18, None), b"3"),
         ((19, b"3"), known_object(18, b"2", era=2), b"3"),
         ((17, b"3"), known_object(18, b"2", era=2), "known"),
     ],
@@ -72,6 +74,8 @@
         "the copy lacks an object",
         "an object may have been deleted since, or changed without this daemon's knowledge",
         "an object of the era that is missing was deleted",
+        "a revision given out twice: the copy would have the content that is known",
+        "a revision given out twice: what was deleted at it is not in the copy",
         "within the era the larger revision is newer",
         "within the era the smaller revision is older",
     ],
@@ -97,8 +101,14 @@
 
 @pytest.mark.parametrize(
     ("deleted_at", "expected"),
-    [(19, None), (17, "known"), (FIRST_REVISION + 1, None), (0, "known")],
-    ids=["later than known", "maybe of the copy", "of the new era", "not in the history"],
+    [(19, None), (18, None), (17, "known"), (FIRST_REVISION + 1, None), (0, "known")],
+    ids=[
+        "later than known",
+        "at the known revision",
+        "maybe of the copy",
+        "of the new era",
+        "not in the history",
+    ],
 )
 def test_a_deletion_in_the_history_counts(
     fake_time: FakeTime, deleted_at: int, expected: str | None
