What a restarted daemon has listed doesn't give way to an older change

Callers saw: requests sent to a data centre that was out of service, at all daemons and for good, without any restore of the store. A data centre is taken out; all daemons restart (power is lost) but one that was paused and has not heard of it; when that one goes on, its older object replaces what the others have listed.

Cause: a daemon that starts can't tell the objects that it lists from those of a copy, so it gives them a version of era 0, below every change that any daemon has seen in the present era.

Change: the reader remembers the listed objects whose era is in doubt, with the version that the store gave. If such an object is replaced by one of the same era at a smaller revision, the listed one was written later, in the same era or before the copy from which both were read, and it is taken up again at once with that version.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -56,6 +56,7 @@
     _first_revision: int = 0
     _era_heard_at: float = float("-inf")
     _keys_of_era: set[ObjectKey] = attrs.field(factory=set)
+    _doubted_by_key: dict[ObjectKey, VersionedObject] = attrs.field(factory=dict)
 
     @property
     def is_settled(self) -> bool:
@@ -78,12 +79,15 @@
         listed = {(kind, item.name): item for item in listing.items}
         deletions_by_name = deletions_by_name or {}
         result = ReadListing([], [], [])
+        doubted = {key: it for key, it in self._doubted_by_key.items() if it.kind != kind}
         for key, item in listed.items():
             found = known.get(key)
             version = self._version(item, found)
             release = self.release_of(kind, item.name, item.body)
             listed_object = VersionedObject(item.name, version, item.body, kind, release)
             result.objects.append(listed_object)
+            if version != item.version:
+                doubted[key] = attrs.evolve(listed_object, version=item.version)
             if found is not None and _is_older(listed_object, found):
                 result.older.append(item.name)
         for key, found in known.items():
@@ -98,6 +102,23 @@
                 else:
                     result.missing.append(found.name)
         self._keys_of_era.update(listed)
+        self._doubted_by_key = doubted
+        return result
+
+    def take_newer(self, known: Mapping[ObjectKey, VersionedObject]) -> list[VersionedObject]:
+        """Return listed objects that proved to be newer than the known ones, each only once.
+
+        A change of the era at a smaller revision was made before the listed one, so the listed
+        object is not older than what the copy lacks.
+        """
+        result = []
+        for key, listed in list(self._doubted_by_key.items()):
+            found = known.get(key)
+            if found is None or era_of(found.version) != self._era:
+                continue
+            del self._doubted_by_key[key]
+            if found.version < listed.version:
+                result.append(listed)
         return result
 
     def _enter_era(self, version: int) -> None:
@@ -107,6 +128,7 @@
         self._first_revision = revision_of(version)
         self._era_heard_at = self.now()
         self._keys_of_era.clear()
+        self._doubted_by_key.clear()
 
     def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
         revision = revision_of(item.version)
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -112,6 +112,7 @@
         self._listed_kinds: set[str] = set()
         self._reader = ListingReader(configuration.format.release_of, clock.monotonic)
         self._held_kinds: set[str] = set()
+        configuration.on_change.append(self._restore_listed)
         self._is_store_down = False
         self._is_isolated = False
 
@@ -260,6 +261,12 @@
         self._record_ignored(objects)
         self._gossip.spread_objects(objects)
 
+    def _restore_listed(self) -> None:
+        """Take over what this daemon has listed and another one has just replaced by older."""
+        newer = self._reader.take_newer(self._configuration.objects_by_key)
+        if newer:
+            self._gossip.spread_objects(newer)
+
     def _record_held(self, kind: str, names: list[str]) -> None:
         if not names:
             self._held_kinds.discard(kind)
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -15,6 +15,7 @@
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.configuration.watcher import FIRST_READ_SPREAD_SECONDS, Watcher
 from kingcuppond.events.journal import Journal
+from kingcuppond.store.era import make_version
 from kingcuppond.store.interface import StoredObject
 from tests.claims.fakes import FakeStore
 
@@ -131,3 +132,19 @@
     await asyncio.sleep(FIRST_READ_SPREAD_SECONDS + 0.1)
     reading.cancel()
     assert store.lists == 0
+
+
+@pytest.mark.parametrize(("revision", "is_out"), [(50, True), (70, False)])
+async def test_an_older_change_of_another_daemon_does_not_replace_what_was_listed(
+    journal: Journal, clock: Clock, revision: int, is_out: bool
+) -> None:
+    """A daemon that starts lists an object that may be of a copy; a paused one knows no more."""
+    listed = StoredObject(make_version(1, 60), OUT)
+    store = FakeStore({("configuration", "data-centre/a"): listed}, version=make_version(1, 65))
+    watcher, configuration = make_watcher(store, journal, clock, [True])
+    await watcher.refresh(CONFIGURATION_KIND)
+    other = VersionedObject("data-centre/a", make_version(1, revision), None)
+    configuration.merge([other])
+    assert configuration.is_out("a") == is_out
+    configuration.merge([other])
+    assert configuration.is_out("a") == is_out
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -202,6 +202,29 @@
     await wait_for_data_centres_out(fleet)
 
 
+async def test_a_frozen_daemon_does_not_end_an_evacuation_that_the_others_have_listed(
+    fleet: Fleet,
+) -> None:
+    """Guards against what restarted daemons have listed, and count as older than all changes."""
+    put_object(fleet, "evacuations", "dc-2", {})
+    await wait_for_data_centres_out(fleet, "dc-2")
+    delete_object(fleet, "evacuations", "dc-2")
+    await wait_for_data_centres_out(fleet)
+    frozen, *others = VM_NAMES
+    fleet.signal(frozen, "daemon", signal.SIGSTOP)
+    fleet.store_links_by_name[frozen].blackhole()
+    put_object(fleet, "evacuations", "dc-2", {})
+    for name in others:
+        fleet.kill(name, "daemon")
+    for name in others:
+        restart_daemon(fleet, name)
+    await wait_until(lambda: all(is_ready(fleet, it) for it in others))
+    await asyncio.sleep(LISTED_SECONDS)
+    fleet.signal(frozen, "daemon", signal.SIGCONT)
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    await check_data_centres_out_hold(fleet, "dc-2")
+
+
 @pytest.mark.parametrize("fault", ["frozen", "cut off"])
 async def test_a_daemon_that_missed_the_restore_does_not_bring_old_objects_back(
     fleet: Fleet, fault: str
