--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -4,7 +4,8 @@
 an object that is missing was deleted.  A store that was restored from a copy lists old objects in
 a new era.  The revision of the copy is not known, but nothing up to the first revision that this
 daemon was told in the era is certain to have been written in it.  Such an object counts as one of
-an earlier era: it replaces the known object only if its revision is larger.
+an earlier era: it replaces the known object only if its revision is larger, or the same with
+another content.
 
 What the copy lacks therefore stays in force until it is written again.  A deletion of an object
 that the copy had is seen in the store's history.  Another write after the restore and before the
@@ -55,6 +56,7 @@
     _first_revision: int = 0
     _era_heard_at: float = float("-inf")
     _keys_of_era: set[ObjectKey] = attrs.field(factory=set)
+    _doubted_by_key: dict[ObjectKey, VersionedObject] = attrs.field(factory=dict)
 
     @property
     def is_settled(self) -> bool:
@@ -77,12 +79,15 @@
         listed = {(kind, item.name): item for item in listing.items}
         deletions_by_name = deletions_by_name or {}
         result = ReadListing([], [], [])
+        doubted = {key: it for key, it in self._doubted_by_key.items() if it.kind != kind}
         for key, item in listed.items():
             found = known.get(key)
             version = self._version(item, found)
             release = self.release_of(kind, item.name, item.body)
             listed_object = VersionedObject(item.name, version, item.body, kind, release)
             result.objects.append(listed_object)
+            if version != item.version:
+                doubted[key] = attrs.evolve(listed_object, version=item.version)
             if found is not None and _is_older(listed_object, found):
                 result.older.append(item.name)
         for key, found in known.items():
@@ -97,6 +102,23 @@
                 else:
                     result.missing.append(found.name)
         self._keys_of_era.update(listed)
+        self._doubted_by_key = doubted
+        return result
+
+    def take_newer(self, known: Mapping[ObjectKey, VersionedObject]) -> list[VersionedObject]:
+        """Return listed objects that proved to be newer than the known ones, each only once.
+
+        A change of the era at a smaller revision was made before the listed one, so the listed
+        object is not older than what the copy lacks.
+        """
+        result = []
+        for key, listed in list(self._doubted_by_key.items()):
+            found = known.get(key)
+            if found is None or era_of(found.version) != self._era:
+                continue
+            del self._doubted_by_key[key]
+            if found.version < listed.version:
+                result.append(listed)
         return result
 
     def _enter_era(self, version: int) -> None:
@@ -106,6 +128,7 @@
         self._first_revision = revision_of(version)
         self._era_heard_at = self.now()
         self._keys_of_era.clear()
+        self._doubted_by_key.clear()
 
     def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
         revision = revision_of(item.version)
@@ -117,13 +140,13 @@
             self.is_settled and not _is_same(known, item.body)
         ):
             return item.version
-        return make_version(era_of(known.version), revision)
+        return _version_after(known, revision, item.body)
 
     def _deletion_version(self, known: VersionedObject, version: int) -> int:
         """Return the version of a deletion in the history, which may be that of the copy."""
         if revision_of(version) > self._first_revision:
             return version
-        return make_version(era_of(known.version), revision_of(version))
+        return _version_after(known, revision_of(version), None)
 
     def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
         # The listing may be stale: it proves nothing about changes newer than its version.
@@ -133,6 +156,15 @@
         return is_of_era or self.is_settled
 
 
+def _version_after(known: VersionedObject, revision: int, body: bytes | None) -> int:
+    """Return the version of a change that may be of the era of the known object or a later one."""
+    era = era_of(known.version)
+    if revision == revision_of(known.version) and not _is_same(known, body):
+        # The revision was given out twice: a copy that had it would have the known content.
+        era += 1
+    return make_version(era, revision)
+
+
 def _is_older(listed: VersionedObject, known: VersionedObject) -> bool:
     is_of_earlier_era = listed.head.order < known.head.order
     return is_of_earlier_era and not _is_same(known, listed.body)
