A first restore is noticed also if the store's eras start at zero

Found by review: departures and registrations took era 0 for an unknown one, so that the first restore of a store that counts from 0 would have been taken for the first answer, and nothing written again. Now what counts is whether the store has answered this daemon before. test_a_departure_lost_in_a_restore_is_written_again_if_eras_start_at_zero failed before.

--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -53,8 +53,6 @@
     _version: int | None = ABSENT_VERSION
     _recorded: Incarnation | None = None
     _leaving: Incarnation | None = None
-    # 0 until the first answer of the store: what was written before it is not lost.
-    _era: int = 0
     _is_rewrite_due: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def load(self) -> Result[Incarnation | None, StoreError]:
@@ -99,12 +97,12 @@
             return
         self._recorded = incarnation
 
-    def on_new_era(self, era: int) -> None:
+    def on_new_era(self, _era: int) -> None:
         """Have the departure written again: the store was restored and may have lost it."""
-        if self._era:
+        if self._version or self._recorded is not None:
+            # The store has answered before, in an earlier era.
             self._version = None
             self._recorded = None
-        self._era = era
         self._is_rewrite_due.set()
 
     async def run(self) -> None:
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -89,14 +89,13 @@
         self._version: int | None = None
         self._may_exist = False
         self._is_rewrite_due = False
-        # 0 until the first answer of the store: what was written before it is not lost.
         self._era = 0
 
     def on_new_era(self, era: int) -> None:
         """Have this daemon registered again: a restored store may have lost its object."""
-        if self._era:
+        if self.is_registered:
             self._version = None
-            self._is_rewrite_due = self.is_registered
+            self._is_rewrite_due = True
         self._era = era
 
     async def run(self) -> None:
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -187,3 +187,19 @@
     await departures.record(NEXT)
     await departures.record(LEAVING)
     assert (await make_departure_store(store, journal).load()).ok == NEXT
+
+
+async def test_a_departure_lost_in_a_restore_is_written_again_if_eras_start_at_zero(
+    journal: Journal, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The era before the first restore looks like an unknown one."""
+    monkeypatch.setattr(departures_module, "REWRITE_SPREAD_SECONDS", 0.0)
+    store = FakeStore()
+    departures = make_departure_store(store, journal)
+    await departures.record(LEAVING)
+    store.objects.clear()
+    departures.on_new_era(1)
+    running = asyncio.create_task(departures.run())
+    await asyncio.sleep(0.1)
+    running.cancel()
+    assert (await make_departure_store(store, journal).load()).ok == LEAVING
