The number of a refused configuration doesn't stand against later ones

Found by review: the operators' number was read even if the object as a whole was refused, so that one malformed object with a large number would have had all later configurations ignored. test_a_malformed_object_with_a_large_number_does_not_block_later_versions failed before.

--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -67,10 +67,6 @@
     cold_requests_per_second: float | None = msgspec.field(name="ColdPerS", default=None)
 
 
-class _Numbered(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
-
-
 class _MainObject(msgspec.Struct):
     version: int = msgspec.field(name="Version")
     routes: _Table = msgspec.field(name="Routes")
@@ -123,10 +119,9 @@
 def _release_of(kind: str, name: str, body: bytes | None) -> int:
     if (kind, name) != (CONFIG_KIND, CONFIG_NAME) or body is None:
         return 0
-    try:
-        return msgspec.json.decode(body, type=_Numbered).version
-    except msgspec.MsgspecError:
-        return 0
+    # The number of an object that is refused must not stand against later ones.
+    decoded = _decode_main_object(body)
+    return decoded.ok.release if decoded.is_ok() and isinstance(decoded.ok, AllClasses) else 0
 
 
 PLATFORM_FORMAT: Final = ConfigurationFormat(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -136,3 +136,10 @@
     configuration.merge([VersionedObject("main", 3, b"{}", "evacuations")])
     assert configuration.is_ready
     assert configuration.is_out("main")
+
+
+def test_a_malformed_object_with_a_large_number_does_not_block_later_versions() -> None:
+    """Guards against a number that counts although its object was refused."""
+    malformed = b'{"Version": 999, "Routes": 1, "Services": 1}'
+    assert PLATFORM_FORMAT.decode("config", "main", malformed).is_error()
+    assert PLATFORM_FORMAT.release_of("config", "main", malformed) == 0
