A daemon that starts asks listed members again before it trusts a listing

What was seen: test_a_lost_configuration_stays_in_force_until_it_is_written_again failed twice beside other work: a daemon that restarted just after a restore of the store answered 404 for a route that the copy lacked and the fleet had. Cause, from reading: a join that no listed daemon answered within half a second, as on a busy machine, counted as having asked them, and the listing of the copy was trusted. Now up to three joins may stay unanswered.

--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -16,7 +16,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from random import Random
 from typing import Final
 
@@ -46,6 +46,10 @@
 LONE_RELIST_INTERVAL_SECONDS: Final = 3.0
 """While no other member is known: the registered daemons that were asked may be gone."""
 
+MAX_UNANSWERED_JOINS: Final = 3
+"""A daemon on a busy VM may answer late; without its state, a listing that may be stale, or of a
+copy from which the store was restored, would be trusted."""
+
 SEED_RETRY_SECONDS: Final = 0.3
 SEED_PATIENCE_SECONDS: Final = 1.0
 """How long a daemon waits for its seeds before it joins through the store too."""
@@ -116,10 +120,19 @@
             if self.has_contacted_members:
                 return
         await self._register_with_backoff()
-        while not await self._join_unknown_members():
-            await asyncio.sleep(INITIAL_BACKOFF_SECONDS)
+        await self._join_listed_members()
         self.has_contacted_members = True
 
+    async def _join_listed_members(self) -> None:
+        """Join until one of the registered daemons has sent its state, or none is there."""
+        unanswered = 0
+        while unanswered < MAX_UNANSWERED_JOINS:
+            joined = await self._join({self._directory.me.vm})
+            if joined.is_ok() and joined.ok:
+                return
+            unanswered += joined.is_ok()
+            await asyncio.sleep(INITIAL_BACKOFF_SECONDS)
+
     async def _wait_for_seeds(self) -> None:
         end = self._clock.monotonic() + SEED_PATIENCE_SECONDS
         while not self.has_contacted_members and self._clock.monotonic() < end:
@@ -149,7 +162,7 @@
             interval_seconds = LONE_RELIST_INTERVAL_SECONDS if is_alone else RELIST_INTERVAL_SECONDS
             await asyncio.sleep(interval_seconds * self._rng.uniform(0.5, 1.5))
             if is_alone or self._has_rank():
-                await self._join_unknown_members()
+                await self._join(self._directory.members_by_vm)
 
     async def _register_with_backoff(self) -> None:
         backoff_seconds = INITIAL_BACKOFF_SECONDS
@@ -192,15 +205,15 @@
         self._version = written.ok
         return Ok(None)
 
-    async def _join_unknown_members(self) -> bool:
-        """Join up to ``MAX_JOIN_TARGETS`` registered daemons that the directory does not know.
+    async def _join(self, known: Container[str]) -> Result[bool, StoreError]:
+        """Join up to ``MAX_JOIN_TARGETS`` registered daemons.
 
-        :return: whether the store returned the listing
+        :param known: VMs whose daemons are left out
+        :return: whether one of them has sent its state, or there is none
         """
         listed = await self._store.list(DAEMON_KIND)
         if listed.is_error():
-            return False
-        known = self._directory.members_by_vm
+            return Error(listed.error)
         unknown = [item for item in listed.ok.items if item.name not in known]
         chosen = self._rng.sample(unknown, min(MAX_JOIN_TARGETS, len(unknown)))
         addresses = []
@@ -212,6 +225,4 @@
             self._journal.record(
                 catalogue.REGISTRATION_UNREADABLE, member=item.name, error=member.error.message
             )
-        if addresses:
-            await self._gossip.join(addresses)
-        return True
+        return Ok(not addresses or await self._gossip.join(addresses))
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -193,7 +193,7 @@
     journal: Journal, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The era before the first restore looks like an unknown one."""
-    monkeypatch.setattr(departures_module, "REWRITE_SPREAD_SECONDS", 0.0)
+    monkeypatch.setattr(departures_module, "REWRITE_SPREAD_SECONDS_PER_MEMBER", 0.0)
     store = FakeStore()
     departures = make_departure_store(store, journal)
     await departures.record(LEAVING)
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -173,3 +173,23 @@
     registration.on_new_era(1)
     await restore(store, registration, monkeypatch)
     assert (store.reads, store.writes) == (0, 0)
+
+
+async def test_a_listing_is_not_trusted_while_a_listed_daemon_answers_late(
+    store: FakeStore,
+    gossip: FakeGossip,
+    registration: Registration,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One unanswered join counted as having asked; the listing of a restored store was older."""
+    monkeypatch.setattr(registration_module, "INITIAL_BACKOFF_SECONDS", 0.05)
+    await store.put(DAEMON_KIND, "busy", encode_body(make_member("busy")), ABSENT_VERSION)
+    gossip.is_unanswered = True
+    joining = asyncio.create_task(registration._join_through_store())
+    await asyncio.sleep(0.03)
+    assert gossip.addresses == ["busy:2"]
+    assert not registration.has_contacted_members
+    gossip.is_unanswered = False
+    await joining
+    assert registration.has_contacted_members
+    assert len(gossip.addresses) == 2
