A planned stop lasts as long as the platform allows

Cause: the template had a constant limit of 5.5 s, right for a platform that kills after 6 s. Change: the setting kill_after takes the platform's own time; the limit is 0.5 s before it, which at 6 s is what it was. grace_ms remains for other platforms.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -173,13 +173,13 @@
     async def drain(self) -> None:
         """Leave the fleet: refuse new work from other daemons, and wait for the calls in progress.
 
-        Each call ends, since it has a deadline.  The whole wait is bounded only by ``grace_ms``:
-        without it, callers that keep sending calls are served for as long as they do.
+        Each call ends, since it has a deadline.  Only the settings bound the whole wait: without
+        a limit, callers that keep sending calls are served for as long as they do.
         """
         self.journal.record(
             catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
         )
-        limit_seconds = self.settings.grace_ms / 1000
+        limit_seconds = self.settings.stop_limit_seconds
         self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
         self.directory.publish_own_change(is_leaving=True)
         self.gate.admission.process_queue()
--- a/kingcuppond/platform/durations.py
+++ b/kingcuppond/durations.py
@@ -1,4 +1,4 @@
-"""Durations in the platform's format: a number and a unit, such as ``1500ms`` or ``2.5s``."""
+"""Durations as text: a number and a unit, such as ``1500ms`` or ``2.5s``."""
 
 import re
 from typing import Final
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -20,7 +20,7 @@
     ServiceProperties,
     ServiceShare,
 )
-from kingcuppond.platform.durations import parse_duration_ms
+from kingcuppond.durations import parse_duration_ms
 
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
--- a/kingcuppond/platform/heartbeats.py
+++ b/kingcuppond/platform/heartbeats.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.durations import parse_duration_ms
 from kingcuppond.gate.announcements import (
     Announcement,
     ConfiguredServer,
@@ -18,7 +19,6 @@
     Withdrawal,
 )
 from kingcuppond.outcomes import NotRun, Reason
-from kingcuppond.platform.durations import parse_duration_ms
 
 PATH: Final = "/instances/"
 STATE_BY_PLATFORM_STATE: Final = {"ready": "warm", "draining": "draining"}
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -11,6 +11,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from kingcuppond.durations import parse_duration_ms
 from kingcuppond.settings.checks import check_address, check_name, in_range, one_of
 from kingcuppond.settings.jsonc import FileError, read_file
 
@@ -22,6 +23,9 @@
 MAX_MS: Final = 600_000
 FLEET_KEY_BYTES: Final = 32
 
+PROCESS_END_MS: Final = 500
+"""Time between the limit of a planned stop and the platform's kill, in which the process ends."""
+
 
 def _check_optional_address(
     instance: object, attribute: "attrs.Attribute[str]", value: str
@@ -37,6 +41,20 @@
         check_address(instance, attribute, address)
 
 
+def _check_optional_duration(
+    _instance: object, attribute: "attrs.Attribute[str]", value: str
+) -> None:
+    if not value:
+        return
+    try:
+        milliseconds = parse_duration_ms(value)
+    except ValueError as exc:
+        raise ValueError(f"{attribute.name}: {exc}") from exc
+    if not PROCESS_END_MS < milliseconds <= MAX_MS:
+        limits = f"more than {PROCESS_END_MS} ms and up to {MAX_MS} ms"
+        raise ValueError(f"{attribute.name}: {value} is not {limits}")
+
+
 @attrs.frozen
 class DaemonSettings:
     """One attribute for each key of the settings file."""
@@ -102,6 +120,12 @@
     grace_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
     """Time from a planned stop to the exit of the process; 0: until all work has ended."""
 
+    kill_after: str = attrs.field(default="", validator=_check_optional_duration)
+    """Time from a planned stop until the platform kills the process, such as ``6s``.
+
+    It goes before ``grace_ms``; empty: ``grace_ms`` counts.
+    """
+
     detour_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
     """How much longer an answer may take in this data centre before another one is preferred."""
 
@@ -115,6 +139,13 @@
     )
     """Lowest level of events that are logged."""
 
+    @property
+    def stop_limit_seconds(self) -> float:
+        """The time limit of a planned stop, 0 for none."""
+        if self.kill_after:
+            return (parse_duration_ms(self.kill_after) - PROCESS_END_MS) / 1000
+        return self.grace_ms / 1000
+
 
 @attrs.frozen
 class OperatorSettings:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,7 +79,7 @@
     :param linked_servers: names of VMs whose daemon reaches its server through its own ``Link``
     :param is_on_platform: whether daemons and servers use the protocol of the users' platform
     :param first_start: the setting ``is_first_start`` of all daemons, if ``is_on_platform``
-    :param grace_ms: the setting ``grace_ms`` of all daemons, if ``is_on_platform``
+    :param kill_after: the setting ``kill_after`` of all daemons, if ``is_on_platform``
     """
 
     plans: Sequence[VmPlan]
@@ -90,7 +90,7 @@
     log_level: str = "info"
     is_on_platform: bool = False
     first_start: bool = True
-    grace_ms: int = 5500
+    kill_after: str = "6s"
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
@@ -343,7 +343,7 @@
                 "ready_address": ready,
                 "application_address": server,
                 "is_first_start": self.first_start,
-                "grace_ms": self.grace_ms,
+                "kill_after": self.kill_after,
                 "suspect_hold_ms": 0,
                 "watch_wait_ms": 20_000,
             }
--- /dev/null
+++ b/tests/settings/test_template.py
@@ -0,0 +1,54 @@
+"""The template of the deployment gives the settings that the platform asks for."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from kingcuppond.settings.daemon import DaemonSettings
+from kingcuppond.settings.jsonc import parse_text
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "daemon.json"
+PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9.]+)(\|json)?\}\}")
+FIELDS: dict[str, Any] = {
+    "NodeName": "sidecar-mvd-a-1",
+    "Zone": "mvd-a",
+    "Service": "shop",
+    "Listen.Outbound": "10.0.0.1:8000",
+    "Listen.Inbound": "10.0.0.1:8001",
+    "Listen.Ready": "10.0.0.1:8002",
+    "Listen.Control": "10.0.0.1:8003",
+    "AppAddr": "10.0.0.1:8004",
+    "Ip": "10.0.0.1",
+    "InternalPorts.0": 7600,
+    "Platform.Address": "10.0.9.1:7000",
+    "Seeds": ["10.0.0.2:8003"],
+    "FirstStart": True,
+    "Bounds.BudgetExtraRetries": 62,
+    "Bounds.Grace": "6s",
+}
+
+
+def render(**fields: Any) -> str:
+    """Return the template with its placeholders filled in."""
+    values = FIELDS | fields
+
+    def fill(match: re.Match[str]) -> str:
+        value = values.get(match[1], "")
+        return json.dumps(value) if match[2] else str(value)
+
+    return PLACEHOLDER.sub(fill, TEMPLATE.read_text())
+
+
+@pytest.mark.parametrize(("grace", "limit"), [("6s", 5.5), ("10s", 9.5), ("2500ms", 2.0)])
+def test_a_stop_does_not_end_long_before_the_platform_kills(grace: str, limit: float) -> None:
+    """Calls in progress were given up 5.1 s after SIGTERM, also where they may take 10 s."""
+    settings = parse_text(render(**{"Bounds.Grace": grace}), "daemon.json", DaemonSettings).ok
+    assert settings.stop_limit_seconds == limit
+
+
+def test_a_platform_that_names_no_grace_period_has_a_limit() -> None:
+    settings = parse_text(render(**{"Bounds.Grace": ""}), "daemon.json", DaemonSettings).ok
+    assert settings.stop_limit_seconds == 5.5
