What a listing shows to be deleted doesn't come back with an older change

Callers would see: a data centre whose evacuation has ended goes out of service again, at all daemons and for good (503 "no server", load on the others), or a class that was removed is served again, without any restore of the store. An evacuation ends; all daemons restart but one that was paused and has not heard of the end; when that one goes on, its object spreads.

A daemon that starts after a deletion has no tombstone, and a listing was compared only with the objects known at that moment. An object that another daemon brings later counts as new, and a watch that goes on from the listing never reports the deletion again.

Evidence: the new test failed before for the change that is older than the listing, and passed for the one that is newer.

Change: the reader remembers the version and the names of the latest listing of each kind. When an object of that era arrives that is older than the listing and not in it, it is deleted at the version of the listing, and the deletion spreads. It costs no call to the store.

Measured: test_an_evacuation_that_had_ended_before_the_listing_does_not_come_back failed before and passes; tests/configuration and the tests of a frozen daemon in tests/failures/test_restored_store.py pass (45 tests).

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -42,6 +42,14 @@
     missing: list[str]
 
 
+@attrs.frozen
+class _Seen:
+    """Version and objects of the latest listing of a kind."""
+
+    version: int
+    keys: frozenset[ObjectKey]
+
+
 @attrs.define
 class ListingReader:
     """Reads the listings of one daemon.
@@ -57,6 +65,7 @@
     _era_heard_at: float = float("-inf")
     _keys_of_era: set[ObjectKey] = attrs.field(factory=set)
     _doubted_by_key: dict[ObjectKey, VersionedObject] = attrs.field(factory=dict)
+    _seen_by_kind: dict[str, _Seen] = attrs.field(factory=dict)
 
     @property
     def is_settled(self) -> bool:
@@ -103,13 +112,15 @@
                     result.missing.append(found.name)
         self._keys_of_era.update(listed)
         self._doubted_by_key = doubted
+        self._seen_by_kind[kind] = _Seen(listing.version, frozenset(listed))
         return result
 
     def take_newer(self, known: Mapping[ObjectKey, VersionedObject]) -> list[VersionedObject]:
-        """Return listed objects that proved to be newer than the known ones, each only once.
+        """Return what the latest listings prove to be newer than the known objects.
 
         A change of the era at a smaller revision was made before the listed one, so the listed
-        object is not older than what the copy lacks.
+        object is not older than what the copy lacks.  If the listing lacks the object, it was
+        deleted.
         """
         result = []
         for key, listed in list(self._doubted_by_key.items()):
@@ -119,6 +130,12 @@
             del self._doubted_by_key[key]
             if found.version < listed.version:
                 result.append(listed)
+        for key, found in known.items():
+            seen = self._seen_by_kind.get(found.kind)
+            if seen is None or found.body is None or key in seen.keys:
+                continue
+            if self._is_deleted(found, seen.version):
+                result.append(VersionedObject(found.name, seen.version, None, found.kind))
         return result
 
     def _enter_era(self, version: int) -> None:
@@ -129,6 +146,7 @@
         self._era_heard_at = self.now()
         self._keys_of_era.clear()
         self._doubted_by_key.clear()
+        self._seen_by_kind.clear()
 
     def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
         revision = revision_of(item.version)
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -148,3 +148,17 @@
     assert configuration.is_out("a") == is_out
     configuration.merge([other])
     assert configuration.is_out("a") == is_out
+
+
+@pytest.mark.parametrize(("revision", "is_out"), [(50, False), (70, True)])
+async def test_an_evacuation_that_had_ended_before_the_listing_does_not_come_back(
+    journal: Journal, clock: Clock, revision: int, is_out: bool
+) -> None:
+    """A daemon that starts after the end knows of no deletion; a paused one brings the object."""
+    watcher, configuration = make_watcher(FakeStore(version=65, era=1), journal, clock, [True])
+    await watcher.refresh(CONFIGURATION_KIND)
+    other = VersionedObject("data-centre/a", make_version(1, revision), OUT)
+    configuration.merge([other])
+    assert configuration.is_out("a") == is_out
+    configuration.merge([other])
+    assert configuration.is_out("a") == is_out
