A listing of an earlier era doesn't outrank a change of a later one

Callers would see: the configuration or the evacuations of before the restore again, at all daemons, and every later change ignored until the store is restored once more. A change is lost in a restore and the next one gets its revision again; gossip brings that one to a daemon whose listing of the old store is still on its way, and which has not heard of the era yet.

Cause: a listed object with the revision of the known one and another content counts as written in the era after that of the known one. That holds only if the known one is of an earlier era than the listing. Here the lost object of era 1 got a version of era 3, above all of era 2.

Evidence: test_a_listing_of_an_earlier_era_does_not_replace_a_change_of_a_later_one failed before; the old object had the version 1 of era 3.

Change: a known object of a later era than the listing is compared by the store's version as it is.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -154,7 +154,7 @@
             return item.version
         if known is None:
             return make_version(0, revision)
-        if era_of(known.version) == self._era or (
+        if era_of(known.version) >= self._era or (
             self.is_settled and not _is_same(known, item.body)
         ):
             return item.version
--- a/tests/configuration/test_listings.py
+++ b/tests/configuration/test_listings.py
@@ -90,6 +90,16 @@
     assert newer_body(result, known) == expected
 
 
+def test_a_listing_of_an_earlier_era_does_not_replace_a_change_of_a_later_one(
+    fake_time: FakeTime,
+) -> None:
+    """Gossip delivered the change at a revision given out again; the listing was on its way."""
+    reader = make_reader(fake_time)
+    known = known_object(1, b"2", era=2)
+    listing = make_listing({"a": (1, b"1")}, 1, era=1)
+    assert newer_body(reader.read(KIND, listing, {known.key: known}), known) == "known"
+
+
 def test_what_is_written_after_the_first_listing_is_newer_than_all_before(
     fake_time: FakeTime,
 ) -> None:
