A late listing of an earlier era proves nothing about the restored store

Callers would see: an evacuation or a class that a restore has lost ends at once, though what the copy lacks stays in force until it is written again. While a daemon reads the deletions of one kind of objects in the store's history, another kind is listed in the new era; the first listing, of the era before, is then read as one of the new era.

Cause: the names in each listing count as seen in the reader's era, whatever the era of the listing. A name that the copy lacks then counts as deleted since.

Evidence: test_a_late_listing_of_an_earlier_era_does_not_show_what_the_copy_had failed before (the known object was deleted at the version of the listing). Not seen in a running fleet.

Change: a listing of an earlier era than the reader's is ignored. The watch that continues from it ends as one of an earlier era, and the kind is listed again.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -84,6 +84,9 @@
         :param known: the objects of all kinds that this daemon has
         :param deletions_by_name: versions of the newest deletions in the history before the listing
         """
+        if era_of(listing.version) < self._era:
+            # Another kind was listed in the new era meanwhile; this one will be listed again.
+            return ReadListing([], [], [])
         self._enter_era(listing.version)
         listed = {(kind, item.name): item for item in listing.items}
         deletions_by_name = deletions_by_name or {}
--- a/tests/configuration/test_listings.py
+++ b/tests/configuration/test_listings.py
@@ -100,6 +100,16 @@
     assert newer_body(reader.read(KIND, listing, {known.key: known}), known) == "known"
 
 
+def test_a_late_listing_of_an_earlier_era_does_not_show_what_the_copy_had(
+    fake_time: FakeTime,
+) -> None:
+    """Of two kinds one may be listed in the new era while the other one's deletions are read."""
+    reader, known = make_reader(fake_time), known_object(18, b"2")
+    read_in_era_2(reader, {}, None)
+    reader.read(KIND, make_listing({"a": (18, b"2")}, 18, era=1), {known.key: known})
+    assert newer_body(read_in_era_2(reader, {}, known), known) == "known"
+
+
 def test_what_is_written_after_the_first_listing_is_newer_than_all_before(
     fake_time: FakeTime,
 ) -> None:
