A listed object doesn't give way to an older change of the era before

Callers would see: requests to a data centre that was taken out of service after a restore, or the removed content of a class, once a daemon that has missed the restore is heard again; for good if all daemons that list the store have started since.

Cause: a daemon that starts gives the listed objects a version of era 0, since they may be of the copy. If another daemon then brings a change, the listed object was taken up again only if that change is of the era of the listing.

Evidence: two of the three cases of the new test failed before (a smaller and the same revision); the third, a larger revision that stays in force, passed.

Change: what is compared after the listing goes by the same function as what is compared in it.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -20,7 +20,7 @@
 
 from kingcuppond.configuration.replica import ObjectKey, VersionedObject
 from kingcuppond.store.era import era_of, make_version, revision_of
-from kingcuppond.store.interface import ListedObject, Listing, is_same_json
+from kingcuppond.store.interface import Listing, is_same_json
 
 SETTLE_SECONDS: Final = 60.0
 """Operators need this long at most to write again what a restored store has lost."""
@@ -94,7 +94,7 @@
         doubted = {key: it for key, it in self._doubted_by_key.items() if it.kind != kind}
         for key, item in listed.items():
             found = known.get(key)
-            version = self._version(item, found)
+            version = self._version(item.version, item.body, found)
             release = self.release_of(kind, item.name, item.body)
             listed_object = VersionedObject(item.name, version, item.body, kind, release)
             result.objects.append(listed_object)
@@ -121,18 +121,21 @@
     def take_newer(self, known: Mapping[ObjectKey, VersionedObject]) -> list[VersionedObject]:
         """Return what the latest listings prove to be newer than the known objects.
 
-        A change of the era at a smaller revision was made before the listed one, so the listed
-        object is not older than what the copy lacks.  If the listing lacks the object, it was
-        deleted.
+        Another daemon may have brought the known object after the listing was read.  A change of
+        the era at a smaller revision was made before the listed one, so the listed object is not
+        older than what the copy lacks.  If the listing lacks the object, it was deleted.
         """
         result = []
         for key, listed in list(self._doubted_by_key.items()):
             found = known.get(key)
-            if found is None or era_of(found.version) != self._era:
+            if found is None:
                 continue
-            del self._doubted_by_key[key]
-            if found.version < listed.version:
-                result.append(listed)
+            version = self._version(listed.version, listed.body, found)
+            newer = attrs.evolve(listed, version=version)
+            if found.head.order < newer.head.order:
+                result.append(newer)
+            if era_of(found.version) >= self._era:
+                del self._doubted_by_key[key]
         for key, found in known.items():
             seen = self._seen_by_kind.get(found.kind)
             if seen is None or found.body is None or key in seen.keys:
@@ -151,17 +154,15 @@
         self._doubted_by_key.clear()
         self._seen_by_kind.clear()
 
-    def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
-        revision = revision_of(item.version)
+    def _version(self, version: int, body: bytes | None, known: VersionedObject | None) -> int:
+        revision = revision_of(version)
         if not self._era or revision > self._first_revision:
-            return item.version
+            return version
         if known is None:
             return make_version(0, revision)
-        if era_of(known.version) >= self._era or (
-            self.is_settled and not _is_same(known, item.body)
-        ):
-            return item.version
-        return _version_after(known, revision, item.body)
+        if era_of(known.version) >= self._era or (self.is_settled and not _is_same(known, body)):
+            return version
+        return _version_after(known, revision, body)
 
     def _deletion_version(self, known: VersionedObject, version: int) -> int:
         """Return the version of a deletion in the history, which may be that of the copy."""
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -162,3 +162,16 @@
     assert configuration.is_out("a") == is_out
     configuration.merge([other])
     assert configuration.is_out("a") == is_out
+
+
+@pytest.mark.parametrize(("revision", "is_out"), [(50, True), (60, True), (70, False)])
+async def test_a_change_of_an_earlier_era_does_not_replace_a_listed_object_that_is_newer(
+    journal: Journal, clock: Clock, revision: int, is_out: bool
+) -> None:
+    """A daemon that starts after a restore lists what was written since; another has missed it."""
+    store = FakeStore({("configuration", "data-centre/a"): StoredObject(60, OUT)}, version=65)
+    store.era = 2
+    watcher, configuration = make_watcher(store, journal, clock, [True])
+    await watcher.refresh(CONFIGURATION_KIND)
+    configuration.merge([VersionedObject("data-centre/a", make_version(1, revision), None)])
+    assert configuration.is_out("a") == is_out
