What another daemon brings after a listing is settled like the rest

Callers would see: a data centre that stays out of service, or an older class in force, for good, though the restored store says otherwise and a minute has passed; once a daemon that has missed the restore, or was paused, spreads what it has.

Cause: the listing counts as it is after the settling time, but only for objects that were in doubt at the moment of the listing. If another daemon brings such an object later, the daemons that watch the store neither list again nor look at it again.

Change: after each answer to a watch, a watcher compares the latest listing with what it has. That needs no call to the store.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -241,6 +241,8 @@
             self._update_is_complete()
             self._record_store_answer()
             self._merge_changes(kind, answer.ok)
+            # What another daemon brought after the listing may count as older by now.
+            self._restore_listed()
             is_held_due = kind in self._held_kinds and self._reader.is_settled
             if is_held_due or not self.should_watch():
                 return None
@@ -262,7 +264,7 @@
         self._gossip.spread_objects(objects)
 
     def _restore_listed(self) -> None:
-        """Take over what this daemon has listed and another one has just replaced by older."""
+        """Take over what this daemon has listed and another one has replaced by older."""
         newer = self._reader.take_newer(self._configuration.objects_by_key)
         if newer:
             self._gossip.spread_objects(newer)
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -9,17 +9,25 @@
 
 import attrs
 import pytest
+from expression import Ok, Result
 
 from kingcuppond.clock import Clock
+from kingcuppond.configuration.listings import SETTLE_SECONDS
 from kingcuppond.configuration.objects import CONFIGURATION_KIND, DataCentreState, encode
 from kingcuppond.configuration.replica import Configuration, VersionedObject
-from kingcuppond.configuration.watcher import FIRST_READ_SPREAD_SECONDS, Watcher
+from kingcuppond.configuration.watcher import (
+    FIRST_READ_SPREAD_SECONDS,
+    WATCH_ALONE_AFTER_SECONDS,
+    Watcher,
+)
 from kingcuppond.events.journal import Journal
 from kingcuppond.store.era import make_version
-from kingcuppond.store.interface import StoredObject
+from kingcuppond.store.interface import StoredObject, StoreError, WatchResult
 from tests.claims.fakes import FakeStore
+from tests.conftest import FakeTime
 
 OUT = encode(DataCentreState("a", "out"))
+IN = encode(DataCentreState("a", "in"))
 
 
 @attrs.define
@@ -39,6 +47,21 @@
         self.configuration.merge(objects)
 
 
+@attrs.define
+class FakeDirectory:
+    """Never changes, so that the daemon watches for itself and not by its rank."""
+
+    generation: int = -1
+
+
+class QuietStore(FakeStore):
+    """A store whose watches report no change."""
+
+    async def watch(self, kind: str, after: int, wait_ms: int) -> Result[WatchResult, StoreError]:
+        await asyncio.sleep(0.01)
+        return Ok(WatchResult([], after))
+
+
 def make_watcher(
     store: FakeStore, journal: Journal, clock: Clock, asked: list[bool], is_restart: bool = False
 ) -> tuple[Watcher, Configuration]:
@@ -48,7 +71,7 @@
         cast(Any, store),
         configuration,
         gossip,
-        cast(Any, None),
+        cast(Any, FakeDirectory()),
         clock,
         journal,
         Random(1),
@@ -175,3 +198,24 @@
     await watcher.refresh(CONFIGURATION_KIND)
     configuration.merge([VersionedObject("data-centre/a", make_version(1, revision), None)])
     assert configuration.is_out("a") == is_out
+
+
+@pytest.mark.parametrize("body", [None, IN], ids=["missing", "older"])
+async def test_what_another_daemon_brings_after_the_listing_is_settled_too(
+    journal: Journal, clock: Clock, fake_time: FakeTime, body: bytes | None
+) -> None:
+    """It would otherwise stay in force for good, since nothing was in doubt in the listing."""
+    objects = {} if body is None else {("configuration", "data-centre/a"): StoredObject(15, body)}
+    store = QuietStore(objects, version=65, era=2)
+    watcher, configuration = make_watcher(store, journal, clock, [True])
+    fake_time.advance(WATCH_ALONE_AFTER_SECONDS + 1)
+    watching = asyncio.create_task(watcher.run(CONFIGURATION_KIND))
+    await asyncio.sleep(0.05)
+    assert store.lists == 1
+    configuration.merge([VersionedObject("data-centre/a", make_version(1, 18), OUT)])
+    await asyncio.sleep(0.05)
+    assert configuration.is_out("a")
+    fake_time.advance(SETTLE_SECONDS + 1)
+    await asyncio.sleep(0.05)
+    assert not configuration.is_out("a")
+    watching.cancel()
