Two objects at a revision given out twice are ordered by the era of their listing

Callers would see: an acknowledged evacuation or change of a class that is not in force at some daemons until the object changes again, after a single restore. The first write after the restore gets the revision of the lost one, and the daemons that watch the store start anew before they list.

Cause: a daemon that starts can't tell the era of what it lists, so the object gets era 0 and its revision. A daemon of before the restore may have the lost object with era 0 and the same revision. The two have the same head and digest, so gossip takes them for equal. The same holds for the version "era of the known object plus one" if a real object has it, after two restores.

Evidence: test_daemons_that_start_in_different_eras_agree_on_a_revision_given_out_twice failed before (equal digests).

Change: the head of an object whose era is in doubt names the era of its listing, which decides between objects at one version: the later listing shows that the store had lost the other object. An unchanged object keeps its head, so a restore doesn't make the daemons fetch it again. While daemons of both versions run, their digests differ, and they exchange heads and objects more often.

--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -94,13 +94,13 @@
         doubted = {key: it for key, it in self._doubted_by_key.items() if it.kind != kind}
         for key, item in listed.items():
             found = known.get(key)
-            version = self._version(item.version, item.body, found)
             release = self.release_of(kind, item.name, item.body)
-            listed_object = VersionedObject(item.name, version, item.body, kind, release)
-            result.objects.append(listed_object)
-            if version != item.version:
-                doubted[key] = attrs.evolve(listed_object, version=item.version)
-            if found is not None and _is_older(listed_object, found):
+            as_listed = VersionedObject(item.name, item.version, item.body, kind, release)
+            ordered = self._order(as_listed, found)
+            result.objects.append(ordered)
+            if ordered.version != item.version:
+                doubted[key] = as_listed
+            if found is not None and _is_older(ordered, found):
                 result.older.append(item.name)
         for key, found in known.items():
             if found.kind != kind or found.body is None or key in listed:
@@ -110,7 +110,8 @@
             elif era_of(found.version) < self._era:
                 version = self._deletion_version(found, deletions_by_name.get(found.name, 0))
                 if version > found.version:
-                    result.objects.append(VersionedObject(found.name, version, None, kind))
+                    deleted = VersionedObject(found.name, version, None, kind)
+                    result.objects.append(attrs.evolve(deleted, listed_era=self._era))
                 else:
                     result.missing.append(found.name)
         self._keys_of_era.update(listed)
@@ -130,10 +131,9 @@
             found = known.get(key)
             if found is None:
                 continue
-            version = self._version(listed.version, listed.body, found)
-            newer = attrs.evolve(listed, version=version)
-            if found.head.order < newer.head.order:
-                result.append(newer)
+            ordered = self._order(listed, found)
+            if found.head.order < ordered.head.order:
+                result.append(ordered)
             if era_of(found.version) >= self._era:
                 del self._doubted_by_key[key]
         for key, found in known.items():
@@ -154,21 +154,42 @@
         self._doubted_by_key.clear()
         self._seen_by_kind.clear()
 
-    def _version(self, version: int, body: bytes | None, known: VersionedObject | None) -> int:
-        revision = revision_of(version)
+    def _order(self, listed: VersionedObject, known: VersionedObject | None) -> VersionedObject:
+        """Return a listed object with a version that is ordered across eras."""
+        version = self._version(listed, known)
+        if version == listed.version:
+            return listed
+        listed_era = era_of(listed.version)
+        if known is not None and version == known.version and _is_same(known, listed.body):
+            listed_era = known.listed_era
+        return attrs.evolve(listed, version=version, listed_era=listed_era)
+
+    def _version(self, listed: VersionedObject, known: VersionedObject | None) -> int:
+        revision = revision_of(listed.version)
         if not self._era or revision > self._first_revision:
-            return version
+            return listed.version
         if known is None:
             return make_version(0, revision)
-        if era_of(known.version) >= self._era or (self.is_settled and not _is_same(known, body)):
-            return version
-        return _version_after(known, revision, body)
+        if era_of(known.version) >= self._era or (
+            self.is_settled and not _is_same(known, listed.body)
+        ):
+            return listed.version
+        return self._version_after(known, revision, listed.body)
 
     def _deletion_version(self, known: VersionedObject, version: int) -> int:
         """Return the version of a deletion in the history, which may be that of the copy."""
         if revision_of(version) > self._first_revision:
             return version
-        return _version_after(known, revision_of(version), None)
+        return self._version_after(known, revision_of(version), None)
+
+    def _version_after(self, known: VersionedObject, revision: int, body: bytes | None) -> int:
+        """Return the version of a change that may be of the era of the known object or later."""
+        era = era_of(known.version)
+        is_repeated = revision == revision_of(known.version) and not _is_same(known, body)
+        if is_repeated and known.listed_era < self._era:
+            # The revision was given out twice: a copy that had it would have the known content.
+            era += 1
+        return make_version(era, revision)
 
     def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
         # The listing may be stale: it proves nothing about changes newer than its version.
@@ -178,15 +199,6 @@
         return is_of_era or self.is_settled
 
 
-def _version_after(known: VersionedObject, revision: int, body: bytes | None) -> int:
-    """Return the version of a change that may be of the era of the known object or a later one."""
-    era = era_of(known.version)
-    if revision == revision_of(known.version) and not _is_same(known, body):
-        # The revision was given out twice: a copy that had it would have the known content.
-        era += 1
-    return make_version(era, revision)
-
-
 def _is_older(listed: VersionedObject, known: VersionedObject) -> bool:
     is_of_earlier_era = listed.head.order < known.head.order
     return is_of_earlier_era and not _is_same(known, listed.body)
--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -40,17 +40,24 @@
     """The name and version of an object, without its body.
 
     :param release: the operators' own number of this change, 0 if they give none
+    :param listed_era: era of the listing that contained the object, if the object may be of an
+        earlier era than that; otherwise 0
     """
 
     kind: str
     name: str
     version: int
     release: int = 0
+    listed_era: int = 0
 
     @property
-    def order(self) -> tuple[int, int]:
-        """Orders the changes of an object; the larger one is newer."""
-        return self.release, self.version
+    def order(self) -> tuple[int, int, int]:
+        """Orders the changes of an object; the larger one is newer.
+
+        Of two objects at one version, that of the later listing is newer: the store had lost the
+        other one and gave its revision out again.
+        """
+        return self.release, self.version, self.listed_era
 
 
 @attrs.frozen
@@ -62,6 +69,7 @@
     :param body: JSON, or ``None`` if the object was removed
     :param kind: kind in the store
     :param release: the operators' own number of this change, 0 if they give none
+    :param listed_era: see :class:`ObjectHead`
     """
 
     name: str
@@ -69,6 +77,7 @@
     body: bytes | None
     kind: str = CONFIGURATION_KIND
     release: int = 0
+    listed_era: int = 0
 
     @property
     def key(self) -> ObjectKey:
@@ -78,7 +87,7 @@
     @property
     def head(self) -> ObjectHead:
         """The part that is announced to other daemons."""
-        return ObjectHead(self.kind, self.name, self.version, self.release)
+        return ObjectHead(self.kind, self.name, self.version, self.release, self.listed_era)
 
 
 @attrs.define
@@ -210,4 +219,4 @@
 
 
 def _object_digest(item: VersionedObject) -> int:
-    return digest_of(item.kind, item.name, item.version, item.release)
+    return digest_of(item.kind, item.name, item.version, item.release, item.listed_era)
--- a/tests/configuration/test_listings.py
+++ b/tests/configuration/test_listings.py
@@ -3,7 +3,8 @@
 import pytest
 
 from kingcuppond.configuration.listings import SETTLE_SECONDS, ListingReader, ReadListing
-from kingcuppond.configuration.replica import VersionedObject
+from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.events.journal import Journal
 from kingcuppond.store.era import make_version
 from kingcuppond.store.interface import ListedObject, Listing
 from tests.conftest import FakeTime
@@ -110,6 +111,34 @@
     assert newer_body(read_in_era_2(reader, {}, known), known) == "known"
 
 
+def test_daemons_that_start_in_different_eras_agree_on_a_revision_given_out_twice(
+    fake_time: FakeTime, journal: Journal
+) -> None:
+    """Neither has known the object before, and each listing may be that of a copy."""
+    before, after = (
+        ListingReader(lambda kind, name, body: 0, fake_time.read).read(
+            KIND, make_listing({"a": (18, body)}, 18, era), {}
+        )
+        for era, body in ((1, b"1"), (2, b"2"))
+    )
+    first, second = Configuration(journal), Configuration(journal)
+    first.merge(before.objects)
+    second.merge(after.objects)
+    assert first.digest != second.digest
+    first.merge(after.objects)
+    second.merge(before.objects)
+    assert first.objects_by_key == second.objects_by_key
+    assert [it.body for it in first.objects_by_key.values()] == [b"2"]
+
+
+def test_an_unchanged_object_is_not_announced_again_after_a_restore(fake_time: FakeTime) -> None:
+    """All daemons would fetch it from each other."""
+    reader = ListingReader(lambda kind, name, body: 0, fake_time.read)
+    (known,) = reader.read(KIND, make_listing({"a": (15, b"1")}, 18, era=1), {}).objects
+    result = read_in_era_2(reader, {"a": (15, b"1")}, known)
+    assert newer_body(result, known) == "known"
+
+
 def test_what_is_written_after_the_first_listing_is_newer_than_all_before(
     fake_time: FakeTime,
 ) -> None:
