--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -20,7 +20,7 @@
 
 from kingcuppond.configuration.replica import ObjectKey, VersionedObject
 from kingcuppond.store.era import era_of, make_version, revision_of
-from kingcuppond.store.interface import ListedObject, Listing, is_same_json
+from kingcuppond.store.interface import Listing, is_same_json
 
 SETTLE_SECONDS: Final = 60.0
 """Operators need this long at most to write again what a restored store has lost."""
@@ -42,6 +42,14 @@
     missing: list[str]
 
 
+@attrs.frozen
+class _Seen:
+    """Version and objects of the latest listing of a kind."""
+
+    version: int
+    keys: frozenset[ObjectKey]
+
+
 @attrs.define
 class ListingReader:
     """Reads the listings of one daemon.
@@ -57,6 +65,7 @@
     _era_heard_at: float = float("-inf")
     _keys_of_era: set[ObjectKey] = attrs.field(factory=set)
     _doubted_by_key: dict[ObjectKey, VersionedObject] = attrs.field(factory=dict)
+    _seen_by_kind: dict[str, _Seen] = attrs.field(factory=dict)
 
     @property
     def is_settled(self) -> bool:
@@ -75,6 +84,9 @@
         :param known: the objects of all kinds that this daemon has
         :param deletions_by_name: versions of the newest deletions in the history before the listing
         """
+        if era_of(listing.version) < self._era:
+            # Another kind was listed in the new era meanwhile; this one will be listed again.
+            return ReadListing([], [], [])
         self._enter_era(listing.version)
         listed = {(kind, item.name): item for item in listing.items}
         deletions_by_name = deletions_by_name or {}
@@ -82,13 +94,13 @@
         doubted = {key: it for key, it in self._doubted_by_key.items() if it.kind != kind}
         for key, item in listed.items():
             found = known.get(key)
-            version = self._version(item, found)
             release = self.release_of(kind, item.name, item.body)
-            listed_object = VersionedObject(item.name, version, item.body, kind, release)
-            result.objects.append(listed_object)
-            if version != item.version:
-                doubted[key] = attrs.evolve(listed_object, version=item.version)
-            if found is not None and _is_older(listed_object, found):
+            as_listed = VersionedObject(item.name, item.version, item.body, kind, release)
+            ordered = self._order(as_listed, found)
+            result.objects.append(ordered)
+            if ordered.version != item.version:
+                doubted[key] = as_listed
+            if found is not None and _is_older(ordered, found):
                 result.older.append(item.name)
         for key, found in known.items():
             if found.kind != kind or found.body is None or key in listed:
@@ -98,27 +110,38 @@
             elif era_of(found.version) < self._era:
                 version = self._deletion_version(found, deletions_by_name.get(found.name, 0))
                 if version > found.version:
-                    result.objects.append(VersionedObject(found.name, version, None, kind))
+                    deleted = VersionedObject(found.name, version, None, kind)
+                    result.objects.append(attrs.evolve(deleted, listed_era=self._era))
                 else:
                     result.missing.append(found.name)
         self._keys_of_era.update(listed)
         self._doubted_by_key = doubted
+        self._seen_by_kind[kind] = _Seen(listing.version, frozenset(listed))
         return result
 
     def take_newer(self, known: Mapping[ObjectKey, VersionedObject]) -> list[VersionedObject]:
-        """Return listed objects that proved to be newer than the known ones, each only once.
+        """Return what the latest listings prove to be newer than the known objects.
 
-        A change of the era at a smaller revision was made before the listed one, so the listed
-        object is not older than what the copy lacks.
+        Another daemon may have brought the known object after the listing was read.  A change of
+        the era at a smaller revision was made before the listed one, so the listed object is not
+        older than what the copy lacks.  If the listing lacks the object, it was deleted.
         """
         result = []
         for key, listed in list(self._doubted_by_key.items()):
             found = known.get(key)
-            if found is None or era_of(found.version) != self._era:
+            if found is None:
+                continue
+            ordered = self._order(listed, found)
+            if found.head.order < ordered.head.order:
+                result.append(ordered)
+            if era_of(found.version) >= self._era:
+                del self._doubted_by_key[key]
+        for key, found in known.items():
+            seen = self._seen_by_kind.get(found.kind)
+            if seen is None or found.body is None or key in seen.keys:
                 continue
-            del self._doubted_by_key[key]
-            if found.version < listed.version:
-                result.append(listed)
+            if self._is_deleted(found, seen.version):
+                result.append(VersionedObject(found.name, seen.version, None, found.kind))
         return result
 
     def _enter_era(self, version: int) -> None:
@@ -129,24 +152,44 @@
         self._era_heard_at = self.now()
         self._keys_of_era.clear()
         self._doubted_by_key.clear()
-
-    def _version(self, item: ListedObject, known: VersionedObject | None) -> int:
-        revision = revision_of(item.version)
+        self._seen_by_kind.clear()
+
+    def _order(self, listed: VersionedObject, known: VersionedObject | None) -> VersionedObject:
+        """Return a listed object with a version that is ordered across eras."""
+        version = self._version(listed, known)
+        if version == listed.version:
+            return listed
+        listed_era = era_of(listed.version)
+        if known is not None and version == known.version and _is_same(known, listed.body):
+            listed_era = known.listed_era
+        return attrs.evolve(listed, version=version, listed_era=listed_era)
+
+    def _version(self, listed: VersionedObject, known: VersionedObject | None) -> int:
+        revision = revision_of(listed.version)
         if not self._era or revision > self._first_revision:
-            return item.version
+            return listed.version
         if known is None:
             return make_version(0, revision)
-        if era_of(known.version) == self._era or (
-            self.is_settled and not _is_same(known, item.body)
+        if era_of(known.version) >= self._era or (
+            self.is_settled and not _is_same(known, listed.body)
         ):
-            return item.version
-        return _version_after(known, revision, item.body)
+            return listed.version
+        return self._version_after(known, revision, listed.body)
 
     def _deletion_version(self, known: VersionedObject, version: int) -> int:
         """Return the version of a deletion in the history, which may be that of the copy."""
         if revision_of(version) > self._first_revision:
             return version
-        return _version_after(known, revision_of(version), None)
+        return self._version_after(known, revision_of(version), None)
+
+    def _version_after(self, known: VersionedObject, revision: int, body: bytes | None) -> int:
+        """Return the version of a change that may be of the era of the known object or later."""
+        era = era_of(known.version)
+        is_repeated = revision == revision_of(known.version) and not _is_same(known, body)
+        if is_repeated and known.listed_era < self._era:
+            # The revision was given out twice: a copy that had it would have the known content.
+            era += 1
+        return make_version(era, revision)
 
     def _is_deleted(self, known: VersionedObject, listed_version: int) -> bool:
         # The listing may be stale: it proves nothing about changes newer than its version.
@@ -156,15 +199,6 @@
         return is_of_era or self.is_settled
 
 
-def _version_after(known: VersionedObject, revision: int, body: bytes | None) -> int:
-    """Return the version of a change that may be of the era of the known object or a later one."""
-    era = era_of(known.version)
-    if revision == revision_of(known.version) and not _is_same(known, body):
-        # The revision was given out twice: a copy that had it would have the known content.
-        era += 1
-    return make_version(era, revision)
-
-
 def _is_older(listed: VersionedObject, known: VersionedObject) -> bool:
     is_of_earlier_era = listed.head.order < known.head.order
     return is_of_earlier_era and not _is_same(known, listed.body)
