A daemon that restarts is told by the others that its server was leaving

What callers would see: DRAIN. A server gives notice, and the notice is acknowledged and recorded. Its daemon is killed, the store comes back from a copy without the record, and the daemon starts again: it finds nothing in the store, a late heartbeat and a healthy answer confirm the server, and it gets calls again.

Cause: the departure is written again by the daemon that keeps it in memory, and that daemon was down. The other daemons knew, but an entry of an earlier process was only passed to the gate if its version was larger than that of the new process, which takes a clock that went back; the introduction left the joining VM out; and what was learnt so was never written to the store.

Change: each daemon keeps the latest entry with a draining server of each VM, and the reply to an introduction has it. It names the server's incarnation, so it says nothing about a later one. The joining daemon marks it as leaving and has the departure written if the store lacks it: one read in a restart beside a server that once left, no further message. The configuration that makes a restarted daemon ready arrives after the introduction.

Remains: a daemon that is killed within the 30 ms in which its rumour waits to be sent has told nobody but the store.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -445,8 +445,10 @@
         self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
 
     def _on_earlier_incarnation(self, member: Member) -> None:
-        if member.state is ServerState.DRAINING:
-            self.gate.mark_leaving(Incarnation(member.instance, member.born_ms))
+        if member.state is ServerState.DRAINING and member.instance:
+            leaving = Incarnation(member.instance, member.born_ms)
+            self.gate.mark_leaving(leaving)
+            self.departures.remember(leaving)
 
     async def _load_departure(self) -> None:
         for _ in range(MAX_DEPARTURE_LOADS):
--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -72,10 +72,17 @@
             self.journal.record(catalogue.DEPARTURE_UNREADABLE, error=error)
             return Ok(None)
         self._recorded = decoded.ok
-        if self._leaving is None:
+        if self._leaving is None or 0 < self._leaving.born_ms < decoded.ok.born_ms:
             self._leaving = decoded.ok
         return Ok(decoded.ok)
 
+    def remember(self, incarnation: Incarnation) -> None:
+        """Have a departure of an earlier process written that the store may have lost since."""
+        if self._leaving is None:
+            self._leaving = incarnation
+            self._version = None
+            self._is_rewrite_due.set()
+
     async def record(self, incarnation: Incarnation) -> None:
         """Write that an incarnation is leaving; log an event if the store fails or times out."""
         if self._leaving is not None and 0 < incarnation.born_ms < self._leaving.born_ms:
--- a/kingcuppond/membership/directory.py
+++ b/kingcuppond/membership/directory.py
@@ -16,7 +16,7 @@
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.messages import Member, Suspicion
+from kingcuppond.membership.messages import Member, ServerState, Suspicion
 
 DEAD_AFTER_SECONDS: Final = 2.0
 """Time from a suspicion until its member is considered dead."""
@@ -41,8 +41,9 @@
     :param digests_by_data_centre: of the entries of each data centre
     :param generation: increases when an entry or the set of suspected members changes
     :param on_own_change: called with the new version after each change of ``me``
-    :param on_earlier_incarnation: called with an entry of an earlier process on this VM, if its
-        version is larger than that of ``me``
+    :param draining_by_vm: the latest entry of each member with a draining server, also if a later
+        process on that VM has published another state
+    :param on_earlier_incarnation: called with an entry of an earlier process on this VM
     """
 
     me: Member
@@ -50,6 +51,7 @@
     journal: Journal
     members_by_vm: dict[str, Member] = attrs.field(factory=dict)
     members_by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
+    draining_by_vm: dict[str, Member] = attrs.field(factory=dict)
     digest: int = 0
     digests_by_data_centre: dict[str, int] = attrs.field(factory=dict)
     generation: int = 0
@@ -69,6 +71,8 @@
         if member.vm == self.me.vm:
             if member.version > self.me.version:
                 self._supersede_earlier_incarnation(member)
+            elif member.incarnation < self.me.incarnation:
+                self._report_earlier_incarnation(member)
             return False
         known = self.members_by_vm.get(member.vm)
         if known is not None and known.version >= member.version:
@@ -185,25 +189,31 @@
     def _supersede_earlier_incarnation(self, member: Member) -> None:
         # The entry is from an earlier process on this VM, perhaps one with a faster wall clock.
         # Without a larger incarnation, other members would ignore what this process publishes.
-        for callback in self.on_earlier_incarnation:
-            callback(member)
+        self._report_earlier_incarnation(member)
         self.me = attrs.evolve(
             self.me, incarnation=max(self.me.incarnation, member.incarnation + 1), seq=0
         )
         self.publish_own_change()
 
+    def _report_earlier_incarnation(self, member: Member) -> None:
+        for callback in self.on_earlier_incarnation:
+            callback(member)
+
     def _put(self, member: Member) -> None:
         known = self.members_by_vm.get(member.vm)
         if known is not None:
             self._toggle_digest(known)
             self.members_by_service[known.service].pop(member.vm, None)
         self.members_by_vm[member.vm] = member
+        if member.state is ServerState.DRAINING:
+            self.draining_by_vm[member.vm] = member
         self.members_by_service.setdefault(member.service, {})[member.vm] = member
         self._toggle_digest(member)
         self.generation += 1
 
     def _remove(self, vm: str) -> Member:
         member = self.members_by_vm.pop(vm)
+        self.draining_by_vm.pop(vm, None)
         self._forget_suspicion(vm)
         self.members_by_service[member.service].pop(vm, None)
         self._toggle_digest(member)
--- a/kingcuppond/membership/state.py
+++ b/kingcuppond/membership/state.py
@@ -104,7 +104,10 @@
         )
 
     def introduce(self, joining: Member) -> IntroductionReply:
-        """Return the members that a joining daemon should know first."""
+        """Return the members that a joining daemon should know first.
+
+        If an earlier process on its VM had a server that was draining, that entry is among them.
+        """
         living_by_data_centre: dict[str, list[Member]] = {}
         for member in self.directory.living():
             if member.vm != joining.vm:
@@ -114,6 +117,9 @@
             is_own = data_centre == joining.data_centre
             introduced = members if is_own else rank_bridges(members, joining.data_centre)
             chosen.update({member.vm: member for member in introduced})
+        earlier = self.directory.draining_by_vm.get(joining.vm)
+        if earlier is not None:
+            chosen[joining.vm] = earlier
         return IntroductionReply(tuple(chosen.values()))
 
     def object_heads(self) -> tuple[ObjectHead, ...]:
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -30,6 +30,9 @@
 
 HOLD_SECONDS = 3.0
 
+KNOWN_SECONDS = 1.0
+"""Long enough for the other daemons to hear of a change."""
+
 
 def configure_routes(fleet: Fleet, version: int, *prefixes: str) -> None:
     """Write a configuration with one route for each path prefix."""
@@ -299,6 +302,27 @@
     assert fleet.runs(VM_NAMES[1])["runs_by_id"], "the other servers are called"
 
 
+async def test_a_departure_lost_while_its_daemon_is_down_is_known_from_the_others(
+    fleet: Fleet,
+) -> None:
+    """Guards against a daemon that restarts and asks only the store whether its server leaves."""
+    leaving_vm = VM_NAMES[0]
+    await asyncio.to_thread(fleet.set_server_faults, leaving_vm, is_withdrawn=True)
+    assert "withdrawn" in fleet.runs(leaving_vm)["acknowledged"]
+    await asyncio.sleep(KNOWN_SECONDS)
+    fleet.kill(leaving_vm, "daemon")
+    await asyncio.to_thread(fleet.restore_platform, down_seconds=DOWN_SECONDS)
+    await asyncio.sleep(LISTED_SECONDS)
+    before = sum(fleet.runs(leaving_vm)["runs_by_id"].values())
+    restart_daemon(fleet, leaving_vm)
+    await wait_until(lambda: is_ready(fleet, leaving_vm))
+    await asyncio.to_thread(fleet.set_server_faults, leaving_vm)
+    end = time.monotonic() + HOLD_SECONDS
+    while time.monotonic() < end:
+        await send(caller_address(fleet), "/read/1")
+    assert sum(fleet.runs(leaving_vm)["runs_by_id"].values()) == before
+
+
 async def test_daemons_whose_registration_the_copy_lacks_can_be_found(fleet: Fleet) -> None:
     """Guards against a fleet that a starting daemon can't join, since nobody registers again."""
     url = f"http://{fleet.platform}/objects/daemon"
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -203,3 +203,32 @@
     await asyncio.sleep(0.1)
     running.cancel()
     assert (await make_departure_store(store, journal).load()).ok == LEAVING
+
+
+async def test_a_departure_that_other_daemons_remember_is_written_if_the_store_lacks_it(
+    journal: Journal,
+) -> None:
+    store = FakeStore()
+    departures = make_departure_store(store, journal)
+    assert (await departures.load()).ok is None
+    departures.remember(LEAVING)
+    running = asyncio.create_task(departures.run())
+    await asyncio.sleep(0.1)
+    running.cancel()
+    assert (await make_departure_store(store, journal).load()).ok == LEAVING
+
+
+@pytest.mark.parametrize("recorded", [LEAVING, NEXT], ids=["the same", "a later one"])
+async def test_a_departure_that_other_daemons_remember_replaces_no_recorded_one(
+    recorded: Incarnation, journal: Journal
+) -> None:
+    store = FakeStore()
+    await make_departure_store(store, journal).record(recorded)
+    departures = make_departure_store(store, journal)
+    departures.remember(LEAVING)
+    await departures.load()
+    running = asyncio.create_task(departures.run())
+    await asyncio.sleep(0.1)
+    running.cancel()
+    assert store.writes == 1
+    assert (await make_departure_store(store, journal).load()).ok == recorded
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -81,6 +81,18 @@
     assert directory.me.state is ServerState.WARM
 
 
+def test_an_entry_of_an_earlier_process_is_reported(fake_time: FakeTime) -> None:
+    clock = Clock(fake_time.read, fake_time.read)
+    directory = Directory(make_member("me", incarnation=5), clock, Journal("me", clock))
+    reported: list[Member] = []
+    directory.on_earlier_incarnation.append(reported.append)
+    earlier = make_member("me", incarnation=4, seq=9)
+    directory.merge(earlier)
+    directory.merge(make_member("me", incarnation=5, seq=0))
+    assert reported == [earlier]
+    assert directory.me.version == (5, 0)
+
+
 def test_members_dead_for_long_are_removed(fake_time: FakeTime) -> None:
     directory = make_directory(fake_time)
     directory.merge(make_member("a"))
--- a/tests/membership/test_state.py
+++ b/tests/membership/test_state.py
@@ -1,10 +1,12 @@
 """What two daemons compare when their digests differ."""
 
+import attrs
+
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
-from kingcuppond.membership.messages import Member, Pong
+from kingcuppond.membership.messages import Member, Pong, ServerState
 from kingcuppond.membership.state import SharedState
 from kingcuppond.quarantine.suspects import SuspectTable
 
@@ -27,3 +29,15 @@
     pong = Pong(here.digest)
     here.directory.publish_own_change()
     assert here.differing_parts(pong) == ()
+
+
+def test_a_restarted_daemon_is_told_that_its_server_was_draining(
+    clock: Clock, journal: Journal
+) -> None:
+    state = make_state("vm-1", clock, journal)
+    earlier = Member("vm-2", "dc-1", "shop", "b:1", "b:2", "b:3", 1, instance="i-1")
+    draining = attrs.evolve(earlier, seq=1, state=ServerState.DRAINING)
+    restarted = attrs.evolve(earlier, incarnation=2, instance="")
+    for member in (earlier, draining, restarted):
+        state.directory.merge(member)
+    assert state.introduce(restarted).members == (state.directory.me, draining)
