Claims that the restored log holds are confirmed at no cost for the store

What callers would see: after a restore, requests with a key are refused for longer the larger the fleet is and the more attempts its daemons remember.

Cause: each daemon has the claims of all its attempts written again (10,000 at most). Those that the log holds need no write, but waited in the groups of a shard's writes all the same: 500 records at 5 groups a second. A renewal that takes longer than the second that its sender waits is sent to the next coordinators and then again, which adds to the queue.

Evidence: tests/claims/test_restored_store.py, test_claims_that_the_copy_holds_do_not_delay_the_first_grant, failed before: "claim-unavailable" (with 60 s in place of the second, it passed, so it was a delay).

Change: a renewal first has the copy of the log brought to the present era, and then has only those records written that the log lacks. Groups without anything to write take no part of the rate.

Remains: the messages and the processor time of a coordinator still grow with the number of daemons and of attempts that they remember.

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -157,15 +157,20 @@
 
     async def renew(self, request: RenewalRequest) -> RenewalReply:
         """Write claims again that were granted in an earlier era."""
+        shard = self._open_shard(request.shard)
+        if not self._is_current(shard):
+            await self._enqueue(request.shard, None, is_renewal=True)
+        log = shard.log
+        if not self._is_current(shard) or log.era < request.era:
+            return RenewalReply(is_done=False)
+        lacking = [record for record in request.records if not log.is_redundant(record)]
         replies = await asyncio.gather(
-            *(
-                self._enqueue(request.shard, record, is_renewal=True)
-                for record in (request.records or (None,))
-            )
+            *(self._enqueue(request.shard, record, is_renewal=True) for record in lacking)
         )
+        holders = map(log.holder, request.records)
         return RenewalReply(
             is_done=all(_is_granted_in(reply, request.era) for reply in replies),
-            holders=tuple(reply.holder for reply in replies if reply.holder is not None),
+            holders=tuple(holder for holder in holders if holder is not None),
         )
 
     async def renew_own(self, era: int) -> bool:
@@ -228,13 +233,26 @@
                     del self._shards_by_number[number]
                     return
             shard.wake.clear()
-            while shard.pending:
+            while self._reply_to_redundant(shard):
                 await self._wait_for_token(shard)
                 group = shard.pending[:MAX_GROUP_RECORDS]
                 del shard.pending[:MAX_GROUP_RECORDS]
                 await self._commit_or_reset(shard, group)
             await self._drop_expired(shard)
 
+    def _reply_to_redundant(self, shard: _Shard) -> bool:
+        """Grant the claims to be written again that need no write, at no cost for the store.
+
+        After a restore each daemon has thousands of claims written again, most of which the log
+        holds.
+
+        :return: whether other records are pending
+        """
+        if self._is_current(shard):
+            redundant, shard.pending = _partition(shard.log, shard.pending)
+            _grant_all(shard.log, redundant)
+        return bool(shard.pending)
+
     async def _wait_for_token(self, shard: _Shard) -> None:
         now = self._clock.monotonic()
         refill = (now - shard.refilled_at) * COMMITS_PER_SECOND
@@ -278,7 +296,7 @@
         """Bring the copy of a log up to date, and append the claims that the store has lost."""
         log = shard.log
         confirmed_era = self._confirmed_era()
-        if confirmed_era >= log.era and not shard.is_confirmed:
+        if self._is_confirmed_since_load(shard):
             # A late write may have changed earlier segments since they were read, so that a claim
             # that was to be written again was already there.
             log.unload()
@@ -289,6 +307,19 @@
             shard.is_confirmed = confirmed_era >= log.era
         return await log.append_lost()
 
+    def _is_confirmed_since_load(self, shard: _Shard) -> bool:
+        return not shard.is_confirmed and self._confirmed_era() >= shard.log.era
+
+    def _is_current(self, shard: _Shard) -> bool:
+        """Return whether the copy of a log is that of the present era, and all of it is stored."""
+        log = shard.log
+        return (
+            log.is_loaded
+            and not log.lost_claims
+            and log.era >= self._eras.era
+            and not self._is_confirmed_since_load(shard)
+        )
+
     def _select(
         self, shard: _Shard, group: list[_PendingRecord]
     ) -> tuple[list[_PendingRecord], list[ClaimRecord]]:
@@ -338,6 +369,18 @@
             await shard.log.drop_expired(self._clock.fleet_ms())
 
 
+def _partition(
+    log: ShardLog, pending: list[_PendingRecord]
+) -> tuple[list[_PendingRecord], list[_PendingRecord]]:
+    """Separate the claims to be written again that the log holds from all other records."""
+    redundant: list[_PendingRecord] = []
+    others: list[_PendingRecord] = []
+    for it in pending:
+        is_redundant = it.is_renewal and (it.record is None or log.is_redundant(it.record))
+        (redundant if is_redundant else others).append(it)
+    return redundant, others
+
+
 def _grant_all(log: ShardLog, group: list[_PendingRecord]) -> None:
     """Confirm all records of a group, which are in the log."""
     for pending in group:
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -275,3 +275,26 @@
         assert b"vm9/1/1" in written.body
 
     play(script)
+
+
+def test_claims_that_the_copy_holds_do_not_delay_the_first_grant() -> None:
+    """Each daemon remembers thousands of attempts; here all are of one shard."""
+
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        shard = shard_of(key_digest("booking", "k"))
+        coordinator = fleet.daemons[scenario.coordinator].coordinator
+        claims = [
+            ClaimRecord(bytes([0, shard]) + i.to_bytes(4), "f", f"vm{i % DAEMONS}/1/x{i}", 1)
+            for i in range(9000)
+        ]
+        await asyncio.gather(*(coordinator.submit(shard, claim) for claim in claims))
+        for i, claim in enumerate(claims):
+            attempts = fleet.daemons[i % DAEMONS].peers.attempts
+            attempts.start(claim.attempt, claim.content)
+            attempts.record_grant(claim)
+        fleet.store.restore(0)
+        await asyncio.sleep(1)
+        assert await scenario.call(scenario.owner) == "200"
+
+    play(script)
