A claim that can't be confirmed yet is refused after one wait

What callers would see: while a member has not published the new era (it is frozen, or dead and not noticed yet), a request with a key is held by one coordinator after the other, each for half a second, before it is refused.

Cause: "unavailable" sends the request to the next of three coordinators, also if the reason is the same for all of them.

Evidence: tests/claims/test_restored_store.py, test_a_claim_that_no_coordinator_can_grant_yet_is_refused_after_one_wait, failed before: still pending after 0.6 s.

Change: after a refusal, a daemon that sees the era unconfirmed itself does not ask the next coordinator. Releases still go to all three.

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -135,6 +135,11 @@
         self._journal = journal
         self._shards_by_number: dict[int, _Shard] = {}
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the claims of all living members are in the log of the present era."""
+        return self._confirmed_era() >= self._eras.era
+
     async def on_claim_request(self, _sender: str, request: ClaimRequest) -> ClaimReply:
         """Handle a claim request from another daemon."""
         if not 0 <= request.shard < SHARD_COUNT:
@@ -193,9 +198,9 @@
         return await reply
 
     async def _wait_for_confirmation(self) -> bool:
-        """Return whether the claims of all living members are in the log of the present era."""
+        """Wait until the present era is confirmed, and return whether it is."""
         end = self._clock.monotonic() + CONFIRMATION_WAIT_SECONDS
-        while self._confirmed_era() < self._eras.era:
+        while not self.is_confirmed:
             if self._clock.monotonic() >= end:
                 self._journal.record(
                     catalogue.CLAIM_UNCONFIRMED,
--- a/kingcuppond/claims/peers.py
+++ b/kingcuppond/claims/peers.py
@@ -73,6 +73,9 @@
                 reply = result.default_value(UNAVAILABLE)
             if reply.verdict is not Verdict.UNAVAILABLE:
                 return reply
+            if not record.is_release and not self._coordinator.is_confirmed:
+                # The next coordinator would wait for the same members.
+                return UNAVAILABLE
         return UNAVAILABLE
 
     async def renew(self, request: RenewalRequest) -> RenewalReply:
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -142,7 +142,7 @@
         self.last_id = 0
         self.is_stopped = False
         self.tasks: list[asyncio.Task[Any]] = []
-        self._create_task(self.renewal.run())
+        self.renewal_task = self._create_task(self.renewal.run())
 
     @property
     def process(self) -> tuple[str, int]:
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from kingcuppond.claims.coordinator import MAX_COMMIT_ATTEMPTS, coordinators_of, shard_of
+from kingcuppond.claims.coordinator import (
+    CONFIRMATION_WAIT_SECONDS,
+    MAX_COMMIT_ATTEMPTS,
+    coordinators_of,
+    shard_of,
+)
 from kingcuppond.claims.guard import key_digest
 from kingcuppond.claims.messages import ClaimRecord, Verdict
 from kingcuppond.claims.segments import SegmentId
@@ -298,3 +303,15 @@
         assert await scenario.call(scenario.owner) == "200"
 
     play(script)
+
+
+def test_a_claim_that_no_coordinator_can_grant_yet_is_refused_after_one_wait() -> None:
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        fleet.daemons[scenario.third].renewal_task.cancel()
+        fleet.store.restore(0)
+        await asyncio.sleep(1)
+        refused = await scenario.call(scenario.owner, CONFIRMATION_WAIT_SECONDS + 0.1)
+        assert refused == "claim-unavailable"
+
+    play(script)
