A grant that is read after a pause starts no run if the store was restored

A daemon is frozen between the grant of a claim and its use. The store comes back without the claim, the coordinator has lost it too (it was killed, or is the frozen daemon itself), the others take the frozen daemon for dead and grant the key to a retry. When the daemon wakes before the deadline, it runs the first attempt as well.

Cause: the era of a grant was compared with the newest era that the daemon knew, which is the one from before the pause.

Evidence: tests/claims/test_restored_store.py, test_a_grant_that_is_read_after_a_pause_starts_no_run_if_the_store_was_restored, failed before: the late call was answered 200 after the retry had run.

Change: before a grant is used, the guard of pauses is asked as it is for each new call. Without a pause it returns at once; after one it asks two contacts, whose replies state the era.

Remains: a pause after this check, while the call waits to be sent; a daemon whose questions nobody answers within a second goes on to use the grant, and only its own gate refuses it.

--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -55,6 +55,7 @@
     :param eras: the newest era of the store that this daemon knows
     :param run: sends a call to a server
     :param next_id: generates the id of a new attempt
+    :param wait_until_current: after a pause of this process, waits until it is up to date
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         journal: Journal,
         run: RunCall,
         next_id: Callable[[], str],
+        wait_until_current: Callable[[], Awaitable[None]],
     ) -> None:
         self._peers = peers
         self._attempts = peers.attempts
@@ -73,6 +75,7 @@
         self._journal = journal
         self._run = run
         self._next_id = next_id
+        self._wait_until_current = wait_until_current
 
     async def run_once(self, call: Call, key: str) -> Result[Answer, Failure]:
         """Run a call, or return the first answer again if its key has already run.
@@ -87,6 +90,8 @@
             self._attempts.start(call.id, call.fingerprint)
             reply = await self._peers.submit(record, call.deadline)
             self._eras.observe(reply.era)
+            # The store may have been restored during a pause between the grant and this line.
+            await self._wait_until_current()
             # A claim that was granted before a restore is not used: the store may have lost it, and
             # this daemon has already begun to write its earlier claims again.
             if reply.verdict is Verdict.GRANTED and reply.era == self._eras.era:
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -355,6 +355,7 @@
             self.journal,
             self.router.run,
             self.next_id,
+            self.pause_guard.wait_until_current,
         )
         self.report_budget = WindowBudget(
             lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar, cast
 
 import attrs
@@ -137,8 +137,15 @@
             self.directory, self.peers, self.coordinator, self.client.eras, clock, self.journal
         )
         self.guard = ClaimGuard(
-            self.peers, self.client.eras, clock, self.journal, self._run, self.next_id
+            self.peers,
+            self.client.eras,
+            clock,
+            self.journal,
+            self._run,
+            self.next_id,
+            self._wait_until_current,
         )
+        self.catch_up: Callable[[], Awaitable[None]] = _return_at_once
         self.last_id = 0
         self.is_stopped = False
         self.tasks: list[asyncio.Task[Any]] = []
@@ -211,6 +218,9 @@
     async def handle(self, sender: str, message: Any) -> Any:
         return await self.handlers_by_type[type(message)](sender, message)
 
+    async def _wait_until_current(self) -> None:
+        await self.catch_up()
+
     def _create_task(self, coroutine: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
         task = asyncio.create_task(coroutine)
         self.tasks.append(task)
@@ -249,5 +259,9 @@
         return any(claim.attempt == attempt for claim in held)
 
 
+async def _return_at_once() -> None:
+    pass
+
+
 def call_later(seconds: float, function: Any, *arguments: Any) -> None:
     asyncio.get_running_loop().call_later(seconds, function, *arguments)
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -19,6 +20,8 @@
 from kingcuppond.claims.guard import key_digest
 from kingcuppond.claims.messages import ClaimRecord, Verdict
 from kingcuppond.claims.segments import SegmentId
+from kingcuppond.membership import directory as directory_module
+from kingcuppond.membership.messages import Suspicion
 from kingcuppond.store.era import revision_of
 from tests.claims.fleet import Fleet
 from tests.membership.network import VirtualTimeLoop
@@ -240,6 +243,41 @@
     play(script)
 
 
+def test_a_grant_that_is_read_after_a_pause_starts_no_run_if_the_store_was_restored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other daemons take the paused one for dead and go on without it."""
+    monkeypatch.setattr(directory_module, "DEAD_AFTER_SECONDS", 0.0)
+
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        owner = fleet.daemons[scenario.owner]
+
+        async def catch_up() -> None:
+            owner.client.eras.observe(fleet.store.era)
+
+        owner.catch_up = catch_up
+        fleet.transport_faults.append("slow")
+        late = asyncio.create_task(scenario.call(scenario.owner))
+        await asyncio.sleep(0.1)
+        fleet.hearing_seconds = [0.0] * DAEMONS
+        fleet.hearing_seconds[scenario.owner] = 10.0
+        fleet.store.restore(1)
+        fleet.restart(scenario.coordinator)
+        others = [fleet.daemons[it].directory for it in (scenario.coordinator, scenario.third)]
+        for directory in others:
+            me = owner.directory.me
+            directory.suspect(Suspicion(me.vm, me.incarnation, me.seq))
+        await asyncio.sleep(0.01)
+        for directory in others:
+            directory.expire_suspicions()
+        assert await scenario.call(scenario.third, 0.3) == "200"
+        assert await late == "claim-unavailable"
+        assert scenario.runs() == [f"vm{scenario.third}"]
+
+    play(script)
+
+
 def test_a_late_write_on_a_revision_given_out_again_replaces_no_claim() -> None:
     async def script(scenario: Scenario) -> None:
         fleet = scenario.fleet
