--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -6,14 +6,22 @@
 from typing import Any
 
 import attrs
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from kingcuppond.claims.coordinator import MAX_COMMIT_ATTEMPTS, coordinators_of, shard_of
+from kingcuppond.claims.coordinator import (
+    CONFIRMATION_WAIT_SECONDS,
+    MAX_COMMIT_ATTEMPTS,
+    coordinators_of,
+    shard_of,
+)
 from kingcuppond.claims.guard import key_digest
 from kingcuppond.claims.messages import ClaimRecord, Verdict
 from kingcuppond.claims.segments import SegmentId
+from kingcuppond.membership import directory as directory_module
+from kingcuppond.membership.messages import Suspicion
 from kingcuppond.store.era import revision_of
 from tests.claims.fleet import Fleet
 from tests.membership.network import VirtualTimeLoop
@@ -235,6 +243,41 @@
     play(script)
 
 
+def test_a_grant_that_is_read_after_a_pause_starts_no_run_if_the_store_was_restored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other daemons take the paused one for dead and go on without it."""
+    monkeypatch.setattr(directory_module, "DEAD_AFTER_SECONDS", 0.0)
+
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        owner = fleet.daemons[scenario.owner]
+
+        async def catch_up() -> None:
+            owner.client.eras.observe(fleet.store.era)
+
+        owner.catch_up = catch_up
+        fleet.transport_faults.append("slow")
+        late = asyncio.create_task(scenario.call(scenario.owner))
+        await asyncio.sleep(0.1)
+        fleet.hearing_seconds = [0.0] * DAEMONS
+        fleet.hearing_seconds[scenario.owner] = 10.0
+        fleet.store.restore(1)
+        fleet.restart(scenario.coordinator)
+        others = [fleet.daemons[it].directory for it in (scenario.coordinator, scenario.third)]
+        for directory in others:
+            me = owner.directory.me
+            directory.suspect(Suspicion(me.vm, me.incarnation, me.seq))
+        await asyncio.sleep(0.01)
+        for directory in others:
+            directory.expire_suspicions()
+        assert await scenario.call(scenario.third, 0.3) == "200"
+        assert await late == "claim-unavailable"
+        assert scenario.runs() == [f"vm{scenario.third}"]
+
+    play(script)
+
+
 def test_a_late_write_on_a_revision_given_out_again_replaces_no_claim() -> None:
     async def script(scenario: Scenario) -> None:
         fleet = scenario.fleet
@@ -275,3 +318,38 @@
         assert b"vm9/1/1" in written.body
 
     play(script)
+
+
+def test_claims_that_the_copy_holds_do_not_delay_the_first_grant() -> None:
+    """Each daemon remembers thousands of attempts; here all are of one shard."""
+
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        shard = shard_of(key_digest("booking", "k"))
+        coordinator = fleet.daemons[scenario.coordinator].coordinator
+        claims = [
+            ClaimRecord(bytes([0, shard]) + i.to_bytes(4), "f", f"vm{i % DAEMONS}/1/x{i}", 1)
+            for i in range(9000)
+        ]
+        await asyncio.gather(*(coordinator.submit(shard, claim) for claim in claims))
+        for i, claim in enumerate(claims):
+            attempts = fleet.daemons[i % DAEMONS].peers.attempts
+            attempts.start(claim.attempt, claim.content)
+            attempts.record_grant(claim)
+        fleet.store.restore(0)
+        await asyncio.sleep(1)
+        assert await scenario.call(scenario.owner) == "200"
+
+    play(script)
+
+
+def test_a_claim_that_no_coordinator_can_grant_yet_is_refused_after_one_wait() -> None:
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        fleet.daemons[scenario.third].renewal_task.cancel()
+        fleet.store.restore(0)
+        await asyncio.sleep(1)
+        refused = await scenario.call(scenario.owner, CONFIRMATION_WAIT_SECONDS + 0.1)
+        assert refused == "claim-unavailable"
+
+    play(script)
