Pipelined requests are answered before a leaving daemon closes

Callers would see: of requests pipelined on one connection, the one in progress at SIGTERM was answered with "Connection: close", and those behind it, which the daemon had read, got no answer at all.

Cause: each answer of a leaving daemon closed its connection, whatever had been read behind its request. The same at the end of the grace period: the call in progress got 502, and a request behind it, which had certainly not run, nothing.

Change: an answer announces the close only if no further request was read on its connection; the last of them does. At the end of the grace period those behind the call that is given up get 503.

Evidence: with real processes, three pipelined requests got 1 answer and now get 3; at the end of the grace period 1 of 2 and now 2 of 2 (502 and 503). Both tests, test_pipelined_requests_are_answered_in_a_planned_stop and test_pipelined_requests_are_answered_at_the_end_of_a_planned_stop, failed before. Found by reading; no report tells of callers that pipeline.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -38,6 +38,11 @@
 
     __slots__ = ()
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a pipelined request was read behind the one that is being served."""
+        return bool(self._messages)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -86,6 +91,11 @@
     )
 
 
+def has_next_request(request: web.BaseRequest) -> bool:
+    """Return whether a pipelined request was read behind this one."""
+    return isinstance(request.protocol, ProblemHandler) and request.protocol.has_next_request
+
+
 def problem_response(
     failure: Failure, dialect: Dialect = NATIVE_DIALECT, retry_after_seconds: float = 1.0
 ) -> web.Response:
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -24,7 +24,7 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.http_server import problem_response
+from kingcuppond.ingress.http_server import has_next_request, problem_response
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
@@ -186,7 +186,7 @@
             return self._refuse(request, result.error, retry_after_seconds=delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_leaving())
+            response = await send_answer(request, answer, {}, self._is_last(request))
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -327,12 +327,17 @@
         dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
         response = problem_response(failure, dialect, retry_after_seconds)
         response.headers.update(extra_headers or {})
-        if self._is_leaving() or not request.content.at_eof():
+        if self._is_last(request) or not request.content.at_eof():
             response.force_close()
         return response
 
-    def _is_leaving(self) -> bool:
-        return self.gate.directory.me.is_leaving
+    def _is_last(self, request: web.BaseRequest) -> bool:
+        """Return whether the connection is closed after the answer to a request.
+
+        A pipelined request that was read already is answered first: its caller could not know
+        whether it has run.
+        """
+        return self.gate.directory.me.is_leaving and not has_next_request(request)
 
     def _stopped_during_call(self) -> Unknown:
         return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -175,3 +175,41 @@
     early = [reply for reply in replies if reply.sent_at < 2.5]
     assert {reply.status for reply in early} == {200}, "callers have not noticed yet"
     assert all(reply.is_closing for reply in replies)
+
+
+async def send_pipelined(fleet: Fleet, paths: list[str]) -> list[tuple[int, bool]]:
+    """Send requests at once on one connection, and stop the daemon meanwhile.
+
+    :return: status of each answer, and whether it announces the close of the connection
+    """
+    host, port = fleet.vms_by_name[STOPPING].caller.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for path in paths:
+        head = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Kingcuppond-Deadline-Ms: 15000\r\n"
+        writer.write(f"{head}X-Kingcuppond-Attempt-Id: stop-{next(_IDS)}\r\n\r\n".encode())
+    await asyncio.sleep(0.2)
+    received, _ = await asyncio.gather(
+        reader.read(-1), stop_as_the_platform_does(fleet, time.monotonic())
+    )
+    writer.close()
+    heads = received.decode().split("HTTP/1.1 ")[1:]
+    return [(int(head[:3]), "connection: close" in head.lower()) for head in heads]
+
+
+async def test_pipelined_requests_are_answered_in_a_planned_stop(fleet: Fleet) -> None:
+    """What was read behind the request in progress was dropped with the connection."""
+    assert await send_pipelined(fleet, ["/read/1?ms=400"] * 3) == [
+        (200, False),
+        (200, False),
+        (200, True),
+    ]
+
+
+async def test_pipelined_requests_are_answered_at_the_end_of_a_planned_stop(fleet: Fleet) -> None:
+    """A request that waited behind one that is given up was dropped with the connection."""
+    configure(fleet, 2, Timeout="20000ms")
+    await asyncio.sleep(1.0)
+    assert await send_pipelined(fleet, ["/read/1?ms=9000", "/read/1"]) == [
+        (502, False),
+        (503, True),
+    ], "the second one has not run"
