Requests that wait for a paused daemon are answered at its close

Callers would see: a daemon that did not run for over a second (paused, or starved on a busy machine) lets requests wait for up to a second until it has caught up. If its planned stop ended meanwhile, their connections were closed without an answer 0.2 s later, although they had not run.

Cause: the close interrupts the reading of a request and the call itself, but not this wait before them.

Change: the close ends this wait too; the request is then refused with 503, not run, as each one that arrives at the close, and a relayed one by the gate or by the check of its sender.

Evidence: from reading; not seen in a run with real processes. The test test_the_close_answers_what_waits_for_a_paused_daemon (caller, daemon) failed before: the handler was still waiting when the close gave up.

--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -102,7 +102,7 @@
         self.in_progress += 1
         self.last_request_at = started = self.clock.monotonic()
         try:
-            await self.wait_until_current()
+            await self._until_current()
             return await self._serve_caller(request, started)
         except asyncio.CancelledError:
             self._record_unanswered(request, started)
@@ -115,7 +115,7 @@
         self.in_progress += 1
         started = self.clock.monotonic()
         try:
-            await self.wait_until_current()
+            await self._until_current()
             return await self._serve_relay(request, started)
         finally:
             self.in_progress -= 1
@@ -154,6 +154,16 @@
         finally:
             self._waiting_tasks.discard(task)
 
+    async def _until_current(self) -> None:
+        """Wait until this daemon is up to date or closes its connections."""
+
+        async def wait() -> Result[None, Failure]:
+            await self.wait_until_current()
+            return Result.Ok(None)
+
+        # What was waiting at the close is refused where it is looked at next.
+        await self._until_close(wait(), NotRun(Reason.LEAVING, f"{self.vm} stops"))
+
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
         parsed = await self._until_close(
             read_request(
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -19,10 +19,11 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import start_grace_period
-from kingcuppond.ingress.port import CallPort
+from kingcuppond.ingress.port import ANSWER_SECONDS, CallPort
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
+from kingcuppond.routing.headers import RELAY_HEADER
 from tests.conftest import FakeTime
 
 LIMIT_SECONDS = 5.5
@@ -53,6 +54,10 @@
     """Return at once: this process was not paused."""
 
 
+async def _never_current() -> None:
+    await asyncio.Event().wait()
+
+
 def make_port(clock: Clock, journal: Journal) -> tuple[CallPort, FakeRouter]:
     configuration = Configuration(journal)
     shop = ClassOfWork("book", "shop", "/shop", 4000, at_most_once=True)
@@ -143,3 +148,23 @@
     with pytest.raises(asyncio.CancelledError):
         await call
     assert [entry.number for entry in journal.entries if entry.number == 513] == [513]
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"), [({}, 503), ({RELAY_HEADER: "{}"}, 400)], ids=["caller", "daemon"]
+)
+async def test_the_close_answers_what_waits_for_a_paused_daemon(
+    clock: Clock, journal: Journal, headers: dict[str, str], status: int
+) -> None:
+    """Requests that waited until the daemon had caught up were closed unanswered."""
+    port, router = make_port(clock, journal)
+    port.wait_until_current = _never_current
+    port.grace = start_grace_period(clock.monotonic(), LIMIT_SECONDS)
+    request = make_mocked_request("GET", "/shop/a", headers=headers)
+    call = asyncio.create_task(port.handle(request))
+    await asyncio.sleep(0)
+    async with asyncio.timeout(10 * ANSWER_SECONDS):
+        await port.close()
+        response = await call
+    assert (response.status, router.calls) == (status, [])
+    assert response.keep_alive is False
