A stop waits for its deregistration together with the calls

Callers would see: of a daemon that stops while the store is slow, a call that arrived on an open connection once no other was in progress was sent to a server and soon answered that its outcome is unknown, although time was left. With a short grace_ms, the daemon outlasted its time limit by up to two calls to the store, and was killed.

Cause: the stop first waited until no call was in progress, and then for the deletion of its registration. What arrived in this second wait was served as usual, and given up at the close.

Change: one wait covers both, the last check comes right before the close, and a deletion that isn't done at the time limit is abandoned.

Evidence: from reading; with grace_ms 5500 the deletion, two calls of 1 s at most, ends before the first check, so that only daemons without a limit or with one below about 2400 ms were affected.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -183,16 +183,17 @@
         self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
         self.directory.publish_own_change(is_leaving=True)
         self.gate.admission.process_queue()
+        deregistration = asyncio.create_task(self.registration.deregister())
         plan = StopPlan(
             limit_seconds=limit_seconds,
-            is_idle=lambda: self.port.is_idle,
+            is_idle=lambda: self.port.is_idle and deregistration.done(),
             seconds_since_last_request=lambda: self.clock.monotonic() - self.port.last_request_at,
             stop_accepting=self._stop_accepting,
             now=self.clock.monotonic,
         )
-        deregistration = asyncio.create_task(self.registration.deregister())
+        # Nothing may be awaited after this: a call that arrived meanwhile would be given up.
         await wait_until_drained(plan)
-        await deregistration
+        deregistration.cancel()
 
     async def on_stop(self) -> None:
         """Close everything."""
