Tests: signals, relayed calls and a start around a planned stop

They cover what no test did: SIGHUP, a second SIGTERM, SIGINT and new configurations before and during a planned stop; relayed calls in progress at the server beside the daemon that stops; and SIGTERM 0 to 0.2 s after a starting daemon begins to listen, with a request read.

--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -14,7 +14,8 @@
 import pytest
 
 from standins.fleet import Fleet, plan_service
-from tests.failures.test_platform import HOST, VM_NAMES, configure, runs_of
+from tests.failures.test_platform import HOST, VM_NAMES, configure, runs_of, send
+from tests.failures.test_settings import read_settings, write_settings
 
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1}, "--slots", "32")
 KILL_SECONDS = 6.0
@@ -213,3 +214,76 @@
         (502, False),
         (503, True),
     ], "the second one has not run"
+
+
+async def test_signals_and_a_configuration_during_a_planned_stop_cut_no_request(
+    fleet: Fleet,
+) -> None:
+    """A reload, a new configuration and a second SIGTERM do not shorten the grace period."""
+    callers = [await open_caller(fleet, is_kept=True) for _ in range(9)]
+    stopped_at = time.monotonic() + 0.6
+    calls = [
+        caller.send_at(stopped_at, -0.6 + 0.2 * i, "POST", f"/book/1?ms={SERVICE_MS}")
+        for i, caller in enumerate(callers)
+    ]
+    replies = asyncio.gather(*calls)
+    daemon = fleet.vms_by_name[STOPPING].processes_by_role["daemon"]
+    settings = fleet.vms_by_name[STOPPING].settings
+    await asyncio.sleep(0.5)
+    write_settings(settings, read_settings(settings) | {"server_silent_ms": 4321})
+    daemon.send_signal(signal.SIGHUP)
+    await asyncio.to_thread(configure, fleet, 2, Timeout="1900ms")
+    await asyncio.sleep(max(0.0, stopped_at - time.monotonic()))
+    daemon.send_signal(signal.SIGHUP)
+    stopping = asyncio.create_task(stop_as_the_platform_does(fleet, stopped_at))
+    await asyncio.sleep(0.3)
+    daemon.send_signal(signal.SIGHUP)
+    daemon.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(configure, fleet, 3, Timeout="1800ms")
+    await asyncio.sleep(0.5)
+    daemon.send_signal(signal.SIGINT)
+    assert [(reply.status, reply.runs) for reply in await replies] == [(200, 1)] * len(calls)
+    await stopping
+    for caller in callers:
+        await caller.session.close()
+
+
+async def test_a_planned_stop_beside_the_server_cuts_no_relayed_call(fleet: Fleet) -> None:
+    """The other daemons' calls at the server of the stopping one end in its grace period."""
+    other = VM_NAMES[1]
+    address = fleet.vms_by_name[other].caller
+    calls = [
+        asyncio.create_task(send(address, f"/book/{i}?ms={SERVICE_MS}", "POST")) for i in range(24)
+    ]
+    await asyncio.sleep(0.4)
+    assert fleet.runs(STOPPING)["in_flight"] > 0, "some of them were relayed"
+    await stop_as_the_platform_does(fleet, time.monotonic())
+    replies = await asyncio.gather(*calls)
+    assert [reply for reply in replies if reply.status != 200] == []
+
+
+@pytest.mark.parametrize("after_listening_seconds", [0.0, 0.01, 0.05, 0.2])
+async def test_a_stop_while_a_daemon_starts_leaves_no_request_unanswered(
+    fleet: Fleet, after_listening_seconds: float
+) -> None:
+    fleet.kill(STOPPING, "daemon")
+    fleet.start_daemon(STOPPING)
+    host, port = fleet.vms_by_name[STOPPING].caller.split(":")
+    end = time.monotonic() + 10.0
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            break
+        except OSError:
+            assert time.monotonic() < end
+            await asyncio.sleep(0.001)
+    request_id = f"stop-{next(_IDS)}"
+    head = f"POST /book/1?ms=300 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+    writer.write(f"{head}X-Kingcuppond-Attempt-Id: {request_id}\r\n\r\nb".encode())
+    await asyncio.sleep(after_listening_seconds)
+    received, _ = await asyncio.gather(
+        reader.read(-1), stop_as_the_platform_does(fleet, time.monotonic())
+    )
+    writer.close()
+    runs = await asyncio.to_thread(runs_of, fleet, request_id)
+    assert (received[:13], runs) in [(b"HTTP/1.1 503 ", 0), (b"HTTP/1.1 200 ", 1)]
