--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -24,7 +24,7 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.http_server import problem_response
+from kingcuppond.ingress.http_server import has_next_request, problem_response
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
@@ -102,7 +102,7 @@
         self.in_progress += 1
         self.last_request_at = started = self.clock.monotonic()
         try:
-            await self.wait_until_current()
+            await self._until_current()
             return await self._serve_caller(request, started)
         except asyncio.CancelledError:
             self._record_unanswered(request, started)
@@ -115,7 +115,7 @@
         self.in_progress += 1
         started = self.clock.monotonic()
         try:
-            await self.wait_until_current()
+            await self._until_current()
             return await self._serve_relay(request, started)
         finally:
             self.in_progress -= 1
@@ -154,6 +154,16 @@
         finally:
             self._waiting_tasks.discard(task)
 
+    async def _until_current(self) -> None:
+        """Wait until this daemon is up to date or closes its connections."""
+
+        async def wait() -> Result[None, Failure]:
+            await self.wait_until_current()
+            return Result.Ok(None)
+
+        # What was waiting at the close is refused where it is looked at next.
+        await self._until_close(wait(), NotRun(Reason.LEAVING, f"{self.vm} stops"))
+
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
         parsed = await self._until_close(
             read_request(
@@ -186,7 +196,7 @@
             return self._refuse(request, result.error, retry_after_seconds=delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_leaving())
+            response = await send_answer(request, answer, {}, self._is_last(request))
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -327,12 +337,17 @@
         dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
         response = problem_response(failure, dialect, retry_after_seconds)
         response.headers.update(extra_headers or {})
-        if self._is_leaving() or not request.content.at_eof():
+        if self._is_last(request) or not request.content.at_eof():
             response.force_close()
         return response
 
-    def _is_leaving(self) -> bool:
-        return self.gate.directory.me.is_leaving
+    def _is_last(self, request: web.BaseRequest) -> bool:
+        """Return whether the connection is closed after the answer to a request.
+
+        A pipelined request that was read already is answered first: its caller could not know
+        whether it has run.
+        """
+        return self.gate.directory.me.is_leaving and not has_next_request(request)
 
     def _stopped_during_call(self) -> Unknown:
         return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
