A planned stop does not cut an answer that its caller reads slowly

Callers would see: an answer cut short by the exit of a daemon that stopped as planned, if they read it slowly.

Cause: a call counted as ended when its handler had returned. The part of its answer that the kernel had not taken yet was still in the memory of the process, and was lost with it.

Change: a stop also waits for such bytes, within its time limit; without one, for 30 s after the last call at most, as for a streamed answer whose caller stops reading.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -38,7 +38,13 @@
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import StopPlan, start_grace_period, wait_until_drained
-from kingcuppond.ingress.http_server import listen, make_server, stop_accepting
+from kingcuppond.ingress.http_server import (
+    STALL_TIMEOUT_SECONDS,
+    has_unsent_bytes,
+    listen,
+    make_server,
+    stop_accepting,
+)
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.ready import make_ready_handler
 from kingcuppond.membership.directory import Directory
@@ -186,7 +192,7 @@
         deregistration = asyncio.create_task(self.registration.deregister())
         plan = StopPlan(
             limit_seconds=limit_seconds,
-            is_idle=lambda: self.port.is_idle and deregistration.done(),
+            is_idle=lambda: self._has_ended_calls() and deregistration.done(),
             seconds_since_last_request=lambda: self.clock.monotonic() - self.port.last_request_at,
             stop_accepting=self._stop_accepting,
             now=self.clock.monotonic,
@@ -424,6 +430,18 @@
     def _is_ready(self) -> bool:
         return self.configuration.is_ready and not self.directory.me.is_leaving
 
+    def _has_ended_calls(self) -> bool:
+        """Return whether all calls have ended, and their callers have got the answers.
+
+        A caller that stops reading delays a stop no longer than it delays a streamed answer.
+        """
+        if not self.port.is_idle:
+            return False
+        ended_seconds = self.clock.monotonic() - self.port.last_ended_at
+        return ended_seconds > STALL_TIMEOUT_SECONDS or not any(
+            has_unsent_bytes(runner) for runner in self._runners
+        )
+
     async def _stop_accepting(self) -> None:
         if self._caller_runner is not None:
             await stop_accepting(self._caller_runner)
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -96,6 +96,14 @@
     return isinstance(request.protocol, ProblemHandler) and request.protocol.has_next_request
 
 
+def has_unsent_bytes(runner: web.ServerRunner) -> bool:
+    """Return whether a part of an answer waits until its caller reads on."""
+    return runner.server is not None and any(
+        handler.transport is not None and handler.transport.get_write_buffer_size()
+        for handler in runner.server.connections
+    )
+
+
 def problem_response(
     failure: Failure, dialect: Dialect = NATIVE_DIALECT, retry_after_seconds: float = 1.0
 ) -> web.Response:
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -64,6 +64,7 @@
     :param wait_until_current: waits, if this process was paused, until it is up to date
     :param in_progress: number of requests that are being served
     :param last_request_at: monotonic time of the last caller's request, in seconds
+    :param last_ended_at: monotonic time at which the last call ended, in seconds
     :param grace: the grace period, once this daemon is leaving
     :param is_closing: whether this daemon is closing its connections
     """
@@ -86,6 +87,7 @@
     wait_until_current: Callable[[], Awaitable[None]]
     in_progress: int = 0
     last_request_at: float = float("-inf")
+    last_ended_at: float = float("-inf")
     grace: GracePeriod | None = None
     is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -108,7 +110,7 @@
             self._record_unanswered(request, started)
             raise
         finally:
-            self.in_progress -= 1
+            self._end_call()
 
     async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a call relayed by another daemon."""
@@ -118,7 +120,11 @@
             await self._until_current()
             return await self._serve_relay(request, started)
         finally:
-            self.in_progress -= 1
+            self._end_call()
+
+    def _end_call(self) -> None:
+        self.in_progress -= 1
+        self.last_ended_at = self.clock.monotonic()
 
     @property
     def is_idle(self) -> bool:
