--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -238,16 +238,19 @@
         async for answer in watch_until_error(self._store, kind, version, self.wait_ms):
             if answer.is_error():
                 return None if answer.error.is_version_expired else answer.error
-            self._update_is_complete()
-            self._record_store_answer()
-            self._merge_changes(kind, answer.ok)
-            # What another daemon brought after the listing may count as older by now.
-            self._restore_listed()
-            is_held_due = kind in self._held_kinds and self._reader.is_settled
-            if is_held_due or not self.should_watch():
+            if self.merge_answer(kind, answer.ok) or not self.should_watch():
                 return None
         return None
 
+    def merge_answer(self, kind: str, answer: WatchResult) -> bool:
+        """Merge the answer to a watch; return whether the kind is due to be listed again."""
+        self._update_is_complete()
+        self._record_store_answer()
+        self._merge_changes(kind, answer)
+        # What another daemon brought after the listing may count as older by now.
+        self._restore_listed()
+        return kind in self._held_kinds and self._reader.is_settled
+
     def _merge_changes(self, kind: str, result: WatchResult) -> None:
         release_of = self._configuration.format.release_of
         objects = [
