A store that keeps no history is not listed without pause

Callers would see: nothing at once; a store that answers each watch with 410 gets listings at full speed from all watchers (ten to eighteen daemons, each kind), until it refuses reads by its rate.

Cause: a watch whose version is gone was followed by a listing without any backoff, which is right after a watch that had been answered before, but not for one that fails right after its listing.

Found by reading; not seen in a running fleet.

Change: if a watch finds no history before its first answer, the next listing waits for the usual growing backoff. The store has answered, so it doesn't count as down.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -178,7 +178,8 @@
             if failure is None:
                 backoff_seconds = INITIAL_BACKOFF_SECONDS
                 continue
-            self._record_store_failure(failure)
+            if not failure.is_version_expired:
+                self._record_store_failure(failure)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
             backoff_seconds = min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
@@ -235,9 +236,13 @@
         if listed.is_error():
             return listed.error
         version = listed.ok.version
+        is_answered = False
         async for answer in watch_until_error(self._store, kind, version, self.wait_ms):
             if answer.is_error():
-                return None if answer.error.is_version_expired else answer.error
+                # A store that keeps no history would otherwise be listed without pause.
+                needs_no_backoff = is_answered and answer.error.is_version_expired
+                return None if needs_no_backoff else answer.error
+            is_answered = True
             if self.merge_answer(kind, answer.ok) or not self.should_watch():
                 return None
         return None
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -9,7 +9,7 @@
 
 import attrs
 import pytest
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.listings import SETTLE_SECONDS
@@ -17,6 +17,7 @@
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.configuration.watcher import (
     FIRST_READ_SPREAD_SECONDS,
+    INITIAL_BACKOFF_SECONDS,
     WATCH_ALONE_AFTER_SECONDS,
     Watcher,
 )
@@ -62,6 +63,14 @@
         return Ok(WatchResult([], after))
 
 
+class ForgetfulStore(FakeStore):
+    """A store that keeps no history."""
+
+    async def watch(self, kind: str, after: int, wait_ms: int) -> Result[WatchResult, StoreError]:
+        await asyncio.sleep(0)
+        return Error(StoreError("gone", is_version_expired=True))
+
+
 def make_watcher(
     store: FakeStore, journal: Journal, clock: Clock, asked: list[bool], is_restart: bool = False
 ) -> tuple[Watcher, Configuration]:
@@ -219,3 +228,17 @@
     await asyncio.sleep(0.05)
     assert not configuration.is_out("a")
     watching.cancel()
+
+
+async def test_a_store_without_history_is_not_listed_without_pause(
+    journal: Journal, clock: Clock, fake_time: FakeTime
+) -> None:
+    """All watchers together would use up the store's rate of reads."""
+    store = ForgetfulStore()
+    watcher, _ = make_watcher(store, journal, clock, [True])
+    fake_time.advance(WATCH_ALONE_AFTER_SECONDS + 1)
+    watching = asyncio.create_task(watcher.run(CONFIGURATION_KIND))
+    await asyncio.sleep(INITIAL_BACKOFF_SECONDS * 4)
+    watching.cancel()
+    # At the shortest, the pauses are 0.05, 0.1 and 0.2 s.
+    assert 2 <= store.lists <= 5
