--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -178,7 +178,8 @@
             if failure is None:
                 backoff_seconds = INITIAL_BACKOFF_SECONDS
                 continue
-            self._record_store_failure(failure)
+            if not failure.is_version_expired:
+                self._record_store_failure(failure)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
             backoff_seconds = min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
@@ -235,19 +236,26 @@
         if listed.is_error():
             return listed.error
         version = listed.ok.version
+        is_answered = False
         async for answer in watch_until_error(self._store, kind, version, self.wait_ms):
             if answer.is_error():
-                return None if answer.error.is_version_expired else answer.error
-            self._update_is_complete()
-            self._record_store_answer()
-            self._merge_changes(kind, answer.ok)
-            # What another daemon brought after the listing may count as older by now.
-            self._restore_listed()
-            is_held_due = kind in self._held_kinds and self._reader.is_settled
-            if is_held_due or not self.should_watch():
+                # A store that keeps no history would otherwise be listed without pause.
+                needs_no_backoff = is_answered and answer.error.is_version_expired
+                return None if needs_no_backoff else answer.error
+            is_answered = True
+            if self.merge_answer(kind, answer.ok) or not self.should_watch():
                 return None
         return None
 
+    def merge_answer(self, kind: str, answer: WatchResult) -> bool:
+        """Merge the answer to a watch; return whether the kind is due to be listed again."""
+        self._update_is_complete()
+        self._record_store_answer()
+        self._merge_changes(kind, answer)
+        # What another daemon brought after the listing may count as older by now.
+        self._restore_listed()
+        return kind in self._held_kinds and self._reader.is_settled
+
     def _merge_changes(self, kind: str, result: WatchResult) -> None:
         release_of = self._configuration.format.release_of
         objects = [
