Claims that a late write brought back after a restore are written again

After a restore two writes of before are executed late on the same segment of the earlier era. The first brings back a claim that has run; the claim is taken to be in the log and not written again. The second, whose condition is the revision that the first was given, replaces the segment by a content without the claim, and the key is granted again.

Cause: a record that is found in a segment of an earlier era counted as settled. That holds for what the copy had, since a writer's copy at a revision contains all of it, but not for what a late write added.

Evidence: tests/claims/test_restored_store.py, test_a_claim_that_one_late_write_brought_back_and_another_removed_is_held, failed before: granted.

Change: what the last two segments of an earlier era hold is written again as if it were missing: at most one write a shard, by the daemons that write claims again anyway. A further late write would have to create two segments before one of them is replaced.

test_a_late_write_on_a_revision_given_out_again_replaces_no_claim counts revisions up to the one that is given out again; there is one write more after the restore now, so there is one more before it too. Its check of the revision and of the runs are the same, and it fails if the eras share the names of segments.

--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -12,8 +12,10 @@
 A store that was restored from a copy has lost records, and may still execute writes that were sent
 before.  So each era of the store has segments of its own, and the order holds within an era.  The
 segments of earlier eras are read too, and their claims hold their keys, but only a record in a
-segment of the present era grants one: a late write may still replace the last earlier segment.  A
-key may be held by several attempts, and is free when all of them are released.
+segment of the present era grants one: a late write may still replace the last earlier segment, and
+another one may replace it once more without the records of the first.  So what the last earlier
+segments hold is not taken for settled: a claim that has run is then written again.  A key may be
+held by several attempts, and is free when all of them are released.
 """
 
 from collections.abc import Iterable
@@ -33,6 +35,9 @@
 MAX_APPENDED_RECORDS: Final = 500
 """Most records in one write: about 70 kB, far below the store's limit for an object."""
 
+UNSETTLED_SEGMENTS: Final = 2
+"""Of each earlier era, the last segments: late writes change that of the copy or add the next."""
+
 RETENTION_MS: Final = 86_400_000
 
 
@@ -57,6 +62,7 @@
     _has_read_all: bool = False
     _segment: Segment = attrs.field(factory=lambda: _first_segment(0))
     _last_record_ms_by_id: dict[SegmentId, int] = attrs.field(factory=dict)
+    _unsettled_attempts: set[str] = attrs.field(factory=set)
 
     @property
     def kind(self) -> str:
@@ -81,8 +87,11 @@
             return Error(read.error)
         if not is_partial:
             self._start_again(era)
+        last_numbers_by_era = {segment.id.era: segment.id.number for segment in read.ok}
         for segment in read.ok:
             self._take(segment, now_ms)
+            if segment.id.number > last_numbers_by_era[segment.id.era] - UNSETTLED_SEGMENTS:
+                self._mark_unsettled(segment)
         self._hold_lost_claims(now_ms)
         self.is_loaded = True
         return Ok(None)
@@ -137,7 +146,10 @@
 
     def is_redundant(self, record: ClaimRecord) -> bool:
         """Return whether a record needs no write, as it is in the log or would have no effect."""
-        return (self.claim_of(record) is None) is record.is_release
+        claim = self.claim_of(record)
+        if record.is_release:
+            return claim is None
+        return claim is not None and self._is_settled(claim)
 
     async def drop_expired(self, now_ms: int) -> None:
         """Delete segments whose records are all past their retention, but never the last one."""
@@ -159,6 +171,7 @@
         self.claims_by_key = {}
         self._segment = _first_segment(era)
         self._last_record_ms_by_id = {}
+        self._unsettled_attempts = set()
         self._has_read_all = True
 
     def _take(self, segment: Segment, now_ms: int) -> None:
@@ -175,11 +188,20 @@
         for claim in self.lost_claims:
             known = self.claim_of(claim)
             # A lost claim that is held since an earlier load is not in the store yet.
-            if claim.at_ms > oldest_ms and (known is None or known is claim):
+            is_lost = known is None or known is claim or not self._is_settled(known)
+            if claim.at_ms > oldest_ms and is_lost:
                 still_lost.append(claim)
                 self._apply(claim)
         self.lost_claims = still_lost
 
+    def _mark_unsettled(self, segment: Segment) -> None:
+        if segment.id.era < self.era:
+            self._unsettled_attempts.update(record.attempt for record in segment.records)
+
+    def _is_settled(self, claim: ClaimRecord) -> bool:
+        """Return whether no late write can remove a claim that was read from the store."""
+        return claim.era == self.era or claim.attempt not in self._unsettled_attempts
+
     def _set_current(self, segment: Segment) -> None:
         self._segment = segment
         self._date(segment)
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, cast
 
 import attrs
 import pytest
@@ -14,15 +14,21 @@
 from kingcuppond.claims.coordinator import (
     CONFIRMATION_WAIT_SECONDS,
     MAX_COMMIT_ATTEMPTS,
+    ClaimCoordinator,
     coordinators_of,
     shard_of,
 )
 from kingcuppond.claims.guard import key_digest
-from kingcuppond.claims.messages import ClaimRecord, Verdict
+from kingcuppond.claims.log import ShardLog
+from kingcuppond.claims.messages import ClaimRecord, RenewalRequest, Verdict
 from kingcuppond.claims.segments import SegmentId
+from kingcuppond.clock import Clock
+from kingcuppond.events.journal import Journal
 from kingcuppond.membership import directory as directory_module
 from kingcuppond.membership.messages import Suspicion
-from kingcuppond.store.era import revision_of
+from kingcuppond.store.era import EraTracker, revision_of
+from kingcuppond.store.interface import Store
+from tests.claims.fakes import FakeStore
 from tests.claims.fleet import Fleet
 from tests.membership.network import VirtualTimeLoop
 
@@ -283,11 +289,11 @@
         fleet = scenario.fleet
         shard = shard_of(key_digest("booking", "k"))
         coordinator = fleet.daemons[scenario.coordinator].coordinator
-        for i, fault in enumerate(["ok", "ok", "late"]):
+        for i, fault in enumerate(["ok", "ok", "ok", "late"]):
             fleet.store.faults = [fault, *["dropped"] * MAX_COMMIT_ATTEMPTS]
             await coordinator.submit(shard, ClaimRecord(bytes([i]), "f", f"vm9/1/{i}", 1))
         fleet.store.faults = []
-        fleet.store.restore(1)
+        fleet.store.restore(2)
         fleet.restart(scenario.coordinator)
         await asyncio.sleep(1)
         assert await scenario.call(scenario.owner) == "200"
@@ -353,3 +359,40 @@
         assert refused == "claim-unavailable"
 
     play(script)
+
+
+async def test_a_claim_that_one_late_write_brought_back_and_another_removed_is_held(
+    clock: Clock, journal: Journal
+) -> None:
+    """The first late write gets the revision that is the condition of the second."""
+    store = FakeStore(era=1)
+    eras = EraTracker(1)
+    ran, first, second, third, retry = (
+        ClaimRecord(key, "f", f"vm9/1/{i}", clock.fleet_ms())
+        for i, key in enumerate([b"key", b"1", b"2", b"3", b"key"])
+    )
+
+    async def append(record: ClaimRecord, fault: str) -> None:
+        store.faults = [fault]
+        log = ShardLog(0, cast(Store, store))
+        await log.load(clock.fleet_ms())
+        await log.append([record])
+
+    await append(first, "ok")
+    await append(ran, "late")
+    await append(second, "ok")
+    await append(third, "late")
+    await append(ran, "ok")
+    store.restore(2)
+    earlier, later = store.late
+    confirmed_era = 1
+    coordinator = ClaimCoordinator(cast(Store, store), eras, lambda: confirmed_era, clock, journal)
+    store.late = [earlier]
+    store.apply_late_writes()
+    eras.observe(2)
+    assert (await coordinator.renew(RenewalRequest(0, (ran,), 2))).is_done
+    store.late = [later]
+    store.apply_late_writes()
+    confirmed_era = 2
+    assert (await coordinator.submit(0, retry)).verdict is Verdict.HELD
+    coordinator.stop()
