A restarted daemon admits no call before it was introduced to the fleet

Evidence: tests/failures/test_restored_store.py, test_a_departure_lost_while_its_daemon_is_down_is_known_from_the_others, failed once on a busy machine (load average 18): the first two calls ran at the leaving server. Cause, from reading, without logs of that run: the configuration can also come with an exchange that another daemon starts, so a daemon can be ready before the reply to its introduction, which names the departure, has arrived.

Change: the server of a restarted daemon is not confirmed before the daemon has joined, or after 3 s. A join takes some milliseconds; without the store and the other daemons there is no configuration either.

The failure was not provoked on purpose.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -69,6 +69,11 @@
 MAX_DEPARTURE_LOADS: Final = 3
 DEPARTURE_RETRY_DELAY_SECONDS: Final = 0.2
 
+INTRODUCTION_WAIT_SECONDS: Final = 3.0
+"""Longer than a join through seeds, and then through the store, takes while both answer."""
+
+INTRODUCTION_POLL_SECONDS: Final = 0.02
+
 
 @attrs.frozen
 class BindError:
@@ -459,11 +464,19 @@
                     self.gate.mark_leaving(loaded.ok)
                 break
             await asyncio.sleep(DEPARTURE_RETRY_DELAY_SECONDS)
+        await self._wait_for_introduction()
         self.gate.is_departure_checked = True
         self.gate.confirm_server()
         # The loop must not return: its service would start it again.
         await asyncio.Event().wait()
 
+    async def _wait_for_introduction(self) -> None:
+        # The store may have lost the departure, and the others know it. Their configuration can
+        # arrive before the reply to the introduction.
+        end = self.clock.monotonic() + INTRODUCTION_WAIT_SECONDS
+        while not self.registration.has_contacted_members and self.clock.monotonic() < end:
+            await asyncio.sleep(INTRODUCTION_POLL_SECONDS)
+
     async def _check_silence(self) -> None:
         while True:
             await asyncio.sleep(SILENCE_CHECK_INTERVAL_SECONDS)
