Stand-in of the store: a stale listing names the revision of what it shows

What callers saw: nothing; this is the stand-in of the store.

Cause: with `stale_reads` a listing returned the objects of the time at which the fault was set, at the revision of now. Such a listing claims that what was written between is deleted. No store answers so: the revision of a listing is the one to watch from, so it belongs to the objects listed.

Change: objects and revision are kept together. What a stale listing must not do is as strictly checked as before: it is older, and reverts and deletes nothing.

Evidence: test_a_stale_listing_names_the_revision_of_what_it_shows failed before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,8 +20,8 @@
 * ``late_writes_ms``: writes lose their answer and take effect after this delay,
 * ``stall_watches``: watches hang without returning events,
 * ``forget_history``: the history is dropped once, so that watches from older versions get 410,
-* ``stale_reads``: reads and listings return the objects as of the time the fault was set, or of
-  the last restore,
+* ``stale_reads``: reads and listings return the objects and the revision as of the time the fault
+  was set, or of the last restore,
 * ``old_era_answers``: this many calls are executed at once and answered after the next restore.
 """
 
@@ -117,6 +117,8 @@
     """Objects, recent history and call counters of the store.
 
     :param undo_log: the last changes, including those removed from the history
+    :param stale_objects_by_key: what reads and listings see while they are stale
+    :param stale_version: the revision of that state
     :param undo_floor: monotonic time in seconds of the last change that the undo log has dropped
     :param copied_at: monotonic time in seconds of the last ``PUT /copy``
     :param cuts: number of times that all waiting watches were cut off
@@ -131,6 +133,7 @@
     reads_per_second: int
     objects_by_key: dict[tuple[str, str], Change] = attrs.field(factory=dict)
     stale_objects_by_key: dict[tuple[str, str], Change] = attrs.field(factory=dict)
+    stale_version: int = 0
     history: deque[Change] = attrs.field(factory=lambda: deque(maxlen=MAX_HISTORY_CHANGES))
     undo_log: deque[UndoEntry] = attrs.field(factory=lambda: deque(maxlen=MAX_HISTORY_CHANGES))
     undo_floor: float = -math.inf
@@ -196,12 +199,21 @@
         while self.history and self.history[-1].version > self.version:
             self.history.pop()
         self.compacted_version = min(self.compacted_version, self.version)
-        self.stale_objects_by_key = copy.copy(self.objects_by_key)
+        self.keep_stale_state()
         self.era += 1
         self.cut_watches()
         self.restored.set()
         self.restored = asyncio.Event()
 
+    def keep_stale_state(self) -> None:
+        """Keep the present objects and revision for ``stale_reads``."""
+        self.stale_objects_by_key = copy.copy(self.objects_by_key)
+        self.stale_version = self.version
+
+    def listed_version(self) -> int:
+        """Return the revision of the objects that reads and listings see."""
+        return self.stale_version if self.faults.stale_reads else self.version
+
     def objects(self) -> dict[tuple[str, str], Change]:
         """Return the objects that reads and listings see."""
         return self.stale_objects_by_key if self.faults.stale_reads else self.objects_by_key
@@ -293,7 +305,7 @@
 
 async def _set_faults(state: PlatformState, request: web.Request) -> web.Response:
     state.faults = msgspec.json.decode(await request.read(), type=Faults)
-    state.stale_objects_by_key = copy.copy(state.objects_by_key)
+    state.keep_stale_state()
     if state.faults.forget_history:
         state.compacted_version = state.version
         state.history.clear()
@@ -344,7 +356,8 @@
     after = request.query.get("after", "")
     names = sorted(name for k, name in state.objects() if k == kind and name > after)
     items = [state.objects()[kind, name].encode() for name in names[:PAGE_ITEMS]]
-    page = {"items": items, "HasMore": len(names) > PAGE_ITEMS, "StoreRevision": state.version}
+    version = state.listed_version()
+    page = {"items": items, "HasMore": len(names) > PAGE_ITEMS, "StoreRevision": version}
     return web.json_response(page)
 
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -167,3 +167,15 @@
     await client.call("PUT", "/restore")
     assert ((await late).status, (await late).era) == (200, FIRST_ERA)
     assert (await client.call("GET", "/objects/kind/a")).status == 404
+
+
+async def test_a_stale_listing_names_the_revision_of_what_it_shows(client: Client) -> None:
+    """A listing of old objects at the newest revision showed new ones to be deleted."""
+    revision = await client.create("old", 1)
+    await client.call("PUT", "/faults", {"stale_reads": True})
+    await client.create("new", 1)
+    stale = (await client.call("GET", "/objects/kind")).content
+    assert [item["Metadata"]["Name"] for item in stale["items"]] == ["old"]
+    assert stale["StoreRevision"] == revision
+    await client.call("PUT", "/faults", {})
+    assert (await client.call("GET", "/objects/kind")).content["StoreRevision"] == revision + 1
