Move the requests in progress and their end at the close out of the port for calls

ingress/in_progress.py now holds the count of requests, the waits until the close or until this daemon is up to date, and the close itself; both kinds of calls use it. CallPort.in_progress, last_ended_at, is_closing, wait_until_current and close() are now members of RequestsInProgress, which the daemon makes once and passes to the port. No logic changed.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -45,6 +45,7 @@
     make_server,
     stop_accepting,
 )
+from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.ready import make_ready_handler
 from kingcuppond.membership.directory import Directory
@@ -188,7 +189,7 @@
         a limit, callers that keep sending calls are served for as long as they do.
         """
         self.journal.record(
-            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
+            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.requests.count
         )
         limit_seconds = self.settings.stop_limit_seconds
         self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
@@ -209,9 +210,9 @@
     async def on_stop(self) -> None:
         """Close everything."""
         self.journal.record(
-            catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.port.in_progress
+            catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.requests.count
         )
-        await self.port.close()
+        await self.requests.close()
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.claim_coordinator.stop()
         self.gossip.stop()
@@ -372,6 +373,9 @@
         self.report_budget = WindowBudget(
             lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
         )
+        self.requests = RequestsInProgress(
+            self.settings.vm, self.clock, self.pause_guard.wait_until_current
+        )
         self.port = CallPort(
             self.settings.vm,
             self.settings.service,
@@ -388,7 +392,7 @@
             self.clock,
             self.journal,
             self.next_id,
-            self.pause_guard.wait_until_current,
+            self.requests,
         )
 
     def _handlers(self) -> dict[str, Callable[[web.BaseRequest], Any]]:
@@ -443,7 +447,7 @@
         """
         if not self.port.is_idle:
             return False
-        ended_seconds = self.clock.monotonic() - self.port.last_ended_at
+        ended_seconds = self.clock.monotonic() - self.requests.last_ended_at
         return ended_seconds > STALL_TIMEOUT_SECONDS or not any(
             has_unsent_bytes(runner) for runner in self._runners
         )
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable
-from typing import Any, Final, TypeVar
+from collections.abc import Callable
+from typing import Any, Final
 
 import attrs
 from aiohttp import web
@@ -25,10 +25,11 @@
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
 from kingcuppond.ingress.http_server import has_next_request, problem_response
+from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
-from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
+from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.budgets import WindowBudget
@@ -46,14 +47,6 @@
 
 REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
 
-ANSWER_SECONDS: Final = 0.1
-"""Time for calls that were given up to be answered."""
-
-POLL_SECONDS: Final = 0.01
-"""Interval at which the close looks whether all are answered."""
-
-T = TypeVar("T")
-
 
 @attrs.define
 class CallPort:
@@ -61,12 +54,9 @@
 
     :param report_budget: byte budget for load reports
     :param choose_service: chooses the service for a request of a class
-    :param wait_until_current: waits, if this process was paused, until it is up to date
-    :param in_progress: number of requests that are being served
+    :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
-    :param last_ended_at: monotonic time at which the last call ended, in seconds
     :param grace: the grace period, once this daemon is leaving
-    :param is_closing: whether this daemon is closing its connections
     """
 
     vm: str
@@ -84,14 +74,10 @@
     clock: Clock
     journal: Journal
     next_id: Callable[[], str]
-    wait_until_current: Callable[[], Awaitable[None]]
-    in_progress: int = 0
+    requests: RequestsInProgress
     last_request_at: float = float("-inf")
-    last_ended_at: float = float("-inf")
     grace: GracePeriod | None = None
-    is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
-    _waiting_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller or of another daemon."""
@@ -101,77 +87,34 @@
 
     async def handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller."""
-        self.in_progress += 1
+        self.requests.begin()
         self.last_request_at = started = self.clock.monotonic()
         try:
-            await self._until_current()
+            await self.requests.until_current()
             return await self._serve_caller(request, started)
         except asyncio.CancelledError:
             self._record_unanswered(request, started)
             raise
         finally:
-            self._end_call()
+            self.requests.end()
 
     async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a call relayed by another daemon."""
-        self.in_progress += 1
+        self.requests.begin()
         started = self.clock.monotonic()
         try:
-            await self._until_current()
+            await self.requests.until_current()
             return await self._serve_relay(request, started)
         finally:
-            self._end_call()
-
-    def _end_call(self) -> None:
-        self.in_progress -= 1
-        self.last_ended_at = self.clock.monotonic()
+            self.requests.end()
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
-        return self.in_progress == 0 and not self._claimed_tasks
-
-    async def close(self) -> None:
-        """Refuse further requests, and answer those in progress without a result of a server."""
-        self.is_closing = True
-        for task in self._waiting_tasks:
-            task.cancel()
-        end = self.clock.monotonic() + ANSWER_SECONDS
-        while self.in_progress and self.clock.monotonic() < end:
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _until_close(
-        self, result: Awaitable[Result[T, Failure]], failure: Failure
-    ) -> Result[T, Failure]:
-        """Wait for a result until this daemon closes its connections.
-
-        :param failure: the result if there is none by then
-        """
-        task = asyncio.current_task()
-        assert task is not None
-        self._waiting_tasks.add(task)
-        try:
-            return await result
-        except asyncio.CancelledError:
-            # The task is cancelled also if the caller disconnects.
-            if not self.is_closing or task.uncancel():
-                raise
-            return Result.Error(failure)
-        finally:
-            self._waiting_tasks.discard(task)
-
-    async def _until_current(self) -> None:
-        """Wait until this daemon is up to date or closes its connections."""
-
-        async def wait() -> Result[None, Failure]:
-            await self.wait_until_current()
-            return Result.Ok(None)
-
-        # What was waiting at the close is refused where it is looked at next.
-        await self._until_close(wait(), NotRun(Reason.LEAVING, f"{self.vm} stops"))
+        return self.requests.count == 0 and not self._claimed_tasks
 
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        parsed = await self._until_close(
+        parsed = await self.requests.until_close(
             read_request(
                 request,
                 self.configuration,
@@ -194,7 +137,9 @@
         caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
-        result = await self._until_close(self._run(caller_request), self._stopped_during_call())
+        result = await self.requests.until_close(
+            self._run(caller_request), self.requests.stopped_during_call()
+        )
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
@@ -276,7 +221,9 @@
             return response
         self.clock.observe(verified.ok.stamp)
         call = self._make_relayed_call(request, verified.ok, started)
-        result = await self._until_close(self.gate.run(call), self._stopped_during_call())
+        result = await self.requests.until_close(
+            self.gate.run(call), self.requests.stopped_during_call()
+        )
         if result.is_error():
             return self._refuse(request, result.error, self._relay_headers(call))
         answer = result.ok
@@ -355,11 +302,8 @@
         """
         return self.gate.directory.me.is_leaving and not has_next_request(request)
 
-    def _stopped_during_call(self) -> Unknown:
-        return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
-
     def _may_serve(self, call: Call) -> bool:
-        if self.is_closing:
+        if self.requests.is_closing:
             return False
         typical_seconds = self.router.sender.typical_seconds(call.class_name)
         return self.grace is None or self.grace.may_serve(
@@ -384,7 +328,7 @@
         self.journal.record(
             catalogue.REQUEST_UNANSWERED,
             request=request.headers.get(self.dialect.request_id_header, "without id"),
-            closed_by="this daemon" if self.is_closing else "the caller",
+            closed_by="this daemon" if self.requests.is_closing else "the caller",
             ms=round((now - started) * 1000),
             leaving_ms=None if grace is None else round((now - grace.started) * 1000),
         )
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -19,7 +19,8 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import start_grace_period
-from kingcuppond.ingress.port import ANSWER_SECONDS, CallPort
+from kingcuppond.ingress.in_progress import ANSWER_SECONDS, RequestsInProgress
+from kingcuppond.ingress.port import CallPort
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
@@ -83,7 +84,7 @@
         clock=clock,
         journal=journal,
         next_id=lambda: "id",
-        wait_until_current=_is_current,
+        requests=RequestsInProgress("vm-1", clock, _is_current),
     )
     return port, router
 
@@ -118,7 +119,7 @@
     calls = [asyncio.create_task(send(port, deadline_ms=4000)) for _ in range(3)]
     await asyncio.sleep(0)
     assert len(router.calls) == 3
-    await port.close()
+    await port.requests.close()
     responses = await asyncio.gather(*calls)
     assert {response.status for response in responses} == {504}
     assert {response.headers[OUTCOME_HEADER] for response in responses} == {"unknown"}
@@ -131,7 +132,7 @@
     """A request on a kept connection was sent while the connections were being closed."""
     port, router = make_port(clock, journal)
     port.grace = start_grace_period(clock.monotonic(), limit_seconds)
-    await port.close()
+    await port.requests.close()
     response = await send(port, deadline_ms=100)
     assert (response.status, router.calls) == (503, [])
 
@@ -144,7 +145,7 @@
     call = asyncio.create_task(send(port, deadline_ms=4000))
     await asyncio.sleep(0)
     call.cancel()
-    await port.close()
+    await port.requests.close()
     with pytest.raises(asyncio.CancelledError):
         await call
     assert [entry.number for entry in journal.entries if entry.number == 513] == [513]
@@ -158,13 +159,13 @@
 ) -> None:
     """Requests that waited until the daemon had caught up were closed unanswered."""
     port, router = make_port(clock, journal)
-    port.wait_until_current = _never_current
+    port.requests.wait_until_current = _never_current
     port.grace = start_grace_period(clock.monotonic(), LIMIT_SECONDS)
     request = make_mocked_request("GET", "/shop/a", headers=headers)
     call = asyncio.create_task(port.handle(request))
     await asyncio.sleep(0)
     async with asyncio.timeout(10 * ANSWER_SECONDS):
-        await port.close()
+        await port.requests.close()
         response = await call
     assert (response.status, router.calls) == (status, [])
     assert response.keep_alive is False
--- a/tests/ingress/test_relayed_calls.py
+++ b/tests/ingress/test_relayed_calls.py
@@ -9,6 +9,7 @@
 
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.http_server import listen, make_server
+from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.outcomes import NotRun
 from kingcuppond.platform.calls import PLATFORM_DIALECT
@@ -51,7 +52,7 @@
         clock=gate.clock,
         journal=gate.journal,
         next_id=unused,
-        wait_until_current=do_nothing,
+        requests=RequestsInProgress("vm-2", gate.clock, do_nothing),
     )
     runner = (await listen(make_server(port.handle_relay), "127.0.0.1:0")).ok
     host, number = runner.addresses[0]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -40,10 +40,10 @@
     draining = asyncio.create_task(daemon.drain())
     await asyncio.sleep(DEREGISTRATION_SECONDS - LATE_CALL_SECONDS / 4)
     assert not draining.done()
-    daemon.port.in_progress += 1
+    daemon.requests.count += 1
     await asyncio.sleep(LATE_CALL_SECONDS)
     is_waited_for = not draining.done()
-    daemon.port.in_progress -= 1
+    daemon.requests.count -= 1
     await draining
     await daemon.on_stop()
     assert is_waited_for
