Move serving relayed calls out of the port for callers

ingress/relayed_calls.py now serves calls that other daemons relay (RelayedCallPort), and ingress/port.py callers only. What both need to refuse a request went to ingress/responses.py. tests/ingress/test_relayed_calls.py makes the new port only, and proofs/mechanisms.py names the file that the line moved to. No logic changed.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -48,6 +48,7 @@
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.ready import make_ready_handler
+from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member, ServerState
@@ -376,23 +377,25 @@
         self.requests = RequestsInProgress(
             self.settings.vm, self.clock, self.pause_guard.wait_until_current
         )
+        relayed = RelayedCallPort(
+            self.settings.vm, self.gate, fleet_key, self.report_budget, self.clock, self.requests
+        )
         self.port = CallPort(
             self.settings.vm,
             self.settings.service,
             self.protocol.dialect,
             TrafficSplitter(self.rng).choose,
             self.configuration,
-            self.gate,
+            self.directory,
             self.router,
             self.guard,
             self.suspects,
             CallCounts(self.registry),
-            self.report_budget,
-            fleet_key,
             self.clock,
             self.journal,
             self.next_id,
             self.requests,
+            relayed,
         )
 
     def _handlers(self) -> dict[str, Callable[[web.BaseRequest], Any]]:
@@ -410,7 +413,7 @@
         if settings.ready_address:
             handlers["ready_address"] = make_ready_handler(self._is_ready)
         if settings.relay_address:
-            handlers["relay_address"] = self.port.handle_relay
+            handlers["relay_address"] = self.port.relayed.handle
             handlers["caller_address"] = self.port.handle_caller
         else:
             handlers["caller_address"] = self.port.handle
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -1,14 +1,13 @@
-"""The port for calls: from callers, and from other daemons that relay a call to this gate.
+"""The port for callers' requests.
 
-A relayed call must be authenticated with the fleet's key, and is passed to the gate only.  Both
-kinds may arrive at one address, where the relay header tells them apart.  If callers have an
-address of their own, a relay header in their requests is dropped.
+Calls that other daemons relay may arrive at the same address, where the relay header tells them
+apart.  If callers have an address of their own, a relay header in their requests is dropped.
 """
 
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
 import attrs
 from aiohttp import web
@@ -18,41 +17,30 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ClassOfWork
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import NATIVE_DIALECT, Dialect
+from kingcuppond.dialect import Dialect
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.http_server import has_next_request, problem_response
 from kingcuppond.ingress.in_progress import RequestsInProgress
-from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
-from kingcuppond.ingress.responses import send_answer
+from kingcuppond.ingress.relayed_calls import RelayedCallPort
+from kingcuppond.ingress.requests import CallerRequest, read_request
+from kingcuppond.ingress.responses import is_last, refuse, send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
+from kingcuppond.membership.directory import Directory
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
-from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
-from kingcuppond.routing.headers import (
-    CALL_HEADER,
-    GATE_REPORT_HEADER,
-    MAC_HEADER,
-    RELAY_HEADER,
-    RELAY_HEADERS,
-    end_to_end,
-)
-from kingcuppond.routing.relay import RelayHead, verify
+from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.routing.router import Router
 
-REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
-
 
 @attrs.define
 class CallPort:
-    """Serves calls.
+    """Serves callers.
 
-    :param report_budget: byte budget for load reports
+    :param relayed: serves the calls that other daemons relay
     :param choose_service: chooses the service for a request of a class
     :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
@@ -64,17 +52,16 @@
     dialect: Dialect
     choose_service: Callable[[ClassOfWork], str]
     configuration: Configuration
-    gate: Gate
+    directory: Directory
     router: Router
     guard: ClaimGuard
     suspects: SuspectTable
     counts: CallCounts
-    report_budget: WindowBudget
-    fleet_key: bytes
     clock: Clock
     journal: Journal
     next_id: Callable[[], str]
     requests: RequestsInProgress
+    relayed: RelayedCallPort
     last_request_at: float = float("-inf")
     grace: GracePeriod | None = None
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -82,7 +69,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller or of another daemon."""
         if RELAY_HEADER in request.headers:
-            return await self.handle_relay(request)
+            return await self.relayed.handle(request)
         return await self.handle_caller(request)
 
     async def handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -98,16 +85,6 @@
         finally:
             self.requests.end()
 
-    async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a call relayed by another daemon."""
-        self.requests.begin()
-        started = self.clock.monotonic()
-        try:
-            await self.requests.until_current()
-            return await self._serve_relay(request, started)
-        finally:
-            self.requests.end()
-
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
@@ -133,7 +110,7 @@
                 request=request.headers.get(self.dialect.request_id_header, "without id"),
                 reason=f"{parsed.error.reason.value}: {parsed.error.detail}",
             )
-            return self._refuse(request, parsed.error)
+            return refuse(request, parsed.error, self.dialect, self.directory.me.is_leaving)
         caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
@@ -144,10 +121,12 @@
         if result.is_error():
             self._record_failure(caller_request, result.error)
             delay = self._retry_after(caller_request.call, result.error)
-            return self._refuse(request, result.error, retry_after_seconds=delay)
+            return refuse(request, result.error, self.dialect, self.directory.me.is_leaving, delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_last(request))
+            response = await send_answer(
+                request, answer, {}, is_last(request, self.directory.me.is_leaving)
+            )
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -204,104 +183,6 @@
         task.add_done_callback(self._claimed_tasks.discard)
         return await asyncio.shield(task)
 
-    async def _serve_relay(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        verified = verify(
-            self.fleet_key,
-            request.method,
-            request.raw_path,
-            request.headers.get(RELAY_HEADER, ""),
-            request.headers.get(MAC_HEADER, ""),
-            self.vm,
-            self.clock.fleet_ms(),
-        )
-        if verified.is_error():
-            response = self._refuse(request, verified.error, {})
-            # Without the id of the call, its sender trusts the answer only on a new connection.
-            response.force_close()
-            return response
-        self.clock.observe(verified.ok.stamp)
-        call = self._make_relayed_call(request, verified.ok, started)
-        result = await self.requests.until_close(
-            self.gate.run(call), self.requests.stopped_during_call()
-        )
-        if result.is_error():
-            return self._refuse(request, result.error, self._relay_headers(call))
-        answer = result.ok
-        try:
-            # Relaying daemons close their connections once this daemon has left the fleet.
-            return await send_answer(
-                request, answer, self._relay_headers(call, answer.begun_slowdown), False
-            )
-        except InvalidAnswerError as exc:
-            raise ConnectionResetError(str(exc)) from exc
-        finally:
-            await answer.close()
-
-    def _make_relayed_call(
-        self, request: web.BaseRequest, relay: RelayHead, started: float
-    ) -> Call:
-        connection = request.headers.get("Connection", "")
-        return Call(
-            id=relay.call,
-            class_name=relay.class_name,
-            service=relay.service,
-            method=request.method,
-            target=request.raw_path,
-            headers=end_to_end(request.headers.items(), connection, RELAY_HEADERS),
-            body=read_relayed_body(request),
-            deadline=started + relay.left_ms / 1000,
-            depth=relay.depth,
-            retry_budget=relay.retry_budget,
-            at_most_once=relay.at_most_once,
-            fingerprint=relay.fingerprint,
-            is_on_trial=relay.is_on_trial,
-            request_id=relay.request_id,
-            caller_service=relay.caller_service,
-            target_at=(
-                math.inf if relay.target_left_ms is None else started + relay.target_left_ms / 1000
-            ),
-            priority=relay.priority,
-            is_last_resort=relay.is_last_resort,
-        )
-
-    def _relay_headers(self, call: Call, begun_slowdown: float = 1.0) -> dict[str, str]:
-        """Return the headers for a relaying daemon.
-
-        They are the id of the call and, unless the budget is used up, the gate's load report.
-        """
-        headers = {CALL_HEADER: call.id}
-        text = self.gate.report(begun_slowdown).encode()
-        if self.report_budget.take(REPORT_OVERHEAD_BYTES + len(text)):
-            headers[GATE_REPORT_HEADER] = text
-        return headers
-
-    def _refuse(
-        self,
-        request: web.BaseRequest,
-        failure: Failure,
-        extra_headers: dict[str, str] | None = None,
-        retry_after_seconds: float = 1.0,
-    ) -> web.StreamResponse:
-        """Make the response to a call that has no answer of a server.
-
-        :param extra_headers: headers for a relaying daemon, which is told of the failure in the
-            native dialect; ``None`` for a caller
-        """
-        dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
-        response = problem_response(failure, dialect, retry_after_seconds)
-        response.headers.update(extra_headers or {})
-        if self._is_last(request) or not request.content.at_eof():
-            response.force_close()
-        return response
-
-    def _is_last(self, request: web.BaseRequest) -> bool:
-        """Return whether the connection is closed after the answer to a request.
-
-        A pipelined request that was read already is answered first: its caller could not know
-        whether it has run.
-        """
-        return self.gate.directory.me.is_leaving and not has_next_request(request)
-
     def _may_serve(self, call: Call) -> bool:
         if self.requests.is_closing:
             return False
--- a/kingcuppond/ingress/responses.py
+++ b/kingcuppond/ingress/responses.py
@@ -1,4 +1,4 @@
-"""Forwarding a server's answer to the client, unchanged except for hop-by-hop headers.
+"""Responses to clients: a server's answer, unchanged except for hop-by-hop headers, or a refusal.
 
 If a streamed answer breaks off, the client's connection is reset, so that the client sees an
 incomplete body.
@@ -11,8 +11,13 @@
 
 from aiohttp import web
 
-from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
-from kingcuppond.outcomes import OUTCOME_HEADER, Outcome
+from kingcuppond.dialect import Dialect
+from kingcuppond.ingress.http_server import (
+    STALL_TIMEOUT_SECONDS,
+    has_next_request,
+    problem_response,
+)
+from kingcuppond.outcomes import OUTCOME_HEADER, Failure, Outcome
 from kingcuppond.routing.call import Answer
 from kingcuppond.routing.headers import to_multidict
 
@@ -20,6 +25,31 @@
 """Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
 
 
+def is_last(request: web.BaseRequest, is_leaving: bool) -> bool:
+    """Return whether the connection is closed after the answer to a request.
+
+    A pipelined request that was read already is answered first: its caller could not know
+    whether it has run.
+
+    :param is_leaving: whether this daemon is leaving the fleet
+    """
+    return is_leaving and not has_next_request(request)
+
+
+def refuse(
+    request: web.BaseRequest,
+    failure: Failure,
+    dialect: Dialect,
+    is_leaving: bool,
+    retry_after_seconds: float = 1.0,
+) -> web.Response:
+    """Make the response to a call that has no answer of a server."""
+    response = problem_response(failure, dialect, retry_after_seconds)
+    if is_last(request, is_leaving) or not request.content.at_eof():
+        response.force_close()
+    return response
+
+
 async def send_answer(
     request: web.BaseRequest, answer: Answer, extra_headers: dict[str, str], is_closing: bool
 ) -> web.StreamResponse:
--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -148,7 +148,7 @@
     ),
     Mechanism(
         "the answer of a daemon names the call",
-        "ingress/port.py",
+        "ingress/relayed_calls.py",
         "headers = {CALL_HEADER: call.id}",
         "headers = dict[str, str]()",
         "tests/ingress/test_relayed_calls.py"
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -21,6 +21,7 @@
 from kingcuppond.ingress.draining import start_grace_period
 from kingcuppond.ingress.in_progress import ANSWER_SECONDS, RequestsInProgress
 from kingcuppond.ingress.port import CallPort
+from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
@@ -66,25 +67,26 @@
     configuration.is_complete = True
     router = FakeRouter(Random(1))
     me = SimpleNamespace(is_leaving=True)
-    gate: Any = SimpleNamespace(directory=SimpleNamespace(me=me))
+    directory: Any = SimpleNamespace(me=me)
+    gate: Any = SimpleNamespace(directory=directory)
     unused: Any = None
+    requests = RequestsInProgress("vm-1", clock, _is_current)
     port = CallPort(
         vm="vm-1",
         service="shop",
         dialect=NATIVE_DIALECT,
         choose_service=lambda class_of_work: class_of_work.service,
         configuration=configuration,
-        gate=gate,
+        directory=directory,
         router=router,  # type: ignore[arg-type]
         guard=unused,
         suspects=SuspectTable("vm-1", clock, journal),
         counts=CallCounts(CollectorRegistry()),
-        report_budget=unused,
-        fleet_key=b"",
         clock=clock,
         journal=journal,
         next_id=lambda: "id",
-        requests=RequestsInProgress("vm-1", clock, _is_current),
+        requests=requests,
+        relayed=RelayedCallPort("vm-1", gate, b"", unused, clock, requests),
     )
     return port, router
 
--- a/tests/ingress/test_relayed_calls.py
+++ b/tests/ingress/test_relayed_calls.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, cast
 
 import attrs
 from multidict import CIMultiDict
@@ -10,9 +9,8 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.http_server import listen, make_server
 from kingcuppond.ingress.in_progress import RequestsInProgress
-from kingcuppond.ingress.port import CallPort
+from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.outcomes import NotRun
-from kingcuppond.platform.calls import PLATFORM_DIALECT
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.call import Body
 from kingcuppond.routing.exchange import exchange, open_session
@@ -34,27 +32,11 @@
 
 @asynccontextmanager
 async def relay_port_of(gate: Gate) -> AsyncIterator[RelayPort]:
-    unused = cast(Any, None)
     gate.directory.me = attrs.evolve(gate.directory.me, vm="vm-2")
-    port = CallPort(
-        vm="vm-2",
-        service="shop",
-        dialect=PLATFORM_DIALECT,
-        choose_service=unused,
-        configuration=gate.configuration,
-        gate=gate,
-        router=unused,
-        guard=unused,
-        suspects=gate.suspects,
-        counts=unused,
-        report_budget=WindowBudget(lambda: 0, gate.clock.monotonic),
-        fleet_key=b"",
-        clock=gate.clock,
-        journal=gate.journal,
-        next_id=unused,
-        requests=RequestsInProgress("vm-2", gate.clock, do_nothing),
-    )
-    runner = (await listen(make_server(port.handle_relay), "127.0.0.1:0")).ok
+    report_budget = WindowBudget(lambda: 0, gate.clock.monotonic)
+    requests = RequestsInProgress("vm-2", gate.clock, do_nothing)
+    port = RelayedCallPort("vm-2", gate, b"", report_budget, gate.clock, requests)
+    runner = (await listen(make_server(port.handle), "127.0.0.1:0")).ok
     host, number = runner.addresses[0]
     try:
         yield RelayPort(f"{host}:{number}")
