--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -32,6 +32,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.events.log import make_log_writer
 from kingcuppond.gate.announcements import ConfiguredServer
+from kingcuppond.gate.departure_check import make_departure_check
 from kingcuppond.gate.departures import DepartureStore
 from kingcuppond.gate.gate import Gate
 from kingcuppond.gate.incarnation import Incarnation
@@ -74,13 +75,6 @@
 from kingcuppond.store.era import EraTracker
 
 SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
-MAX_DEPARTURE_LOADS: Final = 3
-DEPARTURE_RETRY_DELAY_SECONDS: Final = 0.2
-
-INTRODUCTION_WAIT_SECONDS: Final = 3.0
-"""Longer than a join through seeds, and then through the store, takes while both answer."""
-
-INTRODUCTION_POLL_SECONDS: Final = 0.02
 
 
 @attrs.frozen
@@ -174,7 +168,12 @@
         }
         loops.update({loop.__name__: loop for loop in self.gossip.loops()})
         if self.gate.is_unconfirmed:
-            loops["departures"] = self._load_departure
+            loops["departures"] = make_departure_check(
+                self.gate,
+                self.departures,
+                self.clock,
+                lambda: self.registration.has_contacted_members,
+            )
         for name, loop in loops.items():
             await self.add_runtime_dependency(LoopService(name, loop, self.journal))
         self.journal.record(
@@ -482,27 +481,6 @@
             self.gate.mark_leaving(leaving)
             self.departures.remember(leaving)
 
-    async def _load_departure(self) -> None:
-        for _ in range(MAX_DEPARTURE_LOADS):
-            loaded = await self.departures.load()
-            if loaded.is_ok():
-                if loaded.ok is not None:
-                    self.gate.mark_leaving(loaded.ok)
-                break
-            await asyncio.sleep(DEPARTURE_RETRY_DELAY_SECONDS)
-        await self._wait_for_introduction()
-        self.gate.is_departure_checked = True
-        self.gate.confirm_server()
-        # The loop must not return: its service would start it again.
-        await asyncio.Event().wait()
-
-    async def _wait_for_introduction(self) -> None:
-        # The store may have lost the departure, and the others know it. Their configuration can
-        # arrive before the reply to the introduction.
-        end = self.clock.monotonic() + INTRODUCTION_WAIT_SECONDS
-        while not self.registration.has_contacted_members and self.clock.monotonic() < end:
-            await asyncio.sleep(INTRODUCTION_POLL_SECONDS)
-
     async def _check_silence(self) -> None:
         while True:
             await asyncio.sleep(SILENCE_CHECK_INTERVAL_SECONDS)
