Move the planned stop and the addresses out of daemon.py

planned_stop.py leads a stop until connections may be closed; addresses.py holds which handler serves each address, and the listening sockets. daemon.py composes the components. No logic changed.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -4,22 +4,19 @@
 fleet.  Calls are accepted from the first moment, and answered with "not run" until the
 configuration has been received.
 
-Planned stop: tell the other daemons and refuse new work, let all calls in progress end, stop
-accepting connections, close.
+Planned stop: ``drain`` leaves the fleet (see ``planned_stop.py``), ``on_stop`` closes everything.
 """
 
 import asyncio
-from collections.abc import Callable
 from random import Random
-from typing import Any, Final
+from typing import Final
 
-import attrs
 import zmq
-from aiohttp import web
 from expression import Error, Ok, Result
 from mode import Service
 from prometheus_client import CollectorRegistry
 
+from kingcuppond.addresses import BindError, Listeners, make_handlers
 from kingcuppond.claims.attempts import AttemptTable
 from kingcuppond.claims.coordinator import ClaimCoordinator, make_confirmed_era
 from kingcuppond.claims.guard import ClaimGuard
@@ -38,28 +35,18 @@
 from kingcuppond.gate.incarnation import Incarnation
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.counts import CallCounts
-from kingcuppond.ingress.draining import StopPlan, start_grace_period, wait_until_drained
-from kingcuppond.ingress.http_server import (
-    STALL_TIMEOUT_SECONDS,
-    has_unsent_bytes,
-    listen,
-    make_server,
-    stop_accepting,
-)
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
-from kingcuppond.ingress.ready import make_ready_handler
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import Registration
-from kingcuppond.operators.http_handler import make_handler
-from kingcuppond.operators.messages import CountsPage, EventsPage
-from kingcuppond.operators.status import read_status, register_gauges
+from kingcuppond.operators.status import register_gauges
 from kingcuppond.pause import PauseGuard
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
+from kingcuppond.planned_stop import leave_fleet
 from kingcuppond.platform.store import PlatformStore
 from kingcuppond.protocol import PROTOCOLS_BY_NAME
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -77,18 +64,6 @@
 SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
 
 
-@attrs.frozen
-class BindError:
-    """An address of the settings can't be bound.
-
-    :param key: key of the address in the settings
-    """
-
-    key: str
-    address: str
-    message: str
-
-
 class Daemon(Service):
     """The components of one daemon.
 
@@ -128,8 +103,7 @@
         self.pause_guard = PauseGuard(self.clock, self.journal, self._catch_up)
         self._make_ingress(fleet_key)
         self._last_id = 0
-        self._caller_runner: web.ServerRunner | None = None
-        self._runners: list[web.ServerRunner] = []
+        self.listeners = Listeners()
         register_gauges(self)
 
     def next_id(self) -> str:
@@ -144,14 +118,10 @@
             await self.transport.start()
         except zmq.ZMQError as exc:
             return Error(BindError("peer_address", settings.peer_address, str(exc)))
-        for key, handler in self._handlers().items():
-            address = getattr(settings, key)
-            listening = await listen(make_server(handler), address)
-            if listening.is_error():
-                return Error(BindError(key, address, listening.error.strerror or "in use"))
-            self._runners.append(listening.ok)
-            if key == "caller_address":
-                self._caller_runner = listening.ok
+        for key, handler in make_handlers(self).items():
+            bound = await self.listeners.bind(key, getattr(settings, key), handler)
+            if bound.is_error():
+                return bound
         return Ok(None)
 
     async def on_start(self) -> None:
@@ -183,29 +153,8 @@
         )
 
     async def drain(self) -> None:
-        """Leave the fleet: refuse new work from other daemons, and wait for the calls in progress.
-
-        Each call ends, since it has a deadline.  Only the settings bound the whole wait: without
-        a limit, callers that keep sending calls are served for as long as they do.
-        """
-        self.journal.record(
-            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.requests.count
-        )
-        limit_seconds = self.settings.stop_limit_seconds
-        self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
-        self.directory.publish_own_change(is_leaving=True)
-        self.gate.admission.process_queue()
-        deregistration = asyncio.create_task(self.registration.deregister())
-        plan = StopPlan(
-            limit_seconds=limit_seconds,
-            is_idle=lambda: self._has_ended_calls() and deregistration.done(),
-            seconds_since_last_request=lambda: self.clock.monotonic() - self.port.last_request_at,
-            stop_accepting=self._stop_accepting,
-            now=self.clock.monotonic,
-        )
-        # Nothing may be awaited after this: a call that arrived meanwhile would be given up.
-        await wait_until_drained(plan)
-        deregistration.cancel()
+        """Leave the fleet, and wait for the calls in progress."""
+        await leave_fleet(self)
 
     async def on_stop(self) -> None:
         """Close everything."""
@@ -213,7 +162,7 @@
             catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.requests.count
         )
         await self.requests.close()
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        await self.listeners.close()
         self.claim_coordinator.stop()
         self.gossip.stop()
         await self.transport.close()
@@ -397,27 +346,6 @@
             relayed,
         )
 
-    def _handlers(self) -> dict[str, Callable[[web.BaseRequest], Any]]:
-        """Return the handler of each address, by its key in the settings."""
-        settings = self.settings
-        pages: dict[str, Callable[[], Any]] = {
-            "/v1/status": lambda: read_status(self),
-            "/v1/events": lambda: EventsPage(settings.vm, list(self.journal.entries)),
-            "/v1/counts": lambda: CountsPage(settings.vm, self.port.counts.read()),
-        }
-        handlers: dict[str, Callable[[web.BaseRequest], Any]] = {
-            "server_address": self.server_port.handle,
-            "metrics_address": make_handler(pages, self.registry),
-        }
-        if settings.ready_address:
-            handlers["ready_address"] = make_ready_handler(self._is_ready)
-        if settings.relay_address:
-            handlers["relay_address"] = self.port.relayed.handle
-            handlers["caller_address"] = self.port.handle_caller
-        else:
-            handlers["caller_address"] = self.port.handle
-        return handlers
-
     def _make_member(self) -> Member:
         settings = self.settings
         return Member(
@@ -439,25 +367,6 @@
         hosts = [split_address(seed)[0] for seed in self.settings.seeds]
         return [f"{host}:{port}" for host in hosts if host != own_host]
 
-    def _is_ready(self) -> bool:
-        return self.configuration.is_ready and not self.directory.me.is_leaving
-
-    def _has_ended_calls(self) -> bool:
-        """Return whether all calls have ended, and their callers have got the answers.
-
-        A caller that stops reading delays a stop no longer than it delays a streamed answer.
-        """
-        if not self.port.is_idle:
-            return False
-        ended_seconds = self.clock.monotonic() - self.requests.last_ended_at
-        return ended_seconds > STALL_TIMEOUT_SECONDS or not any(
-            has_unsent_bytes(runner) for runner in self._runners
-        )
-
-    async def _stop_accepting(self) -> None:
-        if self._caller_runner is not None:
-            await stop_accepting(self._caller_runner)
-
     async def _catch_up(self) -> bool:
         """Ask other daemons, or else the store, what changed; return whether any answered."""
         self.gate.rate_limiter.assume_window_full()
