--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -1,14 +1,13 @@
-"""The port for calls: from callers, and from other daemons that relay a call to this gate.
+"""The port for callers' requests.
 
-A relayed call must be authenticated with the fleet's key, and is passed to the gate only.  Both
-kinds may arrive at one address, where the relay header tells them apart.  If callers have an
-address of their own, a relay header in their requests is dropped.
+Calls that other daemons relay may arrive at the same address, where the relay header tells them
+apart.  If callers have an address of their own, a relay header in their requests is dropped.
 """
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable
-from typing import Any, Final, TypeVar
+from collections.abc import Callable
+from typing import Any
 
 import attrs
 from aiohttp import web
@@ -18,55 +17,34 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ClassOfWork
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import NATIVE_DIALECT, Dialect
+from kingcuppond.dialect import Dialect
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.gate.gate import Gate
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.http_server import has_next_request, problem_response
-from kingcuppond.ingress.requests import CallerRequest, read_relayed_body, read_request
-from kingcuppond.ingress.responses import send_answer
+from kingcuppond.ingress.in_progress import RequestsInProgress
+from kingcuppond.ingress.relayed_calls import RelayedCallPort
+from kingcuppond.ingress.requests import CallerRequest, read_request
+from kingcuppond.ingress.responses import is_last, refuse, send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
-from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
+from kingcuppond.membership.directory import Directory
+from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
-from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
-from kingcuppond.routing.headers import (
-    CALL_HEADER,
-    GATE_REPORT_HEADER,
-    MAC_HEADER,
-    RELAY_HEADER,
-    RELAY_HEADERS,
-    end_to_end,
-)
-from kingcuppond.routing.relay import RelayHead, verify
+from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.routing.router import Router
 
-REPORT_OVERHEAD_BYTES: Final = len(GATE_REPORT_HEADER) + 4
-
-ANSWER_SECONDS: Final = 0.1
-"""Time for calls that were given up to be answered."""
-
-POLL_SECONDS: Final = 0.01
-"""Interval at which the close looks whether all are answered."""
-
-T = TypeVar("T")
-
 
 @attrs.define
 class CallPort:
-    """Serves calls.
+    """Serves callers.
 
-    :param report_budget: byte budget for load reports
+    :param relayed: serves the calls that other daemons relay
     :param choose_service: chooses the service for a request of a class
-    :param wait_until_current: waits, if this process was paused, until it is up to date
-    :param in_progress: number of requests that are being served
+    :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
-    :param last_ended_at: monotonic time at which the last call ended, in seconds
     :param grace: the grace period, once this daemon is leaving
-    :param is_closing: whether this daemon is closing its connections
     """
 
     vm: str
@@ -74,104 +52,46 @@
     dialect: Dialect
     choose_service: Callable[[ClassOfWork], str]
     configuration: Configuration
-    gate: Gate
+    directory: Directory
     router: Router
     guard: ClaimGuard
     suspects: SuspectTable
     counts: CallCounts
-    report_budget: WindowBudget
-    fleet_key: bytes
     clock: Clock
     journal: Journal
     next_id: Callable[[], str]
-    wait_until_current: Callable[[], Awaitable[None]]
-    in_progress: int = 0
+    requests: RequestsInProgress
+    relayed: RelayedCallPort
     last_request_at: float = float("-inf")
-    last_ended_at: float = float("-inf")
     grace: GracePeriod | None = None
-    is_closing: bool = False
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
-    _waiting_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller or of another daemon."""
         if RELAY_HEADER in request.headers:
-            return await self.handle_relay(request)
+            return await self.relayed.handle(request)
         return await self.handle_caller(request)
 
     async def handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller."""
-        self.in_progress += 1
+        self.requests.begin()
         self.last_request_at = started = self.clock.monotonic()
         try:
-            await self._until_current()
+            await self.requests.until_current()
             return await self._serve_caller(request, started)
         except asyncio.CancelledError:
             self._record_unanswered(request, started)
             raise
         finally:
-            self._end_call()
-
-    async def handle_relay(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a call relayed by another daemon."""
-        self.in_progress += 1
-        started = self.clock.monotonic()
-        try:
-            await self._until_current()
-            return await self._serve_relay(request, started)
-        finally:
-            self._end_call()
-
-    def _end_call(self) -> None:
-        self.in_progress -= 1
-        self.last_ended_at = self.clock.monotonic()
+            self.requests.end()
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing is in progress, not even a call whose caller has disconnected."""
-        return self.in_progress == 0 and not self._claimed_tasks
-
-    async def close(self) -> None:
-        """Refuse further requests, and answer those in progress without a result of a server."""
-        self.is_closing = True
-        for task in self._waiting_tasks:
-            task.cancel()
-        end = self.clock.monotonic() + ANSWER_SECONDS
-        while self.in_progress and self.clock.monotonic() < end:
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _until_close(
-        self, result: Awaitable[Result[T, Failure]], failure: Failure
-    ) -> Result[T, Failure]:
-        """Wait for a result until this daemon closes its connections.
-
-        :param failure: the result if there is none by then
-        """
-        task = asyncio.current_task()
-        assert task is not None
-        self._waiting_tasks.add(task)
-        try:
-            return await result
-        except asyncio.CancelledError:
-            # The task is cancelled also if the caller disconnects.
-            if not self.is_closing or task.uncancel():
-                raise
-            return Result.Error(failure)
-        finally:
-            self._waiting_tasks.discard(task)
-
-    async def _until_current(self) -> None:
-        """Wait until this daemon is up to date or closes its connections."""
-
-        async def wait() -> Result[None, Failure]:
-            await self.wait_until_current()
-            return Result.Ok(None)
-
-        # What was waiting at the close is refused where it is looked at next.
-        await self._until_close(wait(), NotRun(Reason.LEAVING, f"{self.vm} stops"))
+        return self.requests.count == 0 and not self._claimed_tasks
 
     async def _serve_caller(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        parsed = await self._until_close(
+        parsed = await self.requests.until_close(
             read_request(
                 request,
                 self.configuration,
@@ -190,19 +110,23 @@
                 request=request.headers.get(self.dialect.request_id_header, "without id"),
                 reason=f"{parsed.error.reason.value}: {parsed.error.detail}",
             )
-            return self._refuse(request, parsed.error)
+            return refuse(request, parsed.error, self.dialect, self.directory.me.is_leaving)
         caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
-        result = await self._until_close(self._run(caller_request), self._stopped_during_call())
+        result = await self.requests.until_close(
+            self._run(caller_request), self.requests.stopped_during_call()
+        )
         name = caller_request.class_of_work.name
         if result.is_error():
             self._record_failure(caller_request, result.error)
             delay = self._retry_after(caller_request.call, result.error)
-            return self._refuse(request, result.error, retry_after_seconds=delay)
+            return refuse(request, result.error, self.dialect, self.directory.me.is_leaving, delay)
         answer = result.ok
         try:
-            response = await send_answer(request, answer, {}, self._is_last(request))
+            response = await send_answer(
+                request, answer, {}, is_last(request, self.directory.me.is_leaving)
+            )
         except InvalidAnswerError as exc:
             self.journal.record(
                 catalogue.CALL_UNKNOWN,
@@ -259,107 +183,8 @@
         task.add_done_callback(self._claimed_tasks.discard)
         return await asyncio.shield(task)
 
-    async def _serve_relay(self, request: web.BaseRequest, started: float) -> web.StreamResponse:
-        verified = verify(
-            self.fleet_key,
-            request.method,
-            request.raw_path,
-            request.headers.get(RELAY_HEADER, ""),
-            request.headers.get(MAC_HEADER, ""),
-            self.vm,
-            self.clock.fleet_ms(),
-        )
-        if verified.is_error():
-            response = self._refuse(request, verified.error, {})
-            # Without the id of the call, its sender trusts the answer only on a new connection.
-            response.force_close()
-            return response
-        self.clock.observe(verified.ok.stamp)
-        call = self._make_relayed_call(request, verified.ok, started)
-        result = await self._until_close(self.gate.run(call), self._stopped_during_call())
-        if result.is_error():
-            return self._refuse(request, result.error, self._relay_headers(call))
-        answer = result.ok
-        try:
-            # Relaying daemons close their connections once this daemon has left the fleet.
-            return await send_answer(
-                request, answer, self._relay_headers(call, answer.begun_slowdown), False
-            )
-        except InvalidAnswerError as exc:
-            raise ConnectionResetError(str(exc)) from exc
-        finally:
-            await answer.close()
-
-    def _make_relayed_call(
-        self, request: web.BaseRequest, relay: RelayHead, started: float
-    ) -> Call:
-        connection = request.headers.get("Connection", "")
-        return Call(
-            id=relay.call,
-            class_name=relay.class_name,
-            service=relay.service,
-            method=request.method,
-            target=request.raw_path,
-            headers=end_to_end(request.headers.items(), connection, RELAY_HEADERS),
-            body=read_relayed_body(request),
-            deadline=started + relay.left_ms / 1000,
-            depth=relay.depth,
-            retry_budget=relay.retry_budget,
-            at_most_once=relay.at_most_once,
-            fingerprint=relay.fingerprint,
-            is_on_trial=relay.is_on_trial,
-            request_id=relay.request_id,
-            caller_service=relay.caller_service,
-            target_at=(
-                math.inf if relay.target_left_ms is None else started + relay.target_left_ms / 1000
-            ),
-            priority=relay.priority,
-            is_last_resort=relay.is_last_resort,
-        )
-
-    def _relay_headers(self, call: Call, begun_slowdown: float = 1.0) -> dict[str, str]:
-        """Return the headers for a relaying daemon.
-
-        They are the id of the call and, unless the budget is used up, the gate's load report.
-        """
-        headers = {CALL_HEADER: call.id}
-        text = self.gate.report(begun_slowdown).encode()
-        if self.report_budget.take(REPORT_OVERHEAD_BYTES + len(text)):
-            headers[GATE_REPORT_HEADER] = text
-        return headers
-
-    def _refuse(
-        self,
-        request: web.BaseRequest,
-        failure: Failure,
-        extra_headers: dict[str, str] | None = None,
-        retry_after_seconds: float = 1.0,
-    ) -> web.StreamResponse:
-        """Make the response to a call that has no answer of a server.
-
-        :param extra_headers: headers for a relaying daemon, which is told of the failure in the
-            native dialect; ``None`` for a caller
-        """
-        dialect = NATIVE_DIALECT if extra_headers is not None else self.dialect
-        response = problem_response(failure, dialect, retry_after_seconds)
-        response.headers.update(extra_headers or {})
-        if self._is_last(request) or not request.content.at_eof():
-            response.force_close()
-        return response
-
-    def _is_last(self, request: web.BaseRequest) -> bool:
-        """Return whether the connection is closed after the answer to a request.
-
-        A pipelined request that was read already is answered first: its caller could not know
-        whether it has run.
-        """
-        return self.gate.directory.me.is_leaving and not has_next_request(request)
-
-    def _stopped_during_call(self) -> Unknown:
-        return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
-
     def _may_serve(self, call: Call) -> bool:
-        if self.is_closing:
+        if self.requests.is_closing:
             return False
         typical_seconds = self.router.sender.typical_seconds(call.class_name)
         return self.grace is None or self.grace.may_serve(
@@ -384,7 +209,7 @@
         self.journal.record(
             catalogue.REQUEST_UNANSWERED,
             request=request.headers.get(self.dialect.request_id_header, "without id"),
-            closed_by="this daemon" if self.is_closing else "the caller",
+            closed_by="this daemon" if self.requests.is_closing else "the caller",
             ms=round((now - started) * 1000),
             leaving_ms=None if grace is None else round((now - grace.started) * 1000),
         )
