A claim is also kept by a third daemon, in case its owner coordinates it and dies

What callers would see: a request with a key runs twice after one daemon was killed and the store came back from a copy, if the daemon had received the request and was the coordinator of the key too.

Cause: after a restore a claim that the copy lacks is written again by the owner of the attempt or by the coordinator that wrote it. In a small fleet these are often the same daemon, and with a data centre both may be lost; then nobody knows the claim.

Change: before a coordinator grants a claim that could be lost with it, it sends a copy to the next daemon in rank, in another data centre if there is one. The keeper has the claim written again like those of its own attempts, before it publishes the era.

Evidence: test_a_claim_whose_owner_coordinates_it_is_written_again_by_the_keeper_of_a_copy fails without the copies (200 from a second run instead of "key-ran").

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -117,6 +117,8 @@
 
     :param eras: the newest era of the store that this daemon knows
     :param confirmed_era: returns the newest era in whose log the claims of all living members are
+    :param on_granted: called with a shard's number, records that are about to be granted, and the
+        era of the log that holds them
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         journal: Journal,
     ) -> None:
         self.commits = 0
+        self.on_granted: list[Callable[[int, list[ClaimRecord], int], None]] = []
         self._store = store
         self._eras = eras
         self._confirmed_era = confirmed_era
@@ -285,18 +288,24 @@
                 continue
             group, records = self._select(shard, group)
             if not records:
-                _grant_all(log, group)
+                self._grant(log, group)
                 return
             self.commits += 1
             written = await log.append(records)
             if written.is_ok():
-                _grant_all(log, group)
+                self._grant(log, group)
                 return
             self._journal.record(
                 catalogue.CLAIMS_RELOADED, shard=log.shard, why=written.error.message
             )
             await self._wait_before_retry(written)
 
+    def _grant(self, log: ShardLog, group: list[_PendingRecord]) -> None:
+        new = [it.record for it in group if it.record is not None and not it.is_renewal]
+        for callback in self.on_granted:
+            callback(log.shard, new, log.era)
+        _grant_all(log, group)
+
     async def _prepare(self, shard: _Shard) -> Result[None, StoreError]:
         """Bring the copy of a log up to date, and append the claims that the store has lost."""
         log = shard.log
--- a/kingcuppond/claims/messages.py
+++ b/kingcuppond/claims/messages.py
@@ -43,6 +43,17 @@
     era: int = 0
 
 
+@attrs.frozen
+class ClaimCopy:
+    """Tells a further daemon of granted claims and releases; there is no reply.
+
+    :param era: era of the store's log that holds them
+    """
+
+    records: tuple[ClaimRecord, ...]
+    era: int
+
+
 class Verdict(StrEnum):
     """How a coordinator replies to a record; ``GRANTED`` also confirms a written release."""
 
@@ -69,7 +80,7 @@
 class RenewalRequest:
     """Asks the coordinator of a shard to write claims again that a restored store may have lost.
 
-    :param records: claims of the sender's attempts that were granted and may have run
+    :param records: granted claims that may have run: of the sender's attempts, and copies of others
     :param era: the era of the store in which they must be in the log
     """
 
--- a/kingcuppond/claims/peers.py
+++ b/kingcuppond/claims/peers.py
@@ -5,6 +5,7 @@
 
 from kingcuppond.claims.attempts import AttemptTable
 from kingcuppond.claims.coordinator import UNAVAILABLE, ClaimCoordinator, coordinators_of, shard_of
+from kingcuppond.claims.copies import ClaimCopies, owner_of
 from kingcuppond.claims.messages import (
     AttemptQuery,
     AttemptReply,
@@ -29,6 +30,7 @@
     """The coordinators of all shards and the owners of all attempts, this daemon included.
 
     :param attempts: the attempts of this daemon
+    :param copies: copies of claims that this daemon keeps for others
     :param eras: the newest era of the store that this daemon knows
     """
 
@@ -42,11 +44,13 @@
         clock: Clock,
     ) -> None:
         self.attempts = attempts
+        self.copies = ClaimCopies(directory, transport, eras, clock)
         self._directory = directory
         self._transport = transport
         self._coordinator = coordinator
         self._eras = eras
         self._clock = clock
+        coordinator.on_granted.append(self._send_copies)
         transport.handlers_by_type[ClaimRequest] = coordinator.on_claim_request
         transport.handlers_by_type[RenewalRequest] = coordinator.on_renewal_request
         transport.handlers_by_type[AttemptQuery] = self._on_attempt_query
@@ -97,7 +101,7 @@
 
         :param deadline: monotonic time in seconds
         """
-        owner = self._directory.members_by_vm.get(query.attempt.partition("/")[0])
+        owner = self._directory.members_by_vm.get(owner_of(query.attempt))
         if owner is None:
             return AttemptReply(AttemptState.UNKNOWN)
         if owner.vm == self._directory.me.vm:
@@ -106,6 +110,9 @@
         reply = await self._transport.ask(owner.peer_address, query, AttemptReply, timeout)
         return reply.default_value(AttemptReply(AttemptState.UNKNOWN))
 
+    def _send_copies(self, shard: int, records: list[ClaimRecord], era: int) -> None:
+        self.copies.send(records, era, coordinators_of(shard, self._directory))
+
     async def _on_attempt_query(self, _sender: str, query: AttemptQuery) -> AttemptReply:
         return self.attempts.lookup(query)
 
--- a/kingcuppond/claims/renewal.py
+++ b/kingcuppond/claims/renewal.py
@@ -1,9 +1,10 @@
 """Writes claims again after the store was restored from a copy, and then publishes the new era.
 
-The restored store may lack claims whose attempts have run.  Two daemons still know such a claim:
-the owner of the attempt, and the coordinator that wrote it.  When a daemon hears of a new era, it
-first writes what its copies of the logs hold and the store lacks, then has the claims of its own
-attempts written, and only then publishes the era in its description.  No coordinator grants a new
+The restored store may lack claims whose attempts have run.  Such a claim is still known to the
+owner of the attempt, to the coordinator that wrote it, and to the daemon that keeps a copy (see
+``copies.py``).  When a daemon hears of a new era, it first writes what its copies of the logs hold
+and the store lacks, then has the claims of its own attempts and the copies that it keeps written,
+and only then publishes the era in its description.  No coordinator grants a new
 claim in an era that a living member has not published.
 
 From the moment that a daemon knows the new era it starts no attempt by a claim that was granted in
@@ -63,7 +64,8 @@
 
         :return: whether all of them are in the log
         """
-        claims = self._peers.attempts.granted_claims()
+        own = self._peers.attempts.granted_claims()
+        claims = [*own, *self._peers.copies.claims()]
         if not await self._coordinator.renew_own(era):
             return False
         replies = await asyncio.gather(
@@ -73,10 +75,11 @@
             return False
         self._journal.record(catalogue.CLAIMS_RENEWED, era=era, count=len(claims))
         self._directory.publish_own_change(store_era=era)
-        attempts_by_key = {claim.key: claim.attempt for claim in claims}
+        attempts_by_key = {claim.key: claim.attempt for claim in own}
         for reply in replies:
             for holder in reply.holders:
-                await self._report_second_holder(holder, attempts_by_key[holder.key])
+                if holder.key in attempts_by_key:
+                    await self._report_second_holder(holder, attempts_by_key[holder.key])
         return True
 
     async def _report_second_holder(self, holder: ClaimRecord, attempt: str) -> None:
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -9,6 +9,7 @@
 from kingcuppond.claims.messages import (
     AttemptQuery,
     AttemptReply,
+    ClaimCopy,
     ClaimReply,
     ClaimRequest,
     RenewalReply,
@@ -38,6 +39,7 @@
     "objects-reply": ObjectsReply,
     "claim-ask": ClaimRequest,
     "claim-reply": ClaimReply,
+    "claim-copy": ClaimCopy,
     "claim-renewal-ask": RenewalRequest,
     "claim-renewal-reply": RenewalReply,
     "recall-ask": AttemptQuery,
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -232,6 +232,19 @@
     play(script)
 
 
+def test_a_claim_whose_owner_coordinates_it_is_written_again_by_the_keeper_of_a_copy() -> None:
+    async def script(scenario: Scenario) -> None:
+        fleet, owner = scenario.fleet, scenario.coordinator
+        assert await scenario.call(owner) == "200"
+        fleet.store.restore(1)
+        fleet.restart(owner)
+        await asyncio.sleep(1)
+        assert await scenario.call(scenario.third) == "key-ran"
+        assert scenario.runs() == [f"vm{owner}"]
+
+    play(script)
+
+
 def test_a_grant_that_arrives_after_the_restore_starts_no_run() -> None:
     async def script(scenario: Scenario) -> None:
         fleet = scenario.fleet
@@ -289,6 +302,8 @@
         fleet = scenario.fleet
         shard = shard_of(key_digest("booking", "k"))
         coordinator = fleet.daemons[scenario.coordinator].coordinator
+        # Copies that are written again would take the revision.
+        coordinator.on_granted.clear()
         for i, fault in enumerate(["ok", "ok", "ok", "late"]):
             fleet.store.faults = [fault, *["dropped"] * MAX_COMMIT_ATTEMPTS]
             await coordinator.submit(shard, ClaimRecord(bytes([i]), "f", f"vm9/1/{i}", 1))
