A departure known from others replaces an earlier one that a restored store holds

What callers would see: calls reach a server that has acknowledged its leaving, after its daemon was restarted twice around a restore of the store, and the others too.

Cause: a daemon that restarts learns from the others of a departure that the store has lost, and writes it again, but only if the store holds none. After a restore it may hold that of the server's earlier incarnation; then the later one was never written again, and only the memory of the others protected the server.

Change: the departure of the later incarnation is written.

Evidence: test_a_departure_that_other_daemons_remember_replaces_an_earlier_one_of_the_copy failed before with the store read first.

--- a/kingcuppond/gate/departures.py
+++ b/kingcuppond/gate/departures.py
@@ -77,8 +77,11 @@
         return Ok(decoded.ok)
 
     def remember(self, incarnation: Incarnation) -> None:
-        """Have a departure of an earlier process written that the store may have lost since."""
-        if self._leaving is None:
+        """Have a departure of an earlier process written that the store may have lost since.
+
+        The store may still have that of an earlier incarnation.
+        """
+        if self._leaving is None or 0 < self._leaving.born_ms < incarnation.born_ms:
             self._leaving = incarnation
             self._version = None
             self._is_rewrite_due.set()
--- a/tests/gate/test_departures.py
+++ b/tests/gate/test_departures.py
@@ -232,3 +232,21 @@
     running.cancel()
     assert store.writes == 1
     assert (await make_departure_store(store, journal).load()).ok == recorded
+
+
+@pytest.mark.parametrize("is_loaded_first", [True, False], ids=["store first", "others first"])
+async def test_a_departure_that_other_daemons_remember_replaces_an_earlier_one_of_the_copy(
+    is_loaded_first: bool, journal: Journal
+) -> None:
+    store = FakeStore()
+    await make_departure_store(store, journal).record(LEAVING)
+    departures = make_departure_store(store, journal)
+    if is_loaded_first:
+        await departures.load()
+    departures.remember(NEXT)
+    if not is_loaded_first:
+        await departures.load()
+    running = asyncio.create_task(departures.run())
+    await asyncio.sleep(0.1)
+    running.cancel()
+    assert (await make_departure_store(store, journal).load()).ok == NEXT
