A daemon that was paused uses no grant until another daemon or the store has answered

What callers would see: a request with a key runs twice after its daemon was paused, the others took it for dead, the store was restored without the claim, and nobody answered the woken daemon within a second (busy or cut off).

Cause: before a grant is used, the guard waits until the daemon has caught up, but for a second at most, and then went on whether or not it had. It then compared the grant with an era that it had not been able to ask for.

Change: as long as the daemon has not caught up, the grant is not used and the call is answered with "not run".

Evidence: test_a_grant_that_is_read_after_a_pause_starts_no_run_if_the_store_was_restored ["is not answered"] failed before: 200 instead of "claim-unavailable".

--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -55,7 +55,8 @@
     :param eras: the newest era of the store that this daemon knows
     :param run: sends a call to a server
     :param next_id: generates the id of a new attempt
-    :param wait_until_current: after a pause of this process, waits until it is up to date
+    :param wait_until_current: after a pause of this process, waits for a moment until it is up to
+        date, and returns whether it is
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         journal: Journal,
         run: RunCall,
         next_id: Callable[[], str],
-        wait_until_current: Callable[[], Awaitable[None]],
+        wait_until_current: Callable[[], Awaitable[bool]],
     ) -> None:
         self._peers = peers
         self._attempts = peers.attempts
@@ -91,10 +92,11 @@
             reply = await self._peers.submit(record, call.deadline)
             self._eras.observe(reply.era)
             # The store may have been restored during a pause between the grant and this line.
-            await self._wait_until_current()
+            is_current = await self._wait_until_current()
             # A claim that was granted before a restore is not used: the store may have lost it, and
             # this daemon has already begun to write its earlier claims again.
-            if reply.verdict is Verdict.GRANTED and reply.era == self._eras.era:
+            is_usable = is_current and reply.era == self._eras.era
+            if reply.verdict is Verdict.GRANTED and is_usable:
                 return await self._run_granted(call, record)
             if reply.verdict is not Verdict.HELD or reply.holder is None:
                 self._attempts.finish(call.id, AttemptState.NOT_RUN)
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -367,7 +367,7 @@
             self.journal,
             self.router.run,
             self.next_id,
-            self.pause_guard.wait_until_current,
+            self._wait_until_current,
         )
         self.report_budget = WindowBudget(
             lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
@@ -460,6 +460,10 @@
         )
         return is_answered or await self.watcher.read_all()
 
+    async def _wait_until_current(self) -> bool:
+        await self.pause_guard.wait_until_current()
+        return not self.pause_guard.is_stale
+
     def _is_isolated(self) -> bool:
         return self.watcher.is_isolated() or self.pause_guard.is_stale
 
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -149,7 +149,7 @@
             self.next_id,
             self._wait_until_current,
         )
-        self.catch_up: Callable[[], Awaitable[None]] = _return_at_once
+        self.catch_up: Callable[[], Awaitable[bool]] = _return_at_once
         self.last_id = 0
         self.is_stopped = False
         self.tasks: list[asyncio.Task[Any]] = []
@@ -228,8 +228,8 @@
     async def handle(self, sender: str, message: Any) -> Any:
         return await self.handlers_by_type[type(message)](sender, message)
 
-    async def _wait_until_current(self) -> None:
-        await self.catch_up()
+    async def _wait_until_current(self) -> bool:
+        return await self.catch_up()
 
     def _create_task(self, coroutine: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
         task = asyncio.create_task(coroutine)
@@ -272,8 +272,8 @@
         return any(claim.attempt == attempt for claim in self.peers.copies.claims())
 
 
-async def _return_at_once() -> None:
-    pass
+async def _return_at_once() -> bool:
+    return True
 
 
 def call_later(seconds: float, function: Any, *arguments: Any) -> None:
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -262,8 +262,9 @@
     play(script)
 
 
+@pytest.mark.parametrize("is_answered", [True, False], ids=["hears", "is not answered"])
 def test_a_grant_that_is_read_after_a_pause_starts_no_run_if_the_store_was_restored(
-    monkeypatch: pytest.MonkeyPatch,
+    is_answered: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The other daemons take the paused one for dead and go on without it."""
     monkeypatch.setattr(directory_module, "DEAD_AFTER_SECONDS", 0.0)
@@ -272,8 +273,10 @@
         fleet = scenario.fleet
         owner = fleet.daemons[scenario.owner]
 
-        async def catch_up() -> None:
-            owner.client.eras.observe(fleet.store.era)
+        async def catch_up() -> bool:
+            if is_answered:
+                owner.client.eras.observe(fleet.store.era)
+            return is_answered
 
         owner.catch_up = catch_up
         fleet.transport_faults.append("slow")
