Move sending to the server and the ids of recent calls out of the gate

gate/server_client.py sends admitted calls to the server and classifies the answers; gate/call_ids.py recognises duplicates. The gate keeps admission and the server's state. The server's address and incarnation are still read after the body of a call has arrived. No logic changed.

--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -9,52 +9,45 @@
 
 import asyncio
 import math
-import time
-from collections.abc import AsyncIterator, Callable
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import attrs
-from aiohttp import web
 from expression import Error, Ok, Result
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ServiceProperties
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import AnswerKind, Dialect, Headers, ServerReport, ServerRequest
+from kingcuppond.dialect import Dialect, ServerReport
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.announcements import Announcement
+from kingcuppond.gate.call_ids import RecentCallIds
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.gate.concurrency_limit import ConcurrencyLimit
 from kingcuppond.gate.deadline_check import DeadlineCheck
 from kingcuppond.gate.incarnation import Incarnation, IncarnationTracker
 from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.server_client import ServerClient, track_stream
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import ServerState
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
-from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
-from kingcuppond.routing.exchange import exchange, is_not_listening
-from kingcuppond.routing.headers import to_multidict
+from kingcuppond.routing.call import Answer, Call
+from kingcuppond.routing.exchange import is_not_listening
 from kingcuppond.routing.view import GateReport
 from kingcuppond.typical_latency import TypicalLatencies
 
-CALL_ID_RETENTION_SECONDS: Final = 60.0
-"""Longer than any call may take, so that a duplicate message is still recognised."""
-
-MAX_CALL_IDS: Final = 50_000
-
 
 @attrs.define
 class Gate:
     """Admits calls to the local server and tracks its state.
 
-    :param session: reuses its connections; for calls that may be repeated
-    :param fresh_session: opens a connection for each call, for calls that must not be repeated or
-        have no id; bytes sent after an earlier answer cannot be read as the answer to such a call
+    :param session: reuses its connections
+    :param fresh_session: opens a connection for each call
     :param server_timeout_seconds: a server that reports nothing for this long is considered absent
     :param suspect_delay_seconds: how long the failure of a call that may have taken the server down
         is delayed, so that all daemons know of the suspect first; 0 disables the delay
@@ -90,7 +83,8 @@
     observer: ServerObserver = attrs.field(init=False)
     deadline_check: DeadlineCheck = attrs.field(init=False)
     _was_out_of_service: bool = False
-    _seen_at_by_call_id: dict[str, float] = attrs.field(factory=dict)
+    _call_ids: RecentCallIds = attrs.field(init=False)
+    _client: ServerClient = attrs.field(init=False)
     _background_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -110,6 +104,16 @@
             self.journal,
             self._apply_self_report,
         )
+        self._client = ServerClient(
+            self.directory.me.vm,
+            self.session,
+            self.fresh_session,
+            self.dialect,
+            lambda: self.address,
+            lambda: self.incarnations.current.id,
+            self.observer.record_report,
+        )
+        self._call_ids = RecentCallIds(now)
         self.deadline_check = DeadlineCheck(
             self.directory.me.vm, self.admission, self.observer, self.typical_latencies
         )
@@ -230,7 +234,7 @@
 
         The code that receives the answer must call its ``close``.
         """
-        if not self._remember_call_id(call.id):
+        if not self._call_ids.remember(call.id):
             return Error(Unknown(Reason.DUPLICATE, f"call {call.id} was already received"))
         level = self.suspects.level(call.fingerprint)
         if level is QuarantineLevel.HELD:
@@ -264,7 +268,7 @@
         started = self.clock.monotonic()
         slowdown = self.observer.slowdown
         try:
-            result = await self._exchange(call)
+            result = await self._client.send(call)
         except BaseException:
             self.admission.release(ticket)
             raise
@@ -276,79 +280,15 @@
             self._record_answer(call, ticket, answer, started)
             self.admission.release(ticket)
             return Ok(answer)
-        return Ok(self._track_stream(call, ticket, answer, started))
-
-    async def _exchange(self, call: Call) -> Result[Answer, Failure]:
-        if call.at_most_once:
-            try:
-                await call.body.buffer()
-            except (OSError, TimeoutError, aiohttp.ClientError, web.RequestPayloadError) as exc:
-                return Error(NotRun(Reason.BAD_REQUEST, f"the request body ended early: {exc!r}"))
-        headers = to_multidict(call.headers)
-        left_ms = int((call.deadline - time.monotonic()) * 1000)
-        server_request = ServerRequest(
-            max(left_ms, 1),
-            call.depth,
-            call.retry_budget,
-            call.caller_service,
-            self.incarnations.current.id,
-        )
-        headers.update(self.dialect.server_headers(server_request))
-
-        def classify(status: int, answer_headers: Headers, is_first: bool) -> AnswerKind:
-            return self.dialect.classify_answer(status, answer_headers, headers, is_first)
-
-        result = await exchange(
-            self._session_for(call),
-            self.address,
-            call.method,
-            call.target,
-            headers,
-            call.body,
-            call.deadline,
-            accept=lambda *received: classify(*received) is not AnswerKind.UNUSABLE,
-        )
-        if result.is_error():
-            return Error(result.error)
-        answer_headers = result.ok.headers
-        answer = result.ok.answer
-        self.observer.record_report(answer_headers)
-        kind = classify(answer.status, answer_headers, result.ok.is_first_on_connection)
-        if kind is AnswerKind.ANSWERED:
-            return Ok(answer)
-        await answer.close()
-        if kind is AnswerKind.OTHER_INSTANCE:
-            return Error(NotRun(Reason.NO_SERVER, "another server incarnation has the address now"))
-        return Error(
-            NotRun(Reason.SHED_BY_SERVER, f"the server on {self.directory.me.vm} shed the call")
-        )
-
-    def _session_for(self, call: Call) -> aiohttp.ClientSession:
-        # On a reused connection, only the request's id shows that an answer belongs to it.
-        lacks_id = bool(self.dialect.request_id_header) and not call.request_id
-        return self.fresh_session if call.at_most_once or lacks_id else self.session
-
-    def _track_stream(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> Answer:
         # The call stays in flight until its streamed answer has ended.
-        source = answer.chunks
-        close = answer.close
-
-        async def tracked_chunks() -> AsyncIterator[bytes]:
-            assert source is not None
-            try:
-                async for chunk in source:
-                    yield chunk
-            except InvalidAnswerError as exc:
-                lost = Unknown(Reason.CONNECTION_LOST, str(exc))
-                await self._record_failure(call, ticket, lost)
-                raise
-            self._record_answer(call, ticket, answer, started)
-
-        async def close_and_release() -> None:
-            self.admission.release(ticket)
-            await close()
-
-        return attrs.evolve(answer, chunks=tracked_chunks(), close=close_and_release)
+        return Ok(
+            track_stream(
+                answer,
+                on_end=lambda: self._record_answer(call, ticket, answer, started),
+                on_lost=lambda failure: self._record_failure(call, ticket, failure),
+                on_close=lambda: self.admission.release(ticket),
+            )
+        )
 
     def _record_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
         self.answered += 1
@@ -492,22 +432,3 @@
         task = asyncio.ensure_future(work)
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
-
-    def _remember_call_id(self, call_id: str) -> bool:
-        """Remember a call's id, so that a duplicate or replayed message does not run it again.
-
-        :return: whether the id is new
-        """
-        now = self.clock.monotonic()
-        if call_id in self._seen_at_by_call_id:
-            return False
-        self._seen_at_by_call_id[call_id] = now
-        while (
-            len(self._seen_at_by_call_id) > MAX_CALL_IDS
-            or self._oldest_seen_at() < now - CALL_ID_RETENTION_SECONDS
-        ):
-            self._seen_at_by_call_id.pop(next(iter(self._seen_at_by_call_id)))
-        return True
-
-    def _oldest_seen_at(self) -> float:
-        return next(iter(self._seen_at_by_call_id.values()))
