Move the shards of the claims and the confirmed era out of the coordinator

claims/shards.py: the shard of a key, the members that may coordinate it. claims/confirmation.py: the newest era that all living members have published. No logic changed.

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -26,16 +26,13 @@
     RenewalRequest,
     Verdict,
 )
+from kingcuppond.claims.shards import SHARD_COUNT
 from kingcuppond.clock import Clock
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.contacts import rendezvous_hash
-from kingcuppond.membership.directory import Directory
-from kingcuppond.membership.messages import Member
 from kingcuppond.store.era import EraTracker
 from kingcuppond.store.interface import Store, StoreError
 
-SHARD_COUNT: Final = 64
 COMMITS_PER_SECOND: Final = 5.0
 COMMIT_BURST: Final = 4.0
 MAX_COMMIT_ATTEMPTS: Final = 5
@@ -50,42 +47,6 @@
 UNAVAILABLE: Final = ClaimReply(Verdict.UNAVAILABLE)
 
 
-def shard_of(key: bytes) -> int:
-    """Return the shard number for the digest of a key."""
-    return int.from_bytes(key[:2]) % SHARD_COUNT
-
-
-def coordinators_of(shard: int, directory: Directory) -> list[Member]:
-    """Return the members that may coordinate a shard, in order of rank."""
-    living = [
-        member
-        for member in directory.living()
-        if not member.is_leaving and not directory.is_suspected(member.vm)
-    ]
-    return sorted(living, key=lambda member: rendezvous_hash(f"claims-{shard}", member.vm))
-
-
-def make_confirmed_era(directory: Directory, has_joined: Callable[[], bool]) -> Callable[[], int]:
-    """Return a function that returns the newest era that all living members have published.
-
-    A member that is discovered later does not lower the era: nothing is known of its claims, as of
-    those of a dead one.
-
-    :param has_joined: returns whether the directory holds the other members
-    """
-    generation = -1
-    era = 0
-
-    def confirmed_era() -> int:
-        nonlocal generation, era
-        if generation != directory.generation and has_joined():
-            generation = directory.generation
-            era = max(era, min(member.store_era for member in directory.living()))
-        return era
-
-    return confirmed_era
-
-
 @attrs.define
 class _PendingRecord:
     """A record that waits to be written.
--- a/kingcuppond/claims/peers.py
+++ b/kingcuppond/claims/peers.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.coordinator import UNAVAILABLE, ClaimCoordinator, coordinators_of, shard_of
+from kingcuppond.claims.coordinator import UNAVAILABLE, ClaimCoordinator
 from kingcuppond.claims.messages import (
     AttemptQuery,
     AttemptReply,
@@ -16,6 +16,7 @@
     RenewalRequest,
     Verdict,
 )
+from kingcuppond.claims.shards import coordinators_of, shard_of
 from kingcuppond.clock import Clock
 from kingcuppond.membership.directory import Directory
 from kingcuppond.peers.transport import PeerTransport
--- a/kingcuppond/claims/renewal.py
+++ b/kingcuppond/claims/renewal.py
@@ -13,9 +13,10 @@
 import asyncio
 from typing import Final
 
-from kingcuppond.claims.coordinator import MAX_GROUP_RECORDS, ClaimCoordinator, shard_of
+from kingcuppond.claims.coordinator import MAX_GROUP_RECORDS, ClaimCoordinator
 from kingcuppond.claims.messages import AttemptQuery, AttemptState, ClaimRecord, RenewalRequest
 from kingcuppond.claims.peers import REPLY_TIMEOUT_SECONDS, ClaimPeers
+from kingcuppond.claims.shards import shard_of
 from kingcuppond.clock import Clock
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -18,7 +18,8 @@
 
 from kingcuppond.addresses import BindError, Listeners, make_handlers
 from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.coordinator import ClaimCoordinator, make_confirmed_era
+from kingcuppond.claims.confirmation import make_confirmed_era
+from kingcuppond.claims.coordinator import ClaimCoordinator
 from kingcuppond.claims.guard import ClaimGuard
 from kingcuppond.claims.peers import ClaimPeers
 from kingcuppond.claims.renewal import ClaimRenewal
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -13,7 +13,8 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.coordinator import ClaimCoordinator, make_confirmed_era
+from kingcuppond.claims.confirmation import make_confirmed_era
+from kingcuppond.claims.coordinator import ClaimCoordinator
 from kingcuppond.claims.guard import ClaimGuard
 from kingcuppond.claims.peers import ClaimPeers
 from kingcuppond.claims.renewal import ClaimRenewal
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -15,13 +15,12 @@
     CONFIRMATION_WAIT_SECONDS,
     MAX_COMMIT_ATTEMPTS,
     ClaimCoordinator,
-    coordinators_of,
-    shard_of,
 )
 from kingcuppond.claims.guard import key_digest
 from kingcuppond.claims.log import ShardLog
 from kingcuppond.claims.messages import ClaimRecord, RenewalRequest, Verdict
 from kingcuppond.claims.segments import SegmentId
+from kingcuppond.claims.shards import coordinators_of, shard_of
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership import directory as directory_module
