Store and claims: one reading of the era, one limit of a write, names of two waits

The era of an answer is read once. The coordinator's limit of a group was the log's limit of one write under a second name. The watcher's waits for its rank no longer share a name with the time after which a listing of a restored store counts as it is. No value or logic changed.

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -17,7 +17,7 @@
 import attrs
 from expression import Result
 
-from kingcuppond.claims.log import ShardLog
+from kingcuppond.claims.log import MAX_APPENDED_RECORDS, ShardLog
 from kingcuppond.claims.messages import (
     ClaimRecord,
     ClaimReply,
@@ -37,7 +37,6 @@
 COMMIT_BURST: Final = 4.0
 MAX_COMMIT_ATTEMPTS: Final = 5
 RETRY_DELAY_SECONDS: Final = 0.02
-MAX_GROUP_RECORDS: Final = 500
 SHARD_IDLE_SECONDS: Final = 600.0
 EXPIRY_INTERVAL_SECONDS: Final = 600.0
 CONFIRMATION_WAIT_SECONDS: Final = 0.5
@@ -201,8 +200,8 @@
             shard.wake.clear()
             while self._reply_to_redundant(shard):
                 await self._wait_for_token(shard)
-                group = shard.pending[:MAX_GROUP_RECORDS]
-                del shard.pending[:MAX_GROUP_RECORDS]
+                group = shard.pending[:MAX_APPENDED_RECORDS]
+                del shard.pending[:MAX_APPENDED_RECORDS]
                 await self._commit_or_reset(shard, group)
             await self._drop_expired(shard)
 
--- a/kingcuppond/claims/renewal.py
+++ b/kingcuppond/claims/renewal.py
@@ -13,7 +13,8 @@
 import asyncio
 from typing import Final
 
-from kingcuppond.claims.coordinator import MAX_GROUP_RECORDS, ClaimCoordinator
+from kingcuppond.claims.coordinator import ClaimCoordinator
+from kingcuppond.claims.log import MAX_APPENDED_RECORDS
 from kingcuppond.claims.messages import AttemptQuery, AttemptState, ClaimRecord, RenewalRequest
 from kingcuppond.claims.peers import REPLY_TIMEOUT_SECONDS, ClaimPeers
 from kingcuppond.claims.shards import shard_of
@@ -98,7 +99,7 @@
     for claim in claims:
         claims_by_shard.setdefault(shard_of(claim.key), []).append(claim)
     return [
-        RenewalRequest(shard, tuple(group[start : start + MAX_GROUP_RECORDS]), era)
+        RenewalRequest(shard, tuple(group[start : start + MAX_APPENDED_RECORDS]), era)
         for shard, group in claims_by_shard.items()
-        for start in range(0, len(group), MAX_GROUP_RECORDS)
+        for start in range(0, len(group), MAX_APPENDED_RECORDS)
     ]
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -43,10 +43,10 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.1
 MAX_BACKOFF_SECONDS: Final = 2.0
 ISOLATED_AFTER_SECONDS: Final = 2.0
-SETTLE_SECONDS: Final = 0.3
+RANK_SETTLE_SECONDS: Final = 0.3
 """Time from joining the fleet until the ranks are known; rumours cross the fleet sooner."""
 
-MAX_SETTLE_SECONDS: Final = 1.0
+MAX_RANK_SETTLE_SECONDS: Final = 1.0
 """Time from the start after which a daemon that could not join takes its rank as known."""
 
 JOIN_POLL_SECONDS: Final = 0.05
@@ -104,7 +104,7 @@
         self._is_restart = is_restart
         self.wait_ms = wait_ms
         self._store_heard_at = clock.monotonic()
-        self._settled_at = clock.monotonic() + MAX_SETTLE_SECONDS
+        self._settled_at = clock.monotonic() + MAX_RANK_SETTLE_SECONDS
         self._was_joined = False
         self._informed_at = clock.monotonic()
         self._rank_generation = -1
@@ -334,7 +334,7 @@
     def _update_settled(self) -> None:
         if not self._was_joined and self._is_joined():
             self._was_joined = True
-            settled_at = self._clock.monotonic() + SETTLE_SECONDS
+            settled_at = self._clock.monotonic() + RANK_SETTLE_SECONDS
             self._settled_at = min(self._settled_at, settled_at)
 
     def _update_isolation(self) -> None:
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -55,7 +55,9 @@
 NOT_EXECUTED_STATUSES: Final = (429, 503)
 
 ERA_HEADER: Final = "Store-Era"
+
 MAX_ERA_DIGITS: Final = 7
+"""With more digits, a version would not fit in 64 bits."""
 
 T = TypeVar("T")
 
@@ -241,10 +243,10 @@
     def _check_era(
         self, method: str, response: aiohttp.ClientResponse, content: bytes
     ) -> Result[_Response, StoreError]:
-        checked = _check_status(method, response.status, content, _read_era(response))
+        era = _read_era(response)
+        checked = _check_status(method, response.status, content, era)
         if response.status in NOT_EXECUTED_STATUSES:
             return checked
-        era = _read_era(response)
         self.eras.observe(era)
         if era < self.eras.era:
             message = f"the answer is of era {era}, but the store is in era {self.eras.era}"
