Recent claims in any earlier segment are written again after a restore

What callers would see: a request with a key runs twice, after a restore to a copy older than two segments and three late writes of the era before.

Cause: a claim that one late write adds may be removed by another one. Only the last two segments of an earlier era counted as changeable. Late writes can also bring back the first claims of later segments, and then the last segment of the copy, which late writes change, is not among the last two.

Change: a claim of the last 60 s counts as unsettled in any segment of an earlier era. Late writes are executed within seconds, and a claim that the copy holds at its revision is in every later write of the segment, so older claims stay.

Evidence: test_a_claim_that_late_writes_changed_behind_later_segments_is_held failed before: the retry was granted.

--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -12,10 +12,11 @@
 A store that was restored from a copy has lost records, and may still execute writes that were sent
 before.  So each era of the store has segments of its own, and the order holds within an era.  The
 segments of earlier eras are read too, and their claims hold their keys, but only a record in a
-segment of the present era grants one: a late write may still replace the last earlier segment, and
-another one may replace it once more without the records of the first.  So what the last earlier
-segments hold is not taken for settled: a claim that has run is then written again.  A key may be
-held by several attempts, and is free when all of them are released.
+segment of the present era grants one: a late write may still replace an earlier segment, and
+another one may replace it once more without the records of the first.  So neither what the last
+earlier segments hold nor a recent claim in any of them is taken for settled: a claim that has run
+is then written again.  A key may be held by several attempts, and is free when all of them are
+released.
 """
 
 from collections.abc import Iterable
@@ -38,6 +39,9 @@
 UNSETTLED_SEGMENTS: Final = 2
 """Of each earlier era, the last segments: late writes change that of the copy or add the next."""
 
+UNSETTLED_MS: Final = 60_000
+"""Age of the claims that late writes may add; these are executed within seconds."""
+
 RETENTION_MS: Final = 86_400_000
 
 
@@ -90,8 +94,11 @@
         last_numbers_by_era = {segment.id.era: segment.id.number for segment in read.ok}
         for segment in read.ok:
             self._take(segment, now_ms)
-            if segment.id.number > last_numbers_by_era[segment.id.era] - UNSETTLED_SEGMENTS:
-                self._mark_unsettled(segment)
+            if segment.id.era < self.era:
+                is_last = (
+                    segment.id.number > last_numbers_by_era[segment.id.era] - UNSETTLED_SEGMENTS
+                )
+                self._mark_unsettled(segment, 0 if is_last else now_ms - UNSETTLED_MS)
         self._hold_lost_claims(now_ms)
         self.is_loaded = True
         return Ok(None)
@@ -194,9 +201,10 @@
                 self._apply(claim)
         self.lost_claims = still_lost
 
-    def _mark_unsettled(self, segment: Segment) -> None:
-        if segment.id.era < self.era:
-            self._unsettled_attempts.update(record.attempt for record in segment.records)
+    def _mark_unsettled(self, segment: Segment, oldest_ms: int) -> None:
+        self._unsettled_attempts.update(
+            record.attempt for record in segment.records if record.at_ms >= oldest_ms
+        )
 
     def _is_settled(self, claim: ClaimRecord) -> bool:
         """Return whether no late write can remove a claim that was read from the store."""
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from kingcuppond.claims import log as log_module
 from kingcuppond.claims.coordinator import (
     CONFIRMATION_WAIT_SECONDS,
     MAX_COMMIT_ATTEMPTS,
@@ -414,3 +415,46 @@
     confirmed_era = 2
     assert (await coordinator.submit(0, retry)).verdict is Verdict.HELD
     coordinator.stop()
+
+
+async def test_a_claim_that_late_writes_changed_behind_later_segments_is_held(
+    clock: Clock, journal: Journal, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The copy ends in segment 0; late writes bring back the first claims of two later ones."""
+    monkeypatch.setattr(log_module, "SEGMENT_BYTES", 350)
+    store = FakeStore(era=1)
+
+    async def append(key: bytes, fault: str) -> ClaimRecord:
+        record = ClaimRecord(key, "f", f"vm9/1/{key.decode()}", clock.fleet_ms())
+        store.faults = [fault]
+        log = ShardLog(0, cast(Store, store))
+        await log.load(clock.fleet_ms())
+        await log.append([record])
+        return record
+
+    await append(b"first", "ok")
+    ran = await append(b"key", "late")
+    await append(b"second", "ok")
+    await append(b"third", "late")
+    await append(b"key", "ok")
+    await append(b"fourth", "ok")
+    for begins_segment in (b"a", b"b"):
+        await append(begins_segment, "late")
+        for i in range(4):
+            await append(begins_segment * (2 + i), "ok")
+    lost_writes = store.version - 1
+    store.restore(lost_writes)
+    claimed, removing, *begun = store.late
+    store.late = [claimed, *begun]
+    store.apply_late_writes()
+    assert len(store.objects) == 3
+    confirmed_era = 1
+    eras = EraTracker(2)
+    coordinator = ClaimCoordinator(cast(Store, store), eras, lambda: confirmed_era, clock, journal)
+    assert (await coordinator.renew(RenewalRequest(0, (ran,), 2))).is_done
+    store.late = [removing]
+    store.apply_late_writes()
+    confirmed_era = 2
+    retry = ClaimRecord(b"key", "f", "vm9/1/retry", clock.fleet_ms())
+    assert (await coordinator.submit(0, retry)).verdict is Verdict.HELD
+    coordinator.stop()
