A restarted daemon that finds no other one waits before it confirms an era of the store

What callers would see: a request with a key runs twice, at a daemon that starts just after the store was restored to a copy without the registrations, or whose first contacts do not answer.

Cause: such a daemon has asked everyone it knows, nobody, and so knows itself as the only living member. It confirmed the era alone and granted keys whose claims the others had not yet written again.

Change: a daemon that was restarted and knows no other member confirms no era in its first six seconds: longer than registered daemons take to register again (a second) and a lone one to read the listing (4.5 s at most). Until then new keys get "not run".

Evidence: test_a_daemon_that_finds_no_other_one_after_a_restore_runs_no_key_again failed before in 2 of 2 runs: 200 from a second run of the key.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -80,6 +80,9 @@
 
 INTRODUCTION_POLL_SECONDS: Final = 0.02
 
+LONE_START_SECONDS: Final = 6.0
+"""Longer than others take to register again after a restore, and this daemon to find them."""
+
 
 @attrs.frozen
 class BindError:
@@ -112,6 +115,7 @@
         super().__init__()
         self.settings = settings
         self.clock = clock or Clock()
+        self._created_at = self.clock.monotonic()
         self.rng = rng or Random()
         self.protocol = PROTOCOLS_BY_NAME[settings.protocol]
         self.journal = Journal(settings.vm, self.clock)
@@ -345,7 +349,7 @@
         self.claim_coordinator = ClaimCoordinator(
             self.store,
             eras,
-            make_confirmed_era(self.directory, lambda: self.registration.has_contacted_members),
+            make_confirmed_era(self.directory, self._knows_members),
             self.clock,
             self.journal,
         )
@@ -460,6 +464,20 @@
         )
         return is_answered or await self.watcher.read_all()
 
+    def _knows_members(self) -> bool:
+        """Return whether the directory holds the other members, if there are any.
+
+        A daemon that was restarted and finds no other one may only not see them: the store may have
+        lost their registrations, or they are slow to answer.
+        """
+        if not self.registration.has_contacted_members:
+            return False
+        return (
+            self.settings.is_first_start
+            or self.directory.living_count > 1
+            or self.clock.monotonic() - self._created_at > LONE_START_SECONDS
+        )
+
     async def _wait_until_current(self) -> bool:
         await self.pause_guard.wait_until_current()
         return not self.pause_guard.is_stale
--- a/tests/failures/test_platform.py
+++ b/tests/failures/test_platform.py
@@ -72,7 +72,9 @@
         put_json(url, body, "POST")
 
 
-async def send(address: str, path: str, method: str = "GET", deadline_ms: int = 2000) -> Reply:
+async def send(
+    address: str, path: str, method: str = "GET", deadline_ms: int = 2000, key: str = ""
+) -> Reply:
     attempt_id = f"a{next(_IDS)}"
     headers = {
         "Host": HOST,
@@ -80,6 +82,8 @@
         "X-Kingcuppond-Deadline-Ms": str(deadline_ms),
         "X-Kingcuppond-Caller-Service": "forged",
     }
+    if key:
+        headers["Idempotency-Key"] = key
     started = time.monotonic()
     data = b"body" if method == "POST" else None
     try:
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -15,6 +15,7 @@
     PLANS,
     VM_NAMES,
     caller_address,
+    configure,
     is_ready,
     put_object,
     send,
@@ -323,6 +324,33 @@
     assert sum(fleet.runs(leaving_vm)["runs_by_id"].values()) == before
 
 
+async def test_a_daemon_that_finds_no_other_one_after_a_restore_runs_no_key_again(
+    fleet: Fleet,
+) -> None:
+    """Guards against a daemon that takes itself for the whole fleet, since registrations are lost.
+
+    The others are paused for a moment, so that they neither register again nor contact it.
+    """
+    configure(fleet, 2)
+    for name in VM_NAMES:
+        delete_object(fleet, "daemon", name)
+    fleet.copy_platform()
+    restarted, *others = VM_NAMES
+    await asyncio.sleep(KNOWN_SECONDS)
+    first = await send(fleet.vms_by_name[others[0]].caller, "/book/1", "POST", key="k")
+    assert first.status == 200
+    fleet.kill(restarted, "daemon")
+    for name in others:
+        fleet.signal(name, "daemon", signal.SIGSTOP)
+    await asyncio.to_thread(fleet.restore_platform)
+    restart_daemon(fleet, restarted)
+    await wait_until(lambda: is_ready(fleet, restarted))
+    again = await send(fleet.vms_by_name[restarted].caller, "/book/1", "POST", key="k")
+    for name in others:
+        fleet.signal(name, "daemon", signal.SIGCONT)
+    assert again.status != 200
+
+
 async def test_daemons_whose_registration_the_copy_lacks_can_be_found(fleet: Fleet) -> None:
     """Guards against a fleet that a starting daemon can't join, since nobody registers again."""
     url = f"http://{fleet.platform}/objects/daemon"
