Calls that were sent to no server when a daemon stops are told so

Callers saw: at the end of a planned stop, a request that was waiting for a slot at a gate, for its claim or for its body to be asked for got 502 (unknown), though no server had it. It may not be repeated then, if it must run once at most.

Cause: the close answers all calls in progress alike, since only the part that sends a call knows whether it was sent.

Change: a call carries a record of its attempts that may have run. It is written by the exchange, before anything goes out that a server needs to run the call, and taken back when an attempt is known not to have run. At the close a call without such an attempt is answered 503 (not run). A claimed call, which would go on without its caller's connection, is ended first, and its attempt counts as not run, so that a retry at another daemon is not told that its key is running. While a connection is being opened, and for a call that is relayed without a body, the outcome stays unknown. The same holds if another attempt holds the key.

Evidence: with three servers of one slot each that are busy, a POST that comes 1.0 s after SIGTERM waits at another daemon's gate until the close at 5.1 s.

--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -80,18 +80,21 @@
     async def run_once(self, call: Call, key: str) -> Result[Answer, Failure]:
         """Run a call, or return the first answer again if its key has already run.
 
-        If this is cancelled before the claim is granted, the attempt never runs but stays
-        ``RUNNING``; if the claim still reaches the store, a retry is told that the key is running,
-        until the attempt is evicted.  After a cancellation during the run the state is ``UNKNOWN``.
+        If this is cancelled before the call is sent to a server, the attempt never runs, and its
+        state is ``NOT_RUN``.  After a later cancellation the state is ``UNKNOWN``.
         """
         digest = key_digest(call.class_name, key)
         for _ in range(MAX_CLAIM_ROUNDS):
             record = self._make_record(call, digest)
             self._attempts.start(call.id, call.fingerprint)
-            reply = await self._peers.submit(record, call.deadline)
-            self._eras.observe(reply.era)
-            # The store may have been restored during a pause between the grant and this line.
-            await self._wait_until_current()
+            try:
+                reply = await self._peers.submit(record, call.deadline)
+                self._eras.observe(reply.era)
+                # The store may have been restored during a pause between the grant and this line.
+                await self._wait_until_current()
+            except BaseException:
+                self._attempts.finish(call.id, AttemptState.NOT_RUN)
+                raise
             # A claim that was granted before a restore is not used: the store may have lost it, and
             # this daemon has already begun to write its earlier claims again.
             if reply.verdict is Verdict.GRANTED and reply.era == self._eras.era:
@@ -107,9 +110,11 @@
             self._journal.record(
                 catalogue.CLAIM_REFUSED, key=digest.hex(), attempt=reply.holder.attempt
             )
+            call.delivery.attempts.add(reply.holder.attempt)
             result = await self._resolve_held_key(call, reply.holder)
             if result is not None:
                 return result
+            call.delivery.attempts.discard(reply.holder.attempt)
             call = attrs.evolve(call, id=self._next_id())
         return Error(
             Unknown(Reason.KEY_RUNNING, "other attempts claimed this idempotency key first")
@@ -124,7 +129,10 @@
         try:
             result = await self._run(call)
         except BaseException:
-            self._attempts.finish(call.id, AttemptState.UNKNOWN)
+            may_have_run = call.delivery.may_have_run
+            self._attempts.finish(
+                call.id, AttemptState.UNKNOWN if may_have_run else AttemptState.NOT_RUN
+            )
             raise
         if result.is_ok():
             await self._cache_answer(call, result.ok)
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -307,6 +307,7 @@
             call.body,
             call.deadline,
             accept=lambda *received: classify(*received) is not AnswerKind.UNUSABLE,
+            on_send=lambda: call.delivery.attempts.add(call.id),
         )
         if result.is_error():
             return Error(result.error)
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -69,6 +69,22 @@
         return str(self._hash.hexdigest())
 
 
+@attrs.define
+class Delivery:
+    """What is known about whether a call has run, for all its attempts together.
+
+    :param attempts: ids of the attempts that may have run; one is added before anything is sent
+        that a server needs to run it, and removed when it is known not to have run
+    """
+
+    attempts: set[str] = attrs.field(factory=set)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the call may have run already, or may run yet."""
+        return bool(self.attempts)
+
+
 @attrs.frozen
 class Call:
     """A call, or one attempt of it: a retry or hedge is a copy with a new id.
@@ -87,6 +103,7 @@
         expires
     :param priority: priority of its class; larger numbers are shed first
     :param is_last_resort: no other server accepts it, so a late answer is better than none
+    :param delivery: shared by all attempts of the call
     """
 
     id: str
@@ -107,6 +124,7 @@
     target_at: float = math.inf
     priority: int = 0
     is_last_resort: bool = False
+    delivery: Delivery = attrs.field(factory=Delivery)
 
     @property
     def is_repeatable(self) -> bool:
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -97,13 +97,19 @@
     is_awaiting_continue: bool
 
 
-def _body_data(body: Body, body_state: _BodyState, continue_timeout: asyncio.Timeout) -> Any:
+def _body_data(
+    body: Body,
+    body_state: _BodyState,
+    continue_timeout: asyncio.Timeout,
+    on_send: Callable[[], None],
+) -> Any:
     if body.is_buffered and not body_state.is_awaiting_continue:
         return body.buffered or None
 
     async def data() -> AsyncIterator[bytes]:
         if body_state.is_awaiting_continue:
             body_state.is_awaiting_continue = False
+            on_send()
             continue_timeout.reschedule(None)
         if body.is_buffered:
             yield body.buffered
@@ -124,6 +130,7 @@
     deadline: float,
     continue_seconds: float | None = None,
     accept: AcceptAnswer = lambda status, headers, is_first_on_connection: True,
+    on_send: Callable[[], None] = lambda: None,
 ) -> Result[ReceivedAnswer, Failure]:
     """Send a request and receive its answer, whose body is left to be streamed if it is long.
 
@@ -132,6 +139,7 @@
     :param continue_seconds: send the body only after ``100 Continue``, and give up if it does not
         come within this time, in seconds; until then the request is certainly not run there
     :param accept: if it rejects an answer, the connection is closed and the outcome is unknown
+    :param on_send: called before the first byte is sent from which on the request may run
     """
     deadline_timeout = asyncio.timeout_at(
         asyncio.get_running_loop().time() + deadline - time.monotonic()
@@ -139,13 +147,15 @@
     continue_timeout = asyncio.timeout(continue_seconds)
     body_state = _BodyState(is_awaiting_continue=continue_seconds is not None)
     response: aiohttp.ClientResponse | None = None
+    if not body_state.is_awaiting_continue:
+        on_send()
     try:
         async with deadline_timeout, continue_timeout:
             response = await session.request(
                 method,
                 URL(f"http://{address}{target}", encoded=True),
                 headers=headers,
-                data=_body_data(body, body_state, continue_timeout),
+                data=_body_data(body, body_state, continue_timeout, on_send),
                 allow_redirects=False,
                 expect100=continue_seconds is not None,
             )
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -77,6 +77,7 @@
             raise
         now = self.clock.monotonic()
         if result.is_error() and isinstance(result.error, NotRun):
+            call.delivery.attempts.discard(call.id)
             if result.error.reason is Reason.SERVER_SLOW:
                 view.started_by_call.pop(call.id, None)
             else:
@@ -122,6 +123,9 @@
         member = self.directory.members_by_vm.get(candidate.vm)
         if member is None:
             return Error(NotRun(Reason.NO_SERVER, f"{candidate.vm} is no longer a member"))
+        if not (call.at_most_once and call.body.is_buffered):
+            # The gate may pass the call on before it has asked for the body.
+            call.delivery.attempts.add(call.id)
         head = relay.encode(self._relay_head(call, member.vm))
         headers = to_multidict(call.headers)
         headers[RELAY_HEADER] = head
@@ -136,6 +140,7 @@
             call.deadline,
             continue_seconds=self._continue_seconds(call),
             accept=lambda _status, headers, is_first: _belongs_to(call, headers, is_first),
+            on_send=lambda: call.delivery.attempts.add(call.id),
         )
         return await self._read_result(result, candidate)
 
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -128,6 +128,29 @@
     assert all(reply.sent_at + reply.seconds > FULL_WAIT_SECONDS for reply in replies)
 
 
+async def test_a_request_that_was_sent_to_no_server_by_the_end_is_told_so() -> None:
+    """It waited for a slot, and was told that it may have run, so that it may not be repeated."""
+    plans = plan_service("shop", {"dc-1": 2, "dc-2": 1}, "--slots", "1")
+    with Fleet(plans, is_on_platform=True, log_level="debug") as fleet:
+        configure(fleet, Timeout="20000ms", Kind="unsafe")
+        fleet.wait_until_ready()
+        other = fleet.vms_by_name[plans[1].name].caller
+        path = "/read/1?ms=9000"
+        busy = [asyncio.create_task(send(other, path, deadline_ms=15_000)) for _ in plans]
+        await asyncio.sleep(0.5)
+        caller = await open_caller(fleet, is_kept=False)
+        stopped_at = time.monotonic()
+        reply, _ = await asyncio.gather(
+            caller.send_at(stopped_at, 1.0, "POST", path, 15_000),
+            stop_as_the_platform_does(fleet, stopped_at),
+        )
+        await caller.session.close()
+        assert (reply.status, reply.runs, reply.is_closing) == (503, 0, True)
+        assert reply.sent_at + reply.seconds > FULL_WAIT_SECONDS
+        for call in busy:
+            call.cancel()
+
+
 async def test_a_request_that_never_arrives_whole_does_not_delay_the_exit(fleet: Fleet) -> None:
     """The close waited seconds for its handler, so that the daemon was killed."""
     configure(fleet, 2, Timeout="20000ms")
