The grace period counts from the earliest time at which SIGTERM was sent

Callers would see: on a busy machine, or if the process was held up, a request that was sent later than 3 s after SIGTERM was still served as an early one and given up at the end. If SIGTERM was handled 0.6 s late or later, the process was killed before it had answered what was in progress.

Cause: the time was counted from when the signal was handled (and during a start only from its end on).

Evidence: beside other work (load 29 on 8 processors) the process wrote that it was leaving (E102) 0.1 s after SIGTERM was sent, in one of three runs.

Change: a signal that is handled now was sent after an earlier sign that the process ran. The guard against pauses keeps that time, also for the moment after a delay, when timers run before the signal. The end moves only if the signal may be more than 0.5 s old, as giving up calls sooner would cut what a server is still at work on. Draining waits until the end that requests are checked against, and E102 tells how old the signal may be.

test_a_late_request_is_not_sent_and_cut_if_the_signal_is_handled_late (the process is stopped for 0.8 s while SIGTERM is sent) failed before: the daemon had to be killed. It passes now.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -131,6 +131,7 @@
         self._make_routing(fleet_key, policy, is_hedging)
         self.pause_guard = PauseGuard(self.clock, self.journal, self._catch_up)
         self._make_ingress(fleet_key)
+        self.stop_requested = asyncio.Event()
         self._last_id = 0
         self._caller_runner: web.ServerRunner | None = None
         self._runners: list[web.ServerRunner] = []
@@ -181,22 +182,35 @@
             data_centre=self.settings.data_centre,
         )
 
+    def request_stop(self) -> None:
+        """Begin the grace period; the daemon was told to stop, if this is the first call."""
+        if self.port.grace is None:
+            self.port.grace = start_grace_period(
+                self.clock.monotonic(),
+                self.settings.stop_limit_seconds,
+                self.pause_guard.max_signal_age(),
+            )
+        self.stop_requested.set()
+
     async def drain(self) -> None:
         """Leave the fleet: refuse new work from other daemons, and wait for the calls in progress.
 
         Each call ends, since it has a deadline.  Only the settings bound the whole wait: without
         a limit, callers that keep sending calls are served for as long as they do.
         """
+        self.request_stop()
+        assert self.port.grace is not None
         self.journal.record(
-            catalogue.DAEMON_LEAVING, vm=self.settings.vm, in_flight=self.port.in_progress
+            catalogue.DAEMON_LEAVING,
+            vm=self.settings.vm,
+            in_flight=self.port.in_progress,
+            leaving_ms=round((self.clock.monotonic() - self.port.grace.started) * 1000),
         )
-        limit_seconds = self.settings.stop_limit_seconds
-        self.port.grace = start_grace_period(self.clock.monotonic(), limit_seconds)
         self.directory.publish_own_change(is_leaving=True)
         self.gate.admission.process_queue()
         deregistration = asyncio.create_task(self.registration.deregister())
         plan = StopPlan(
-            limit_seconds=limit_seconds,
+            ends=self.port.grace.ends,
             is_idle=lambda: self._has_ended_calls() and deregistration.done(),
             seconds_since_last_request=lambda: self.clock.monotonic() - self.port.last_request_at,
             stop_accepting=self._stop_accepting,
--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -33,18 +33,22 @@
 SERVED_AS_USUAL_SHARE: Final = 0.6
 """The largest part of a short grace period in which requests are served as usual."""
 
-STOP_ACCEPTING_BEFORE_LIMIT_SECONDS: Final = 1.0
-"""Time before the limit without new callers, so that those accepted can be answered."""
+STOP_ACCEPTING_BEFORE_CLOSE_SECONDS: Final = 0.6
+"""Time before the close without new callers, so that those accepted can be answered."""
 
 CLOSE_BEFORE_LIMIT_SECONDS: Final = 0.4
 """Time before the limit that is reserved for the daemon to close its connections itself."""
 
+HARMLESS_DELAY_SECONDS: Final = 0.5
+"""A signal may be handled so late and the process still ends in time, since time is reserved for
+its end.  A shorter grace period would only give up calls sooner."""
+
 
 @attrs.frozen
 class GracePeriod:
     """The time in which a leaving daemon still serves callers.
 
-    :param started: monotonic time at which the daemon began to leave, in seconds
+    :param started: monotonic time at which the daemon was told to leave at the earliest, in seconds
     :param ends: monotonic time at which it closes its connections, in seconds, infinite if it waits
         until all calls have ended
     """
@@ -68,28 +72,35 @@
         return deadline <= self.ends or (is_early and now + typical_seconds <= self.ends)
 
 
-def start_grace_period(now: float, limit_seconds: float) -> GracePeriod:
+def start_grace_period(
+    now: float, limit_seconds: float, max_signal_age: float = 0.0
+) -> GracePeriod:
     """Return the grace period of a daemon that begins to leave now.
 
     :param limit_seconds: the time limit, 0 for none
+    :param max_signal_age: how long ago it was told to leave at most, in seconds
     """
+    started = now - max_signal_age
     if not limit_seconds:
-        return GracePeriod(now, math.inf)
-    return GracePeriod(now, now + limit_seconds - CLOSE_BEFORE_LIMIT_SECONDS)
+        return GracePeriod(started, math.inf)
+    harmful_delay = max(0.0, max_signal_age - HARMLESS_DELAY_SECONDS)
+    ends = now + limit_seconds - CLOSE_BEFORE_LIMIT_SECONDS - harmful_delay
+    return GracePeriod(started, ends)
 
 
 @attrs.frozen
 class StopPlan:
     """The inputs of draining.
 
-    :param limit_seconds: the time limit, 0 for none
+    :param ends: monotonic time at which connections are closed, in seconds, infinite if there is no
+        time limit
     :param is_idle: whether nothing is in progress
     :param seconds_since_last_request: time since the last request of a caller arrived
     :param stop_accepting: stops accepting connections of callers
     :param now: monotonic clock, in seconds
     """
 
-    limit_seconds: float
+    ends: float
     is_idle: Callable[[], bool]
     seconds_since_last_request: Callable[[], float]
     stop_accepting: Callable[[], Awaitable[None]]
@@ -99,18 +110,16 @@
 async def wait_until_drained(plan: StopPlan) -> None:
     """Wait until no caller connects any more and all calls have ended, or the time is over."""
     started = plan.now()
-    if plan.limit_seconds:
+    if not math.isinf(plan.ends):
         await _wait_until(
             lambda: plan.now() - started >= UNREADY_NOTICED_SECONDS
             and plan.is_idle()
             and plan.seconds_since_last_request() >= QUIET_PERIOD_SECONDS,
-            started + plan.limit_seconds - STOP_ACCEPTING_BEFORE_LIMIT_SECONDS,
+            plan.ends - STOP_ACCEPTING_BEFORE_CLOSE_SECONDS,
             plan.now,
         )
         await plan.stop_accepting()
-        await _wait_until(
-            plan.is_idle, started + plan.limit_seconds - CLOSE_BEFORE_LIMIT_SECONDS, plan.now
-        )
+        await _wait_until(plan.is_idle, plan.ends, plan.now)
         return
     await asyncio.sleep(PROPAGATION_SECONDS)
     await _wait_until(plan.is_idle, None, plan.now)
--- a/kingcuppond/pause.py
+++ b/kingcuppond/pause.py
@@ -24,6 +24,12 @@
 PAUSE_SECONDS: Final = 1.0
 """A longer time without a tick is a pause; a busy VM delays ticks by less."""
 
+DELAY_SECONDS: Final = 0.05
+"""A longer time without a sign of running is remembered for a moment."""
+
+DELAY_MEMORY_SECONDS: Final = 0.1
+"""Other events may be handled between the end of a delay and a signal that was sent during it."""
+
 CATCH_UP_TIMEOUT_SECONDS: Final = 1.0
 RETRY_SECONDS: Final = 0.2
 
@@ -41,11 +47,13 @@
     catch_up: Callable[[], Awaitable[bool]]
     is_stale: bool = False
     _ran_at: float = attrs.field(init=False)
+    _delay_began_at: float = attrs.field(init=False)
+    _delay_ended_at: float = attrs.field(init=False)
     _pauses: int = 0
     _catching_up: "asyncio.Task[None] | None" = None
 
     def __attrs_post_init__(self) -> None:
-        self._ran_at = self.clock.boot()
+        self._ran_at = self._delay_began_at = self._delay_ended_at = self.clock.boot()
 
     async def run(self) -> None:
         """Detect pauses while no calls arrive, forever."""
@@ -53,6 +61,15 @@
             await asyncio.sleep(TICK_SECONDS)
             self._detect()
 
+    def max_signal_age(self) -> float:
+        """Return how long ago, in seconds, a signal that is handled now was sent at most.
+
+        One that was sent before an earlier sign of running has been handled then.
+        """
+        now = self.clock.boot()
+        is_after_delay = now - self._delay_ended_at <= DELAY_MEMORY_SECONDS
+        return now - (self._delay_began_at if is_after_delay else self._ran_at)
+
     async def wait_until_current(self) -> None:
         """Wait until this daemon is up to date, for ``CATCH_UP_TIMEOUT_SECONDS`` at most."""
         self._detect()
@@ -62,6 +79,8 @@
     def _detect(self) -> None:
         now = self.clock.boot()
         paused_seconds = now - self._ran_at
+        if paused_seconds > DELAY_SECONDS:
+            self._delay_began_at, self._delay_ended_at = self._ran_at, now
         self._ran_at = now
         if paused_seconds > PAUSE_SECONDS:
             self.journal.record(catalogue.PAUSED, seconds=round(paused_seconds, 1))
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -71,10 +71,9 @@
         return (
             f"key {bound.error.key!r}: {bound.error.address} can't be used: {bound.error.message}"
         )
-    stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
+        loop.add_signal_handler(number, service.request_stop)
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     await service.start()
@@ -83,7 +82,7 @@
     gc.freeze()
     gc.set_threshold(YOUNG_OBJECTS)
     reloading = asyncio.create_task(reload_forever(path, service, reload_requested))
-    await stop_requested.wait()
+    await service.stop_requested.wait()
     reloading.cancel()
     await service.drain()
     await service.stop()
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -20,6 +20,7 @@
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1}, "--slots", "32")
 KILL_SECONDS = 6.0
 FULL_WAIT_SECONDS = 5.0
+HANDLED_AFTER_SECONDS = 0.8
 LOG_CHARACTERS = 4000
 SERVICE_MS = 1500
 TIMEOUT_MS = 2000
@@ -201,6 +202,26 @@
     assert all(reply.is_closing for reply in replies)
 
 
+async def test_a_late_request_is_not_sent_and_cut_if_the_signal_is_handled_late(
+    fleet: Fleet,
+) -> None:
+    """The time in which callers are served as usual began when the signal was handled."""
+    configure(fleet, 2, Timeout="20000ms", Kind="unsafe")
+    await asyncio.sleep(1.0)
+    caller = await open_caller(fleet, is_kept=True)
+    fleet.signal(STOPPING, "daemon", signal.SIGSTOP)
+    stopped_at = time.monotonic()
+    fleet.signal(STOPPING, "daemon", signal.SIGTERM)
+    await asyncio.sleep(HANDLED_AFTER_SECONDS)
+    fleet.signal(STOPPING, "daemon", signal.SIGCONT)
+    reply, _ = await asyncio.gather(
+        caller.send_at(stopped_at, 3.2, "POST", "/read/1?ms=9000", 15_000),
+        stop_as_the_platform_does(fleet, stopped_at),
+    )
+    await caller.session.close()
+    assert (reply.status, reply.runs) == (503, 0)
+
+
 async def send_pipelined(fleet: Fleet, paths: list[str]) -> list[tuple[int, bool]]:
     """Send requests at once on one connection, and stop the daemon meanwhile.
 
--- a/tests/ingress/test_draining.py
+++ b/tests/ingress/test_draining.py
@@ -6,6 +6,7 @@
 
 from kingcuppond.ingress.draining import (
     CLOSE_BEFORE_LIMIT_SECONDS,
+    HARMLESS_DELAY_SECONDS,
     SERVED_AS_USUAL_SECONDS,
     SERVED_AS_USUAL_SHARE,
     start_grace_period,
@@ -45,3 +46,24 @@
 def test_without_a_time_limit_every_request_is_served() -> None:
     grace = start_grace_period(0.0, 0.0)
     assert grace.may_serve(1e6, math.inf, 3600.0)
+
+
+@pytest.mark.parametrize("age", [0.0, 0.1, 0.5, 0.9, 5.0])
+def test_requests_are_served_as_usual_from_the_earliest_time_of_the_signal_on(age: float) -> None:
+    """The time was counted from when the signal was handled, however late that was."""
+    handled_at = 100.0
+    grace = start_grace_period(handled_at, LIMIT_SECONDS, age)
+    last = handled_at - age + SERVED_AS_USUAL_SECONDS
+    assert not grace.may_serve(last, last + 10.0, TYPICAL_SECONDS)
+    if last - 0.1 >= handled_at:
+        assert grace.may_serve(last - 0.1, last + 10.0, TYPICAL_SECONDS)
+
+
+@pytest.mark.parametrize("age", [0.0, 0.1, 0.5, 0.9, 5.0])
+def test_a_grace_period_ends_in_time_even_if_the_signal_was_handled_late(age: float) -> None:
+    handled_at = 100.0
+    grace = start_grace_period(handled_at, LIMIT_SECONDS, age)
+    limit = LIMIT_SECONDS - CLOSE_BEFORE_LIMIT_SECONDS
+    assert grace.ends <= handled_at - age + limit + HARMLESS_DELAY_SECONDS
+    if age <= HARMLESS_DELAY_SECONDS:
+        assert grace.ends == handled_at + limit, "calls in progress are not given up sooner"
--- a/tests/test_pause.py
+++ b/tests/test_pause.py
@@ -7,7 +7,7 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
-from kingcuppond.pause import PAUSE_SECONDS, RETRY_SECONDS, PauseGuard
+from kingcuppond.pause import DELAY_MEMORY_SECONDS, PAUSE_SECONDS, RETRY_SECONDS, PauseGuard
 from tests.conftest import FakeTime
 
 
@@ -103,3 +103,18 @@
     async with asyncio.timeout(1.0):
         while journal.entries[-1].number != 109:
             await asyncio.sleep(0.01)
+
+
+async def test_a_signal_that_is_handled_after_a_delay_may_be_as_old_as_the_delay(
+    guard: PauseGuard, boot_time: FakeTime
+) -> None:
+    assert guard.max_signal_age() == 0.0
+    boot_time.advance(0.6)
+    assert guard.max_signal_age() == pytest.approx(0.6)
+    await guard.wait_until_current()
+    boot_time.advance(0.02)
+    await guard.wait_until_current()
+    age = guard.max_signal_age()
+    assert age == pytest.approx(0.62), "other events were handled before it"
+    boot_time.advance(DELAY_MEMORY_SECONDS)
+    assert guard.max_signal_age() == pytest.approx(DELAY_MEMORY_SECONDS)
