--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -47,7 +47,7 @@
 from kingcuppond.pause import PauseGuard
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
-from kingcuppond.planned_stop import leave_fleet
+from kingcuppond.planned_stop import begin_grace_period, leave_fleet
 from kingcuppond.platform.store import PlatformStore
 from kingcuppond.protocol import PROTOCOLS_BY_NAME
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -107,6 +107,7 @@
         self._make_routing(fleet_key, policy, is_hedging)
         self.pause_guard = PauseGuard(self.clock, self.journal, self._catch_up)
         self._make_ingress(fleet_key)
+        self.stop_requested = asyncio.Event()
         self._last_id = 0
         self.listeners = Listeners()
         register_gauges(self)
@@ -157,6 +158,11 @@
             data_centre=self.settings.data_centre,
         )
 
+    def request_stop(self) -> None:
+        """Begin the grace period, and have ``stop_requested`` tell that the daemon is to stop."""
+        begin_grace_period(self)
+        self.stop_requested.set()
+
     async def drain(self) -> None:
         """Leave the fleet, and wait for the calls in progress."""
         await leave_fleet(self)
@@ -322,7 +328,7 @@
             self.journal,
             self.router.run,
             self.next_id,
-            self._wait_until_current,
+            self.pause_guard.wait_until_current,
         )
         self.report_budget = WindowBudget(
             lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
@@ -394,10 +400,6 @@
             or self.clock.monotonic() - self._created_at > LONE_START_SECONDS
         )
 
-    async def _wait_until_current(self) -> bool:
-        await self.pause_guard.wait_until_current()
-        return not self.pause_guard.is_stale
-
     def _is_isolated(self) -> bool:
         return self.watcher.is_isolated() or self.pause_guard.is_stale
 
--- a/kingcuppond/ingress/in_progress.py
+++ b/kingcuppond/ingress/in_progress.py
@@ -14,6 +14,7 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
+from kingcuppond.routing.call import Call
 
 ANSWER_SECONDS: Final = 0.1
 """How long the close waits for the requests in progress to be answered."""
@@ -37,7 +38,7 @@
 
     vm: str
     clock: Clock
-    wait_until_current: Callable[[], Awaitable[None]]
+    wait_until_current: Callable[[], Awaitable[bool]]
     count: int = 0
     last_ended_at: float = float("-inf")
     is_closing: bool = False
@@ -62,11 +63,11 @@
             await asyncio.sleep(POLL_SECONDS)
 
     async def until_close(
-        self, result: Awaitable[Result[T, Failure]], failure: Failure
+        self, result: Awaitable[Result[T, Failure]], failure: Callable[[], Failure]
     ) -> Result[T, Failure]:
         """Wait for a result until this daemon closes its connections.
 
-        :param failure: the result if there is none by then
+        :param failure: returns the result if there is none by then
         """
         task = asyncio.current_task()
         assert task is not None
@@ -77,7 +78,7 @@
             # The task is cancelled also if the caller disconnects.
             if not self.is_closing or task.uncancel():
                 raise
-            return Result.Error(failure)
+            return Result.Error(failure())
         finally:
             self._waiting_tasks.discard(task)
 
@@ -91,8 +92,11 @@
             await self.wait_until_current()
             return Result.Ok(None)
 
-        await self.until_close(wait(), NotRun(Reason.LEAVING, f"{self.vm} stops"))
+        await self.until_close(wait(), lambda: NotRun(Reason.LEAVING, f"{self.vm} stops"))
 
-    def stopped_during_call(self) -> Unknown:
-        """Return the outcome of a call that has no result at the close."""
-        return Unknown(Reason.LEAVING, f"{self.vm} stops during the call")
+
+def stopped_during(call: Call, vm: str) -> Failure:
+    """Return the outcome of a call that has no result when the daemon of a VM closes."""
+    if call.delivery.may_have_run:
+        return Unknown(Reason.LEAVING, f"{vm} stops during the call")
+    return NotRun(Reason.LEAVING, f"{vm} stops before the call is sent to a server")
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -22,7 +22,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.in_progress import RequestsInProgress
+from kingcuppond.ingress.in_progress import RequestsInProgress, stopped_during
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.ingress.requests import CallerRequest, read_request
 from kingcuppond.ingress.responses import is_last, refuse, send_answer
@@ -102,7 +102,7 @@
                 self.clock.monotonic,
                 self.next_id,
             ),
-            NotRun(Reason.LEAVING, f"{self.vm} stops before the request has arrived"),
+            lambda: NotRun(Reason.LEAVING, f"{self.vm} stops before the request has arrived"),
         )
         if parsed.is_error():
             self.journal.record(
@@ -115,7 +115,7 @@
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
         result = await self.requests.until_close(
-            self._run(caller_request), self.requests.stopped_during_call()
+            self._run(caller_request), lambda: stopped_during(caller_request.call, self.vm)
         )
         name = caller_request.class_of_work.name
         if result.is_error():
@@ -181,7 +181,14 @@
         task = asyncio.create_task(self.guard.run_once(call, caller_request.key))
         self._claimed_tasks.add(task)
         task.add_done_callback(self._claimed_tasks.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if self.requests.is_closing:
+                # Once it has ended, it can't be sent any more.
+                task.cancel()
+                await asyncio.wait({task})
+            raise
 
     def _may_serve(self, call: Call) -> bool:
         if self.requests.is_closing:
--- a/kingcuppond/ingress/relayed_calls.py
+++ b/kingcuppond/ingress/relayed_calls.py
@@ -13,7 +13,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.dialect import NATIVE_DIALECT
 from kingcuppond.gate.gate import Gate
-from kingcuppond.ingress.in_progress import RequestsInProgress
+from kingcuppond.ingress.in_progress import RequestsInProgress, stopped_during
 from kingcuppond.ingress.requests import read_relayed_body
 from kingcuppond.ingress.responses import refuse, send_answer
 from kingcuppond.outcomes import Failure
@@ -77,7 +77,7 @@
         self.clock.observe(verified.ok.stamp)
         call = _make_call(request, verified.ok, started)
         result = await self.requests.until_close(
-            self.gate.run(call), self.requests.stopped_during_call()
+            self.gate.run(call), lambda: stopped_during(call, self.vm)
         )
         if result.is_error():
             return self._refuse(request, result.error, self._headers(call))
--- a/kingcuppond/planned_stop.py
+++ b/kingcuppond/planned_stop.py
@@ -8,29 +8,47 @@
 from typing import TYPE_CHECKING
 
 from kingcuppond.events import catalogue
-from kingcuppond.ingress.draining import StopPlan, start_grace_period, wait_until_drained
+from kingcuppond.ingress.draining import (
+    GracePeriod,
+    StopPlan,
+    start_grace_period,
+    wait_until_drained,
+)
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
     from kingcuppond.daemon import Daemon
 
 
+def begin_grace_period(daemon: "Daemon") -> GracePeriod:
+    """Return the grace period, which begins now if this is the first call."""
+    if daemon.port.grace is None:
+        daemon.port.grace = start_grace_period(
+            daemon.clock.monotonic(),
+            daemon.settings.stop_limit_seconds,
+            daemon.pause_guard.max_signal_age(),
+        )
+    return daemon.port.grace
+
+
 async def leave_fleet(daemon: "Daemon") -> None:
     """Refuse new work from other daemons, and wait for the calls in progress.
 
     Each call ends, since it has a deadline.  Only the settings bound the whole wait: without a
     limit, callers that keep sending calls are served for as long as they do.
     """
+    grace = begin_grace_period(daemon)
     daemon.journal.record(
-        catalogue.DAEMON_LEAVING, vm=daemon.settings.vm, in_flight=daemon.requests.count
+        catalogue.DAEMON_LEAVING,
+        vm=daemon.settings.vm,
+        in_flight=daemon.requests.count,
+        leaving_ms=round((daemon.clock.monotonic() - grace.started) * 1000),
     )
-    limit_seconds = daemon.settings.stop_limit_seconds
-    daemon.port.grace = start_grace_period(daemon.clock.monotonic(), limit_seconds)
     daemon.directory.publish_own_change(is_leaving=True)
     daemon.gate.admission.process_queue()
     deregistration = asyncio.create_task(daemon.registration.deregister())
     plan = StopPlan(
-        limit_seconds=limit_seconds,
+        ends=grace.ends,
         is_idle=lambda: _has_ended_calls(daemon) and deregistration.done(),
         seconds_since_last_request=lambda: daemon.clock.monotonic() - daemon.port.last_request_at,
         stop_accepting=daemon.listeners.stop_accepting_callers,
