--- a/kingcuppond/claims/segments.py
+++ b/kingcuppond/claims/segments.py
@@ -1,8 +1,8 @@
 """Names and contents of the segments in which a shard's log is kept.
 
 The name carries the era of the store in which the segment was begun.  A writer changes only
-segments of the era that it believes in, so one that has not heard of a restore never changes what
-is appended after it.
+segments of the era in which it has read the log, so one that has not heard of a restore never
+changes what is appended after it.
 """
 
 from collections.abc import Iterable
--- a/kingcuppond/configuration/listings.py
+++ b/kingcuppond/configuration/listings.py
@@ -9,8 +9,8 @@
 
 What the copy lacks therefore stays in force until it is written again.  A deletion of an object
 that the copy had is seen in the store's history.  Another write after the restore and before the
-first listing may look like the copy.  So ``SETTLE_SECONDS`` after a daemon has heard of the era, by
-when the operators have written again what was lost, the listing counts as it is.
+first listing may look like the copy.  So ``SETTLE_SECONDS`` after a daemon has heard of the era the
+listing counts as it is: by then the operators are expected to have written again what was lost.
 """
 
 from collections.abc import Callable, Mapping
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -55,12 +55,12 @@
 REGISTRATION_UNREADABLE: Final = Event(
     209, "warning", "registration of daemon {member} can't be read: {error}"
 )
-REGISTERED_AGAIN: Final = Event(
-    211, "info", "this daemon is registered in the store that was restored as era {era}"
-)
 DATA_CENTRE_SUSPECTED: Final = Event(
     210, "warning", "no member of {data_centre} answers: {pinged} more were pinged"
 )
+REGISTERED_AGAIN: Final = Event(
+    211, "info", "this daemon is registered in the store that was restored as era {era}"
+)
 CONFIGURATION_CHANGED: Final = Event(301, "info", "{name} is in force at version {version}")
 CONFIGURATION_REFUSED: Final = Event(302, "error", "{name} version {version} is unusable: {error}")
 CONFIGURATION_IGNORED: Final = Event(
--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -40,7 +40,7 @@
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Count the answers; an interim one is none."""
+        """Count the final answers; interim ones (1xx) do not count."""
         message, _ = data
         self._answers += message.code >= FIRST_FINAL_STATUS
         super().feed_data(data, size)
--- a/kingcuppond/ingress/draining.py
+++ b/kingcuppond/ingress/draining.py
@@ -27,8 +27,10 @@
 """Readiness is probed once a second, and callers stay away after two failed probes."""
 
 SERVED_AS_USUAL_SECONDS: Final = 2.9
-"""Time for callers to notice that this daemon is not ready: the second failed probe comes within
-two seconds, on a busy machine somewhat later."""
+"""Time after which callers are assumed to know that this daemon is not ready.
+
+The second failed probe comes within two seconds, on a busy machine somewhat later.
+"""
 
 SERVED_AS_USUAL_SHARE: Final = 0.6
 """The largest part of a short grace period in which requests are served as usual."""
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -27,7 +27,9 @@
 
 CLOSE_SECONDS: Final = 0.1
 """How long a server that is closed waits for its handlers, and once more after cancelling them.
-What is worth a longer wait has been waited for before."""
+
+Planned stops have waited for calls before that.
+"""
 
 KEEP_ALIVE_SECONDS: Final = 120.0
 """Longer than callers keep an idle connection, so that no request races with its close."""
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -47,8 +47,10 @@
 """While no other member is known: the registered daemons that were asked may be gone."""
 
 MAX_UNANSWERED_JOINS: Final = 3
-"""A daemon on a busy VM may answer late; without its state, a listing that may be stale, or of a
-copy from which the store was restored, would be trusted."""
+"""Attempts to join after which a daemon relies on the store alone.
+
+A daemon on a busy VM may answer late, and a listing may be stale or that of a restored copy.
+"""
 
 SEED_RETRY_SECONDS: Final = 0.3
 SEED_PATIENCE_SECONDS: Final = 1.0
