Tests close the connections of their own servers; the stand-in's handlers are coroutine functions

pytest printed 314 warnings for all tests but tests/failures and tests/program. 312 were from aiohttp: the stand-in of the store registered lambdas, which aiohttp calls deprecated. Two were connections left open by servers that tests write byte by byte, collected after their event loop was closed. tests/servers.py now starts these servers, of which there were six copies, and closes every connection; an error in such a server, which was only logged before, fails the test. Nothing is filtered.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -30,6 +30,7 @@
 import copy
 import math
 from collections import Counter, deque
+from functools import partial
 from typing import Any, Final
 
 import attrs
@@ -275,15 +276,15 @@
         return response
 
     app = web.Application(middlewares=[inject_faults], client_max_size=4 * MAX_VALUE_BYTES)
-    app.router.add_put("/faults", lambda request: _set_faults(state, request))
-    app.router.add_get("/counts", lambda request: _counts(state))
-    app.router.add_put("/copy", lambda request: _copy(state))
-    app.router.add_put("/restore", lambda request: _restore(state, request))
-    app.router.add_get("/objects/{kind}", lambda request: _list_or_watch(state, request))
-    app.router.add_post("/objects/{kind}", lambda request: _create(state, request))
-    app.router.add_get("/objects/{kind}/{name:.+}", lambda request: _get(state, request))
-    app.router.add_put("/objects/{kind}/{name:.+}", lambda request: _replace(state, request))
-    app.router.add_delete("/objects/{kind}/{name:.+}", lambda request: _delete(state, request))
+    app.router.add_put("/faults", partial(_set_faults, state))
+    app.router.add_get("/counts", partial(_counts, state))
+    app.router.add_put("/copy", partial(_copy, state))
+    app.router.add_put("/restore", partial(_restore, state))
+    app.router.add_get("/objects/{kind}", partial(_list_or_watch, state))
+    app.router.add_post("/objects/{kind}", partial(_create, state))
+    app.router.add_get("/objects/{kind}/{name:.+}", partial(_get, state))
+    app.router.add_put("/objects/{kind}/{name:.+}", partial(_replace, state))
+    app.router.add_delete("/objects/{kind}/{name:.+}", partial(_delete, state))
     return app
 
 
@@ -313,7 +314,7 @@
     return web.Response()
 
 
-async def _copy(state: PlatformState) -> web.Response:
+async def _copy(state: PlatformState, _request: web.Request) -> web.Response:
     state.copied_at = asyncio.get_running_loop().time()
     return web.Response()
 
@@ -334,7 +335,7 @@
     return web.Response()
 
 
-async def _counts(state: PlatformState) -> web.Response:
+async def _counts(state: PlatformState, _request: web.Request) -> web.Response:
     return web.json_response(state.counts)
 
 
--- a/tests/gate/test_fuzzed_answers.py
+++ b/tests/gate/test_fuzzed_answers.py
@@ -13,6 +13,7 @@
 from kingcuppond.routing.call import InvalidAnswerError
 from tests.gate.test_stale_refusals import ID, ScriptedServer, gate_of, refusal, run
 from tests.routing.test_exchange import reset
+from tests.servers import listening
 
 REQUESTS = 100
 MAX_BODY_BYTES = 100_000
@@ -130,12 +131,8 @@
 
 @asynccontextmanager
 async def serving(plans_by_id: dict[str, Plan]) -> AsyncIterator[ScriptedServer]:
-    server = await asyncio.start_server(PlannedServer(plans_by_id).serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield ScriptedServer([], f"{host}:{port}")
-    finally:
-        server.close()
+    async with listening(PlannedServer(plans_by_id).serve) as address:
+        yield ScriptedServer([], address)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/gate/test_stale_refusals.py
+++ b/tests/gate/test_stale_refusals.py
@@ -20,6 +20,7 @@
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Body, Call
 from kingcuppond.routing.exchange import open_session
+from tests.servers import listening
 
 ID = "X-Kingcuppond-Attempt-Id"
 ANSWER_PAUSE_SECONDS = 0.05
@@ -75,13 +76,8 @@
 @asynccontextmanager
 async def serving(*pieces_by_request: list[bytes]) -> AsyncIterator[ScriptedServer]:
     scripted = ScriptedServer(list(pieces_by_request))
-    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    scripted.address = f"{host}:{port}"
-    try:
+    async with listening(scripted.serve) as scripted.address:
         yield scripted
-    finally:
-        server.close()
 
 
 @asynccontextmanager
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 from kingcuppond.store.interface import ABSENT_VERSION
 from standins.fleet import free_ports
 from standins.platform import make_app
+from tests.servers import listening
 
 
 @attrs.define
@@ -206,11 +207,10 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    store = PlatformStore(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
-    for count in (1, 2):
-        await store.delete("kind", "a", 7)
-        assert writes == count
-        await asyncio.sleep(0.2)
-    await store.close()
-    server.close()
+    async with listening(serve) as address:
+        store = PlatformStore(address)
+        for count in (1, 2):
+            await store.delete("kind", "a", 7)
+            assert writes == count
+            await asyncio.sleep(0.2)
+        await store.close()
--- a/tests/routing/test_endless.py
+++ b/tests/routing/test_endless.py
@@ -17,6 +17,7 @@
 from kingcuppond.outcomes import Failure, Unknown
 from kingcuppond.routing.call import Body, InvalidAnswerError
 from kingcuppond.routing.exchange import ReceivedAnswer, exchange, open_session
+from tests.servers import listening
 
 DEADLINE_SECONDS = 1.0
 MAX_TAKEN_BYTES = 16_777_216
@@ -78,13 +79,8 @@
     first: bytes, repeated: bytes, pause: float = 0.0
 ) -> AsyncIterator[EndlessServer]:
     endless = EndlessServer(first, repeated, pause)
-    server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    endless.address = f"{host}:{port}"
-    try:
+    async with listening(endless.serve) as endless.address:
         yield endless
-    finally:
-        server.close()
 
 
 async def fetch(
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -13,6 +13,7 @@
 from kingcuppond.outcomes import NotRun, Unknown
 from kingcuppond.routing.call import Body
 from kingcuppond.routing.exchange import exchange, open_session
+from tests.servers import listening
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 UNFRAMED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -45,12 +46,8 @@
                 writer.close()
                 return
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    try:
-        yield f"{host}:{port}"
-    finally:
-        server.close()
+    async with listening(serve) as address:
+        yield address
 
 
 async def fetch(address: str, seconds: float = 1.0, reuses_connections: bool = True) -> object:
--- a/tests/routing/test_truncated_heads.py
+++ b/tests/routing/test_truncated_heads.py
@@ -17,6 +17,7 @@
 from kingcuppond.routing.call import Body, InvalidAnswerError
 from kingcuppond.routing.exchange import exchange, open_session
 from tests.routing.test_exchange import reset
+from tests.servers import listening
 
 REQUEST = CIMultiDict({"X-Kingcuppond-Attempt-Id": "a"})
 SEALED = b"X-Kingcuppond-Attempt-Id: a\r\nX-Kingcuppond-Server-Seal: 3e1b\r\n"
@@ -88,13 +89,8 @@
 @asynccontextmanager
 async def serving() -> AsyncIterator[CuttingServer]:
     cutting = CuttingServer()
-    server = await asyncio.start_server(cutting.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    cutting.address = f"{host}:{port}"
-    try:
+    async with listening(cutting.serve) as cutting.address:
         yield cutting
-    finally:
-        server.close()
 
 
 async def fetch(session: aiohttp.ClientSession, server: CuttingServer, method: str) -> bytes | None:
