Model of a restored fleet: minutes that pass, and a history that is gone

What callers would have seen: nothing; this extends a test. The random model of daemons that miss parts of a store's history let no time pass before its last check, so that what a listing proves a minute after the restore was never followed by a restart, a cut or another restore; and the store always had its whole history.

Change: minutes pass at any step, the history up to now may be dropped, and after the daemons agree with the store a second series of steps without a restore must end with the same.

--- a/tests/configuration/test_restored_fleet.py
+++ b/tests/configuration/test_restored_fleet.py
@@ -1,7 +1,8 @@
 """Daemons that miss parts of a store's history agree in the end, whatever they missed.
 
 Random runs of three daemons, two of which watch the store: writes and deletions, up to two restores
-in a row, starts, pauses, late answers, and daemons that are cut off from the store.
+in a row, starts, pauses, late answers, a forgotten history, and daemons that are cut off from the
+store, in a few seconds or over minutes.
 """
 
 from random import Random
@@ -37,19 +38,24 @@
     lambda _kind, name, body: Ok(DataCentreState(name, "in" if body is None else "out")),
     lambda _kind, _name, _body: 0,
 )
-STEPS: Final = (
+QUIET_STEPS: Final = (
     *("write", "write", "delete", "poll", "poll", "poll", "gossip", "gossip", "gossip"),
-    *("restore", "start", "cut", "pause", "list late"),
+    *("start", "cut", "pause", "list late", "settle", "forget"),
 )
+STEPS: Final = (*QUIET_STEPS, "restore")
 
 
 @attrs.define
 class ModelStore:
-    """The changes of a store: revision, name and body, which is ``None`` after a deletion."""
+    """The changes of a store: revision, name and body, which is ``None`` after a deletion.
+
+    :param forgotten_revision: the history up to it is gone
+    """
 
     era: int = 1
     revision: int = 0
     writes: int = 0
+    forgotten_revision: int = 0
     changes: list[tuple[int, str, bytes | None]] = attrs.field(factory=list)
 
     def bodies_by_name(self) -> dict[str, bytes]:
@@ -71,6 +77,7 @@
     def restore(self, lost_changes: int) -> None:
         self.revision = max(0, self.revision - lost_changes)
         self.changes = [it for it in self.changes if it[0] <= self.revision]
+        self.forgotten_revision = min(self.forgotten_revision, self.revision)
         self.era += 1
 
     def _append(self, name: str, body: bytes | None) -> None:
@@ -113,7 +120,7 @@
             return Error(StoreError("cut off"))
         era = self.store.era
         self.eras.observe(era)
-        if era_of(after) != era:
+        if era_of(after) != era or revision_of(after) < self.store.forgotten_revision:
             return Error(StoreError("of another era", is_version_expired=True))
         changes = [
             ObjectChange(name, make_version(era, revision), body)
@@ -208,11 +215,17 @@
                     daemon.exchange(other)
 
 
-async def take_steps(store: ModelStore, daemons: list[ModelDaemon], rng: Random) -> None:
+async def take_steps(
+    store: ModelStore,
+    daemons: list[ModelDaemon],
+    rng: Random,
+    fake_time: FakeTime,
+    steps: tuple[str, ...] = STEPS,
+) -> None:
     restores = 0
     for _ in range(rng.randint(4, 16)):
         daemon, other = rng.sample(daemons, 2)
-        match rng.choice(STEPS):
+        match rng.choice(steps):
             case "write":
                 store.write(rng.choice(NAMES))
             case "delete":
@@ -231,6 +244,10 @@
                 daemon.is_paused = False
             case "cut":
                 daemon.client.is_cut = not daemon.client.is_cut
+            case "forget":
+                store.forgotten_revision = store.revision
+            case "settle":
+                fake_time.advance(SETTLE_SECONDS + 1)
             case "pause":
                 daemon.is_paused = not daemon.is_paused
 
@@ -246,7 +263,7 @@
         for _ in range(3):
             store.write(rng.choice(NAMES))
         await converge(daemons)
-        await take_steps(store, daemons, rng)
+        await take_steps(store, daemons, rng, fake_time)
         await converge(daemons)
         in_force = daemons[0].bodies_by_name()
         assert all(it.bodies_by_name() == in_force for it in daemons), seed
@@ -263,3 +280,6 @@
         await converge(daemons)
         await converge(daemons)
         assert all(it.bodies_by_name() == store.bodies_by_name() for it in daemons), seed
+        await take_steps(store, daemons, rng, fake_time, QUIET_STEPS)
+        await converge(daemons)
+        assert all(it.bodies_by_name() == store.bodies_by_name() for it in daemons), seed
