Gossip forwards a new era of the store at once

What callers would have seen: after a restore requests with a key were refused for up to half a second more. A new claim waits for half a second for all living members to have written theirs again, but the era that tells them so travelled with pings only.

Change: a daemon that hears of a new era tells its contacts with its next rumours, within 30 ms, and every message of rumours names the sender's era.

--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -1,12 +1,12 @@
 """Gossip: failure detection by pings, dissemination of changes, and anti-entropy.
 
 One task per contact pings it.  A contact that misses two pings in a row is suspected, and the
-suspicion spreads.  Changes (members, configuration, quarantine notes) are forwarded to all
-contacts, each only once by each daemon, and combined for some tens of milliseconds, so that they
-reach the whole fleet in a few hops and few messages.  A ping carries a digest of the shared state;
-if the digests of the two ends differ in several pings in a row, the ends exchange the parts that
-differ, and the suspicions in them.  The daemons therefore converge after lost rumours, a restart
-or a healed partition.
+suspicion spreads.  Changes (members, configuration, quarantine notes, the era of the store) are
+forwarded to all contacts, each only once by each daemon, and combined for some tens of
+milliseconds, so that they reach the whole fleet in a few hops and few messages.  A ping carries a
+digest of the shared state; if the digests of the two ends differ in several pings in a row, the
+ends exchange the parts that differ, and the suspicions in them.  The daemons therefore converge
+after lost rumours, a restart or a healed partition.
 
 Few daemons have contacts in other data centres.  The others learn through them, by the ages in
 pings, whether the other data centres are alive.
@@ -101,6 +101,7 @@
         self._contacts = Contacts()
         self._queue = RumourQueue()
         self._flush_handle: asyncio.TimerHandle | None = None
+        self._is_era_due = False
         self._ping_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
         self._contacts_generation = -1
         self._pull_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
@@ -112,6 +113,7 @@
         transport.handlers_by_type[ObjectsRequest] = self._on_objects_request
         directory.on_own_change.append(lambda me: self.spread(Rumours(members=(me,))))
         suspect_requests.on_change.append(lambda note: self.spread(Rumours(notes=(note,))))
+        eras.on_new_era.append(self._spread_era)
 
     def loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the loops that run for the lifetime of the daemon."""
@@ -133,9 +135,8 @@
         if news.notes:
             # A harmful request may be on its way to the next server.
             self._flush()
-        elif self._flush_handle is None:
-            loop = asyncio.get_running_loop()
-            self._flush_handle = loop.call_later(COMBINE_SECONDS, self._flush)
+        else:
+            self._flush_soon()
 
     def spread_objects(self, objects: list[VersionedObject]) -> None:
         """Merge objects of the store into the configuration and announce those that were newer."""
@@ -237,18 +238,32 @@
         self.hearing.record_message(sender)
         return ObjectsReply(self._state.objects_newer_than(request.known))
 
+    def _spread_era(self, _era: int) -> None:
+        self._is_era_due = True
+        self._flush_soon()
+
     def _merge_and_spread(self, rumours: Rumours, sender: str = "") -> None:
+        self._eras.observe(rumours.era)
         self._queue.add_holder(rumours, sender)
         self.spread(self._state.merge(rumours), sender)
 
+    def _flush_soon(self) -> None:
+        if self._flush_handle is None:
+            loop = asyncio.get_running_loop()
+            self._flush_handle = loop.call_later(COMBINE_SECONDS, self._flush)
+
     def _flush(self) -> None:
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
         contacts = self._contacts.informed_by_vm
         rumours_by_vm = self._queue.take(self.directory.me.data_centre, contacts.values())
+        if self._is_era_due:
+            self._is_era_due = False
+            rumours_by_vm = {vm: Rumours() for vm in contacts} | rumours_by_vm
         for vm, rumours in rumours_by_vm.items():
-            self._transport.tell(contacts[vm].peer_address, rumours)
+            message = attrs.evolve(rumours, era=self._eras.era)
+            self._transport.tell(contacts[vm].peer_address, message)
 
     async def _sync(
         self,
@@ -317,7 +332,8 @@
             if vm not in self._ping_tasks_by_vm:
                 self._ping_tasks_by_vm[vm] = asyncio.create_task(self._ping_contact(vm))
                 # The new contact has not received the earlier announcements of this daemon.
-                self._transport.tell(member.peer_address, Rumours(members=(directory.me,)))
+                news = Rumours(members=(directory.me,), era=self._eras.era)
+                self._transport.tell(member.peer_address, news)
 
     async def _ping_contact(self, vm: str) -> None:
         missed = 0
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -67,12 +67,15 @@
     """State changes that daemons forward to each other.
 
     Configuration objects are announced by version only; a daemon that lacks one requests it.
+
+    :param era: the newest era of the store that the sender has heard of
     """
 
     members: tuple[Member, ...] = ()
     heads: tuple[ObjectHead, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     notes: tuple[QuarantineNote, ...] = ()
+    era: int = 0
 
     def __bool__(self) -> bool:
         return bool(self.members or self.heads or self.suspicions or self.notes)
