A watch ends as soon as a newer era of the store is known

What callers would have seen: a change made just after a restore not in force for up to the wait of a watch (20 s in the example of the settings), if the store holds the connection of a watch across the restore instead of cutting it off.

Cause: only the answer to the watch told that its version was of an earlier era. A store that is past that revision again holds the watch until the next change or its end, and what was written in between is in no answer.

Change: the client ends all watches that wait when it hears of a newer era, also from another daemon, as if their history were gone; the watcher then lists at once.

--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -106,6 +106,8 @@
         self._base = f"http://{address}/objects"
         self._session: aiohttp.ClientSession | None = None
         self._close_tasks: set[asyncio.Task[None]] = set()
+        self._watch_calls: set[asyncio.Task[Result[_Response, StoreError]]] = set()
+        self.eras.on_new_era.append(self._end_watches)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -176,13 +178,17 @@
         return result.map(lambda _: expected)
 
     async def watch(self, kind: str, after: int, wait_ms: int) -> Result[WatchResult, StoreError]:
-        """Wait for changes of a kind."""
+        """Wait for changes of a kind.
+
+        A watch that is waiting ends as if its history were gone when a newer era becomes known, as
+        the store may hold its connection across the restore.
+        """
         if era_of(after) < self.eras.era:
             return Error(_history_is_gone())
         wait_ms = min(wait_ms, MAX_WATCH_WAIT_MS)
         path = f"/{_quote(kind)}?Watch={revision_of(after)}&WaitMs={wait_ms}"
         timeout = wait_ms / 1000 + WATCH_MARGIN_SECONDS
-        result = await self._call("watch", "GET", path, timeout=timeout)
+        result = await self._call_watch(path, timeout)
         if result.is_error():
             return Error(result.error)
         era = result.ok.era
@@ -197,6 +203,21 @@
             )
         )
 
+    async def _call_watch(self, path: str, timeout: float) -> Result[_Response, StoreError]:
+        """Call the store until it answers or a new era becomes known."""
+        call = asyncio.create_task(self._call("watch", "GET", path, timeout=timeout))
+        self._watch_calls.add(call)
+        try:
+            await asyncio.wait([call])
+        finally:
+            self._watch_calls.discard(call)
+            call.cancel()
+        return Error(_history_is_gone()) if call.cancelled() else call.result()
+
+    def _end_watches(self, _era: int) -> None:
+        for call in self._watch_calls:
+            call.cancel()
+
     async def _change_at(
         self, method: str, path: str, expected: int, body: bytes | None = None
     ) -> Result[_Response, StoreError]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -130,6 +130,20 @@
     await other.close()
 
 
+async def test_a_watch_that_a_restore_does_not_cut_off_ends_when_the_era_is_known(
+    running: RunningStore,
+) -> None:
+    """Changes made since the restore would otherwise wait for the end of the watch."""
+    store = running.store
+    version = (await store.put("kind", "a", b"1", ABSENT_VERSION)).ok
+    watching = asyncio.create_task(store.watch("kind", version, 20_000))
+    await asyncio.sleep(0.1)
+    store.eras.observe(era_of(version) + 1)
+    async with asyncio.timeout(1):
+        answer = await watching
+    assert answer.error.is_version_expired
+
+
 async def test_an_answer_of_an_earlier_era_is_an_error(running: RunningStore) -> None:
     """It would bring back what the restored store has replaced since."""
     store = running.store
