A registration that the copy has is not written again after a restore

What callers would have seen: nothing; calls to the store. Without seeds all daemons are registered, and after a restore each wrote its object again, lost or not.

Cause: a daemon compares the object in the store with its present description, which has changed since it registered: its state, and now the era that it has published.

Change: an object by which others find the daemon is left: the addresses, data centre and service are compared.

Evidence: test_a_registration_that_the_copy_has_is_not_written_again now lets the description change; it failed before (2 writes instead of 1).

--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -34,7 +34,6 @@
     StoreError,
     decode_body,
     encode_body,
-    is_same_json,
 )
 
 DAEMON_KIND: Final = "daemon"
@@ -194,7 +193,7 @@
             found = await self._store.get(DAEMON_KIND, me.vm)
             if found.is_error():
                 return Error(found.error)
-            if found.ok is not None and is_same_json(found.ok.body, body):
+            if found.ok is not None and _is_found_by(found.ok.body, me):
                 self._version = found.ok.version
                 return Ok(None)
             expected = ABSENT_VERSION if found.ok is None else found.ok.version
@@ -226,3 +225,19 @@
                 catalogue.REGISTRATION_UNREADABLE, member=item.name, error=member.error.message
             )
         return Ok(not addresses or await self._gossip.join(addresses))
+
+
+def _is_found_by(body: bytes, me: Member) -> bool:
+    """Return whether others find this daemon by an object, whatever else has changed since."""
+    found = decode_body(body, Member)
+    return found.is_ok() and _addresses(found.ok) == _addresses(me)
+
+
+def _addresses(member: Member) -> tuple[str, ...]:
+    return (
+        member.data_centre,
+        member.service,
+        member.peer_address,
+        member.relay_address,
+        member.metrics_address,
+    )
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -12,7 +12,7 @@
 from kingcuppond.membership import registration as registration_module
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
-from kingcuppond.membership.messages import Member
+from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import DAEMON_KIND, Registration
 from kingcuppond.store.interface import ABSENT_VERSION, Store, encode_body
 from tests.claims.fakes import FakeStore
@@ -148,12 +148,25 @@
 async def test_a_registration_that_the_copy_has_is_not_written_again(
     store: FakeStore, registration: Registration, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """Also if the description has changed since, as that of each daemon has after a restore."""
     registration.on_new_era(1)
     await registration._join_through_store()
+    registration._directory.publish_own_change(state=ServerState.WARM, store_era=2)
     await restore(store, registration, monkeypatch, is_lost=False)
     assert store.writes == 1
 
 
+async def test_a_registration_at_another_address_is_replaced(
+    store: FakeStore, registration: Registration
+) -> None:
+    """An earlier process of this VM has written it."""
+    moved = attrs.evolve(make_member("vm-1"), peer_address="vm-1:9")
+    await store.put(DAEMON_KIND, "vm-1", encode_body(moved), ABSENT_VERSION)
+    await registration._register_with_backoff()
+    (stored,) = store.objects.values()
+    assert stored.body == encode_body(registration._directory.me)
+
+
 async def test_a_leaving_daemon_does_not_register_again(
     store: FakeStore, registration: Registration, monkeypatch: pytest.MonkeyPatch
 ) -> None:
