A daemon that stops as planned hands the claims that it knows to another one

What callers would see: requests with keys run twice after a planned restart of the daemons in turn, if the store is then restored to a copy of before.

Cause: the claims that a restored store lacks are written again from the memory of the daemons that know them, and a planned restart loses that memory like a kill.

Evidence: without the hand-over, test_a_claim_outlasts_a_restart_of_all_daemons_in_turn_and_a_restore (simulated) and test_keys_outlast_a_planned_restart_of_all_daemons_and_a_restore (real processes) fail: keys run a second time.

--- a/kingcuppond/claims/copies.py
+++ b/kingcuppond/claims/copies.py
@@ -5,6 +5,9 @@
 copy to a third daemon, in another data centre if there is one, before it grants the claim.  The
 keeper of the copy has it written again like the claims of its own attempts.
 
+A daemon that stops as planned sends what it knows to another one, so that a series of restarts
+loses no claim.
+
 Nobody waits for a copy to arrive, so a claim can still be lost together with its daemon in the
 moment in which it is granted, or while messages are lost.
 """
@@ -17,6 +20,7 @@
 
 from kingcuppond.claims.messages import ClaimCopy, ClaimRecord
 from kingcuppond.clock import Clock
+from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member
 from kingcuppond.peers.transport import PeerTransport
@@ -26,6 +30,7 @@
 """Far longer than the seconds by which a copy of the store is old."""
 
 MAX_COPIES: Final = 20_000
+MAX_MESSAGE_RECORDS: Final = 500
 
 
 @attrs.frozen
@@ -68,6 +73,28 @@
             keeper = (distant or others)[0]
             self.transport.tell(keeper.peer_address, ClaimCopy(copied, era))
 
+    def hand_over(self, own: Iterable[ClaimRecord]) -> None:
+        """Send another daemon the recent claims that this one knows, before it stops.
+
+        :param own: claims of this daemon's own attempts
+        """
+        me = self.directory.me
+        others = [
+            member
+            for member in self.directory.living()
+            if member.vm != me.vm
+            and not member.is_leaving
+            and not self.directory.is_suspected(member.vm)
+        ]
+        if not others:
+            return
+        successor = min(others, key=lambda it: rendezvous_hash(f"claims-of-{me.vm}", it.vm))
+        oldest_ms = self.clock.fleet_ms() - 1000 * KEEP_SECONDS
+        claims = [claim for claim in own if claim.at_ms > oldest_ms] + self.claims()
+        for start in range(0, len(claims), MAX_MESSAGE_RECORDS):
+            records = tuple(claims[start : start + MAX_MESSAGE_RECORDS])
+            self.transport.tell(successor.peer_address, ClaimCopy(records, self.eras.era))
+
     def claims(self) -> list[ClaimRecord]:
         """Return the claims of which this daemon keeps copies."""
         self._drop_old()
--- a/kingcuppond/claims/peers.py
+++ b/kingcuppond/claims/peers.py
@@ -110,6 +110,10 @@
         reply = await self._transport.ask(owner.peer_address, query, AttemptReply, timeout)
         return reply.default_value(AttemptReply(AttemptState.UNKNOWN))
 
+    def hand_over(self) -> None:
+        """Send the claims that this daemon knows to another one, before it stops."""
+        self.copies.hand_over(self.attempts.granted_claims())
+
     def _send_copies(self, shard: int, records: list[ClaimRecord], era: int) -> None:
         self.copies.send(records, era, coordinators_of(shard, self._directory))
 
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -215,6 +215,7 @@
         self.journal.record(
             catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.port.in_progress
         )
+        self.claim_peers.hand_over()
         await self.port.close()
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
         self.claim_coordinator.stop()
@@ -353,7 +354,7 @@
             self.clock,
             self.journal,
         )
-        claim_peers = ClaimPeers(
+        self.claim_peers = ClaimPeers(
             self.directory,
             self.transport,
             self.claim_coordinator,
@@ -362,10 +363,10 @@
             self.clock,
         )
         self.claim_renewal = ClaimRenewal(
-            self.directory, claim_peers, self.claim_coordinator, eras, self.clock, self.journal
+            self.directory, self.claim_peers, self.claim_coordinator, eras, self.clock, self.journal
         )
         self.guard = ClaimGuard(
-            claim_peers,
+            self.claim_peers,
             eras,
             self.clock,
             self.journal,
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -88,6 +88,13 @@
         self.daemons[index].join()
         self._mark_forgotten()
 
+    async def restart_as_planned(self, index: int) -> None:
+        """Stop a daemon, and start it again without what it had in memory."""
+        self.daemons[index].peers.hand_over()
+        await asyncio.sleep(0.01)
+        self.restart(index)
+        await asyncio.sleep(1)
+
     def _after_restore(self) -> None:
         self._mark_forgotten()
         for daemon, seconds in zip(self.daemons, self.hearing_seconds, strict=True):
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -246,6 +246,20 @@
     play(script)
 
 
+def test_a_claim_outlasts_a_restart_of_all_daemons_in_turn_and_a_restore() -> None:
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        assert await scenario.call(scenario.coordinator) == "200"
+        for index in range(DAEMONS):
+            await fleet.restart_as_planned(index)
+        fleet.store.restore(1)
+        await asyncio.sleep(1)
+        assert await scenario.call(scenario.third) == "key-ran"
+        assert scenario.runs() == [f"vm{scenario.coordinator}"]
+
+    play(script)
+
+
 def test_a_grant_that_arrives_after_the_restore_starts_no_run() -> None:
     async def script(scenario: Scenario) -> None:
         fleet = scenario.fleet
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -351,6 +351,31 @@
     assert again.status != 200
 
 
+async def test_keys_outlast_a_planned_restart_of_all_daemons_and_a_restore(fleet: Fleet) -> None:
+    """Guards against claims that are lost with the memory of each daemon that knows them."""
+    configure(fleet, 2)
+    await asyncio.sleep(KNOWN_SECONDS)
+    fleet.copy_platform()
+    addresses = [fleet.vms_by_name[name].caller for name in VM_NAMES]
+    keys = [f"k{i}" for i in range(12)]
+    first = [
+        await send(addresses[i % len(addresses)], "/book/1", "POST", key=key)
+        for i, key in enumerate(keys)
+    ]
+    assert {reply.status for reply in first} == {200}
+    for name in VM_NAMES:
+        fleet.signal(name, "daemon", signal.SIGTERM)
+        await asyncio.to_thread(fleet.wait_exit, name, "daemon")
+        restart_daemon(fleet, name)
+        await asyncio.to_thread(fleet.wait_until_ready)
+    await restore(fleet)
+    again = [
+        await send(addresses[i % len(addresses)], "/book/1", "POST", key=key)
+        for i, key in enumerate(keys)
+    ]
+    assert 200 not in {reply.status for reply in again}
+
+
 async def test_daemons_whose_registration_the_copy_lacks_can_be_found(fleet: Fleet) -> None:
     """Guards against a fleet that a starting daemon can't join, since nobody registers again."""
     url = f"http://{fleet.platform}/objects/daemon"
