--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -172,6 +172,7 @@
         self.journal.record(
             catalogue.DAEMON_DRAINED, vm=self.settings.vm, in_flight=self.requests.count
         )
+        self.claim_peers.hand_over()
         await self.requests.close()
         await self.listeners.close()
         self.claim_coordinator.stop()
@@ -310,7 +311,7 @@
             self.clock,
             self.journal,
         )
-        claim_peers = ClaimPeers(
+        self.claim_peers = ClaimPeers(
             self.directory,
             self.transport,
             self.claim_coordinator,
@@ -319,10 +320,10 @@
             self.clock,
         )
         self.claim_renewal = ClaimRenewal(
-            self.directory, claim_peers, self.claim_coordinator, eras, self.clock, self.journal
+            self.directory, self.claim_peers, self.claim_coordinator, eras, self.clock, self.journal
         )
         self.guard = ClaimGuard(
-            claim_peers,
+            self.claim_peers,
             eras,
             self.clock,
             self.journal,
--- a/tests/membership/test_restored_store.py
+++ b/tests/membership/test_restored_store.py
@@ -13,11 +13,8 @@
 import attrs
 
 from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.coordinator import (
-    CONFIRMATION_WAIT_SECONDS,
-    ClaimCoordinator,
-    make_confirmed_era,
-)
+from kingcuppond.claims.confirmation import make_confirmed_era
+from kingcuppond.claims.coordinator import CONFIRMATION_WAIT_SECONDS, ClaimCoordinator
 from kingcuppond.claims.messages import ClaimRecord, Verdict
 from kingcuppond.claims.peers import ClaimPeers
 from kingcuppond.claims.renewal import ClaimRenewal
