Claims that are in the log of a new era are not sent again while others are not yet

What callers would see: after a restore, keys refused for longer the larger and older the fleet is. Not measured at scale: from the code, 2,000 daemons that each remember 10,000 attempts send each of 64 coordinators about 600 requests of 500 claims.

Cause: if one coordinator did not reply within a second, a daemon had all its claims written again, at all coordinators, every tenth of a second; the repeats delay the replies further.

Change: a daemon goes on with the requests that have not succeeded. The claims are those that it knew when it heard of the era, since it starts nothing on an earlier grant from then on.

Evidence: test_claims_of_other_shards_are_not_sent_again_until_a_slow_one_has_replied failed before: 36 requests for 18 shards.

--- a/kingcuppond/claims/renewal.py
+++ b/kingcuppond/claims/renewal.py
@@ -14,6 +14,8 @@
 import asyncio
 from typing import Final
 
+import attrs
+
 from kingcuppond.claims.coordinator import MAX_GROUP_RECORDS, ClaimCoordinator, shard_of
 from kingcuppond.claims.messages import AttemptQuery, AttemptState, ClaimRecord, RenewalRequest
 from kingcuppond.claims.peers import REPLY_TIMEOUT_SECONDS, ClaimPeers
@@ -26,6 +28,23 @@
 RETRY_DELAY_SECONDS: Final = 0.1
 
 
+@attrs.define
+class _Renewal:
+    """The claims that are being written again.
+
+    :param count: number of claims
+    :param requests: those that have not succeeded yet
+    :param attempts_by_key: this daemon's own attempts among them
+    :param holders: claims of other attempts that hold one of the keys too
+    """
+
+    era: int
+    count: int
+    requests: list[RenewalRequest]
+    attempts_by_key: dict[bytes, str]
+    holders: list[ClaimRecord] = attrs.field(factory=list)
+
+
 class ClaimRenewal:
     """Brings the claims that this daemon knows into the log of each new era.
 
@@ -47,6 +66,7 @@
         self._eras = eras
         self._clock = clock
         self._journal = journal
+        self._begun: _Renewal | None = None
         self._wake = asyncio.Event()
         eras.on_new_era.append(lambda _era: self._wake.set())
 
@@ -62,24 +82,31 @@
     async def renew_all(self, era: int) -> bool:
         """Write all known claims to the log of an era, and publish the era.
 
-        :return: whether all of them are in the log
+        :return: whether all of them are in the log; another call then goes on with the others
         """
-        own = self._peers.attempts.granted_claims()
-        claims = [*own, *self._peers.copies.claims()]
+        if self._begun is None or self._begun.era != era:
+            own = self._peers.attempts.granted_claims()
+            known = [*own, *self._peers.copies.claims()]
+            attempts_by_key = {claim.key: claim.attempt for claim in own}
+            self._begun = _Renewal(era, len(known), _make_requests(known, era), attempts_by_key)
+        renewal = self._begun
         if not await self._coordinator.renew_own(era):
             return False
-        replies = await asyncio.gather(
-            *(self._peers.renew(request) for request in _make_requests(claims, era))
-        )
-        if not all(reply.is_done for reply in replies):
+        replies = await asyncio.gather(*(self._peers.renew(it) for it in renewal.requests))
+        sent = list(zip(renewal.requests, replies, strict=True))
+        renewal.holders += [
+            holder for _, reply in sent if reply.is_done for holder in reply.holders
+        ]
+        renewal.requests = [request for request, reply in sent if not reply.is_done]
+        if renewal.requests:
             return False
-        self._journal.record(catalogue.CLAIMS_RENEWED, era=era, count=len(claims))
+        self._journal.record(catalogue.CLAIMS_RENEWED, era=era, count=renewal.count)
         self._directory.publish_own_change(store_era=era)
-        attempts_by_key = {claim.key: claim.attempt for claim in own}
-        for reply in replies:
-            for holder in reply.holders:
-                if holder.key in attempts_by_key:
-                    await self._report_second_holder(holder, attempts_by_key[holder.key])
+        self._begun = None
+        for holder in renewal.holders:
+            attempt = renewal.attempts_by_key.get(holder.key)
+            if attempt is not None:
+                await self._report_second_holder(holder, attempt)
         return True
 
     async def _report_second_holder(self, holder: ClaimRecord, attempt: str) -> None:
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -66,6 +66,7 @@
     attempts: list[Attempt] = attrs.field(factory=list)
     errors: list[str] = attrs.field(factory=list)
     tasks: list["asyncio.Task[Any]"] = attrs.field(factory=list)
+    asked: list[Any] = attrs.field(factory=list)
 
     async def start(self, count: int) -> None:
         self.store.on_restore.append(self._after_restore)
@@ -207,6 +208,7 @@
     ) -> Result[Any, PeerError]:
         """Take the place of the transport."""
         faults = self.fleet.transport_faults
+        self.fleet.asked.append(message)
         fault = faults.popleft() if faults else "ok"
         other = next(it for it in self.fleet.daemons if it.directory.me.vm == address)
         if fault == "lost" or other.is_stopped:
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -21,7 +21,7 @@
 )
 from kingcuppond.claims.guard import key_digest
 from kingcuppond.claims.log import ShardLog
-from kingcuppond.claims.messages import ClaimRecord, RenewalRequest, Verdict
+from kingcuppond.claims.messages import ClaimRecord, RenewalReply, RenewalRequest, Verdict
 from kingcuppond.claims.segments import SegmentId
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
@@ -382,6 +382,42 @@
     play(script)
 
 
+def test_claims_of_other_shards_are_not_sent_again_until_a_slow_one_has_replied() -> None:
+    """In a large fleet a coordinator gets hundreds of requests, and replies late to some."""
+
+    async def script(scenario: Scenario) -> None:
+        fleet = scenario.fleet
+        for i in range(20):
+            scenario.key = f"key {i}"
+            assert await scenario.call(scenario.owner) == "200"
+        # One shard gets no reply from any of its coordinators, twice.
+        owner = fleet.daemons[scenario.owner].peers
+        lost = 2
+        renew = owner.renew
+
+        async def renew_or_lose(request: RenewalRequest) -> RenewalReply:
+            nonlocal lost
+            if request.shard == shard_of(key_digest("booking", "key 0")) and lost:
+                lost -= 1
+                return RenewalReply(is_done=False)
+            return await renew(request)
+
+        owner.renew = renew_or_lose  # type: ignore[method-assign]
+        fleet.asked.clear()
+        fleet.store.restore(0)
+        await asyncio.sleep(2)
+        assert fleet.daemons[scenario.owner].directory.me.store_era == fleet.store.era
+        sent = [
+            message.shard
+            for message in fleet.asked
+            if isinstance(message, RenewalRequest)
+            and message.records[0].attempt.startswith(f"vm{scenario.owner}/")
+        ]
+        assert len(sent) == len(set(sent))
+
+    play(script)
+
+
 def test_a_claim_that_no_coordinator_can_grant_yet_is_refused_after_one_wait() -> None:
     async def script(scenario: Scenario) -> None:
         fleet = scenario.fleet
