--- a/tests/failures/test_restored_store_soak.py
+++ b/tests/failures/test_restored_store_soak.py
@@ -1,10 +1,10 @@
 """Restores of the store in series, overlapping with faults of daemons, servers and the store.
 
-A round has one to three restores and one daemon that is killed, paused or restarted, and then waits
-until keys are served everywhere.  In a round only one daemon loses what it has in memory, since
-more losses between a copy and the end of the renewal are allowed to lose a claim (see
-docs/design/restored-store.md).  ``SOAK_SEEDS`` (``first-last``) and ``SOAK_ROUNDS`` set a longer
-run.
+A round has one to three restores and daemons that are killed, paused or restarted, and then waits
+until keys are served everywhere.  In a round only daemons of one data centre lose what they have in
+memory, since losses in both between a copy and the end of the renewal are allowed to lose a claim
+(see docs/design/restored-store.md).  ``SOAK_SEEDS`` (``first-last``) and ``SOAK_ROUNDS`` set a
+longer run.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 import traceback
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -36,6 +37,7 @@
 from tests.failures.test_restored_store import restart_daemon
 
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 2})
+DATA_CENTRES = sorted({plan.data_centre for plan in PLANS})
 VM_NAMES = [plan.name for plan in PLANS]
 ROUNDS = int(os.environ.get("SOAK_ROUNDS", "2"))
 KEYS_PER_SECOND = 25.0
@@ -232,12 +234,15 @@
 
     async def play_round(self) -> None:
         began_at = time.monotonic()
-        victim, leaving = self.rng.choice(VM_NAMES), self.rng.choice(VM_NAMES)
+        data_centre = self.rng.choice(DATA_CENTRES)
+        candidates = [plan.name for plan in PLANS if plan.data_centre == data_centre]
+        victims = self.rng.sample(candidates, self.rng.choice([1, 1, len(candidates)]))
+        leaving = self.rng.choice(VM_NAMES)
         faults: list[Callable[[], Awaitable[None]]] = [
             lambda: self.restore_repeatedly(began_at),
-            lambda: self.disturb_daemon(victim),
             self.disturb_store,
         ]
+        faults += [partial(self.disturb_daemon, vm) for vm in victims]
         if self.rng.random() < 0.7:
             faults.append(lambda: self.let_server_leave(leaving))
         await asyncio.gather(*(fault() for fault in faults))
