--- a/tests/failures/test_restored_store_soak.py
+++ b/tests/failures/test_restored_store_soak.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
@@ -70,6 +71,7 @@
     refusals: Counter[str] = attrs.field(factory=Counter)
     errors: list[str] = attrs.field(factory=list)
     notes: list[str] = attrs.field(factory=list)
+    is_over: asyncio.Event = attrs.field(factory=asyncio.Event)
     started_at: float = attrs.field(factory=time.monotonic)
     _ids: Any = attrs.field(factory=lambda: itertools.count(1))
 
@@ -108,13 +110,15 @@
         ms = rng.choice([1, 5, 50, 300])
         await self.call(rng.choice(VM_NAMES), key, ms)
         for _ in range(rng.randint(1, 4)):
-            await asyncio.sleep(rng.choice([0.0, 0.05, 0.5, 2.0, 4.0]) * rng.uniform(0.5, 1.5))
+            seconds = rng.choice([0.0, 0.05, 0.5, 2.0, 4.0]) * rng.uniform(0.5, 1.5)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.is_over.wait(), seconds)
             await self.call(rng.choice(VM_NAMES), key, ms)
 
-    async def send_keys(self, is_over: asyncio.Event) -> None:
+    async def send_keys(self) -> None:
         async with asyncio.TaskGroup() as group:
             for i in itertools.count():
-                if is_over.is_set():
+                if self.is_over.is_set():
                     return
                 group.create_task(self.send_and_repeat(f"k{i}"))
                 await asyncio.sleep(self.rng.expovariate(KEYS_PER_SECOND))
@@ -279,12 +283,11 @@
         await asyncio.to_thread(fleet.wait_until_ready)
         soak = Soak(fleet, random.Random(seed))
         await soak.wait_until_served()
-        is_over = asyncio.Event()
-        load = asyncio.create_task(soak.send_keys(is_over))
+        load = asyncio.create_task(soak.send_keys())
         try:
             for _ in range(ROUNDS):
                 await soak.play_round()
-            is_over.set()
+            soak.is_over.set()
             await load
             await soak.check_runs()
         except Exception as exc:
