--- a/tests/failures/test_restored_store_soak.py
+++ b/tests/failures/test_restored_store_soak.py
@@ -1,13 +1,14 @@
 """Restores of the store in series, overlapping with faults of daemons, servers and the store.
 
-A round has one to three restores and one daemon that is killed, paused or restarted, and then waits
-until keys are served everywhere.  In a round only one daemon loses what it has in memory, since
-more losses between a copy and the end of the renewal are allowed to lose a claim (see
-docs/design/restored-store.md).  ``SOAK_SEEDS`` (``first-last``) and ``SOAK_ROUNDS`` set a longer
-run.
+A round has one to three restores and daemons that are killed, paused or restarted, and then waits
+until keys are served everywhere.  In a round only daemons of one data centre lose what they have in
+memory, since losses in both between a copy and the end of the renewal are allowed to lose a claim
+(see docs/design/restored-store.md).  ``SOAK_SEEDS`` (``first-last``) and ``SOAK_ROUNDS`` set a
+longer run.
 """
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
@@ -17,6 +18,7 @@
 import traceback
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -36,6 +38,7 @@
 from tests.failures.test_restored_store import restart_daemon
 
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 2})
+DATA_CENTRES = sorted({plan.data_centre for plan in PLANS})
 VM_NAMES = [plan.name for plan in PLANS]
 ROUNDS = int(os.environ.get("SOAK_ROUNDS", "2"))
 KEYS_PER_SECOND = 25.0
@@ -68,6 +71,7 @@
     refusals: Counter[str] = attrs.field(factory=Counter)
     errors: list[str] = attrs.field(factory=list)
     notes: list[str] = attrs.field(factory=list)
+    is_over: asyncio.Event = attrs.field(factory=asyncio.Event)
     started_at: float = attrs.field(factory=time.monotonic)
     _ids: Any = attrs.field(factory=lambda: itertools.count(1))
 
@@ -106,13 +110,15 @@
         ms = rng.choice([1, 5, 50, 300])
         await self.call(rng.choice(VM_NAMES), key, ms)
         for _ in range(rng.randint(1, 4)):
-            await asyncio.sleep(rng.choice([0.0, 0.05, 0.5, 2.0, 4.0]) * rng.uniform(0.5, 1.5))
+            seconds = rng.choice([0.0, 0.05, 0.5, 2.0, 4.0]) * rng.uniform(0.5, 1.5)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.is_over.wait(), seconds)
             await self.call(rng.choice(VM_NAMES), key, ms)
 
-    async def send_keys(self, is_over: asyncio.Event) -> None:
+    async def send_keys(self) -> None:
         async with asyncio.TaskGroup() as group:
             for i in itertools.count():
-                if is_over.is_set():
+                if self.is_over.is_set():
                     return
                 group.create_task(self.send_and_repeat(f"k{i}"))
                 await asyncio.sleep(self.rng.expovariate(KEYS_PER_SECOND))
@@ -232,12 +238,15 @@
 
     async def play_round(self) -> None:
         began_at = time.monotonic()
-        victim, leaving = self.rng.choice(VM_NAMES), self.rng.choice(VM_NAMES)
+        data_centre = self.rng.choice(DATA_CENTRES)
+        candidates = [plan.name for plan in PLANS if plan.data_centre == data_centre]
+        victims = self.rng.sample(candidates, self.rng.choice([1, 1, len(candidates)]))
+        leaving = self.rng.choice(VM_NAMES)
         faults: list[Callable[[], Awaitable[None]]] = [
             lambda: self.restore_repeatedly(began_at),
-            lambda: self.disturb_daemon(victim),
             self.disturb_store,
         ]
+        faults += [partial(self.disturb_daemon, vm) for vm in victims]
         if self.rng.random() < 0.7:
             faults.append(lambda: self.let_server_leave(leaving))
         await asyncio.gather(*(fault() for fault in faults))
@@ -274,12 +283,11 @@
         await asyncio.to_thread(fleet.wait_until_ready)
         soak = Soak(fleet, random.Random(seed))
         await soak.wait_until_served()
-        is_over = asyncio.Event()
-        load = asyncio.create_task(soak.send_keys(is_over))
+        load = asyncio.create_task(soak.send_keys())
         try:
             for _ in range(ROUNDS):
                 await soak.play_round()
-            is_over.set()
+            soak.is_over.set()
             await load
             await soak.check_runs()
         except Exception as exc:
