A restarted daemon does not trust the settings that state the fleet's first start

Such a daemon trusts a listing of the store before it has asked the other daemons, and this one was stale. A listing of a store that was restored is as old.

Change: a daemon that finds its own VM registered when it registers itself knows that an earlier process has run, and asks the others first, whatever the settings state.

Evidence: test_a_restarted_daemon_knows_that_the_fleet_does_not_start_for_the_first_time (new; what it tests did not exist before).

What remains: a daemon that joins through seeds is not registered in most cases, and one that nobody answers for about 2 s goes by the listing as before.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -264,7 +264,7 @@
             self.clock,
             self.journal,
             self.rng,
-            lambda: self.registration.has_contacted_members or settings.is_first_start,
+            lambda: self.registration.has_contacted_members or self._is_first_start(),
             lambda: self.registration.has_contacted_members,
             not settings.is_first_start,
             settings.watch_wait_ms,
@@ -281,6 +281,10 @@
         )
         self.eras.on_new_era.append(self.registration.on_new_era)
 
+    def _is_first_start(self) -> bool:
+        """Return whether the settings state the first start of the fleet, and the store agrees."""
+        return self.settings.is_first_start and not self.registration.has_predecessor
+
     def _make_gate(self) -> None:
         """Create the gate and the port for the server beside this daemon."""
         may_have_run = not self.settings.is_first_start
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -84,6 +84,8 @@
         # Set once another daemon has sent its state, or once the daemons chosen from the store's
         # listing were asked, whether or not they replied.
         self.has_contacted_members = False
+        # Set if an earlier process on this VM has left its object in the store.
+        self.has_predecessor = False
         self._store = store
         self._directory = directory
         self._gossip = gossip
@@ -194,6 +196,7 @@
         me = self._directory.me
         body = encode_body(me)
         expected = ABSENT_VERSION
+        is_first_attempt = not self._may_exist
         if self._may_exist:
             # An earlier process, or an attempt whose answer was lost, may have written the object.
             found = await self._store.get(DAEMON_KIND, me.vm)
@@ -206,6 +209,7 @@
         self._may_exist = True
         written = await self._store.put(DAEMON_KIND, me.vm, body, expected)
         if written.is_error():
+            self.has_predecessor |= is_first_attempt and written.error.is_conflict
             return Error(written.error)
         self._version = written.ok
         return Ok(None)
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -80,6 +80,26 @@
     assert store.writes == 1
 
 
+@pytest.mark.parametrize(
+    ("faults", "is_registered", "expected"),
+    [([], False, False), (["lost"], False, False), ([], True, True)],
+    ids=["no object", "own write whose answer was lost", "object of an earlier process"],
+)
+async def test_a_restarted_daemon_knows_that_the_fleet_does_not_start_for_the_first_time(
+    store: FakeStore,
+    registration: Registration,
+    faults: list[str],
+    is_registered: bool,
+    expected: bool,
+) -> None:
+    """Its settings may still say so; it trusted a stale listing before it had joined."""
+    if is_registered:
+        await store.put(DAEMON_KIND, "vm-1", encode_body(make_member("vm-1")), ABSENT_VERSION)
+    store.faults = faults
+    await registration._register_with_backoff()
+    assert registration.has_predecessor == expected
+
+
 def test_a_daemon_that_nobody_answered_asks_others_soon() -> None:
     """Few daemons are registered, and objects of VMs that are gone may outnumber them."""
     store, gossip = FakeStore(), FakeGossip(is_unanswered=True)
