--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -57,6 +57,9 @@
 
 ROLE_CHECK_INTERVAL_SECONDS: Final = 1.0
 
+REWRITE_DELAY_SECONDS_PER_MEMBER: Final = 0.002
+"""Claims and departures, which are more urgent, are written again before."""
+
 REWRITE_SPREAD_SECONDS_PER_MEMBER: Final = 0.005
 """Without seeds all daemons are registered; the store takes 400 writes a second."""
 
@@ -83,6 +86,8 @@
         # Set once another daemon has sent its state, or once the daemons chosen from the store's
         # listing were asked, whether or not they replied.
         self.has_contacted_members = False
+        # Set if an earlier process on this VM has left its object in the store.
+        self.has_predecessor = False
         self._store = store
         self._directory = directory
         self._gossip = gossip
@@ -148,8 +153,11 @@
                 await self._register_with_backoff()
 
     async def _register_again(self) -> None:
-        spread_seconds = REWRITE_SPREAD_SECONDS_PER_MEMBER * self._directory.living_count
-        await asyncio.sleep(spread_seconds * self._rng.random())
+        seconds_per_member = (
+            REWRITE_DELAY_SECONDS_PER_MEMBER
+            + REWRITE_SPREAD_SECONDS_PER_MEMBER * self._rng.random()
+        )
+        await asyncio.sleep(seconds_per_member * self._directory.living_count)
         # The store may be restored once more while this daemon registers.
         self._is_rewrite_due = False
         self.is_registered = False
@@ -190,6 +198,7 @@
         me = self._directory.me
         body = encode_body(me)
         expected = ABSENT_VERSION
+        is_first_attempt = not self._may_exist
         if self._may_exist:
             # An earlier process, or an attempt whose answer was lost, may have written the object.
             found = await self._store.get(DAEMON_KIND, me.vm)
@@ -202,6 +211,7 @@
         self._may_exist = True
         written = await self._store.put(DAEMON_KIND, me.vm, body, expected)
         if written.is_error():
+            self.has_predecessor |= is_first_attempt and written.error.is_conflict
             return Error(written.error)
         self._version = written.ok
         return Ok(None)
