--- a/tests/failures/test_restored_store_soak.py
+++ b/tests/failures/test_restored_store_soak.py
@@ -53,6 +53,15 @@
     return list(range(int(first), int(last or first) + 1))
 
 
+def is_listening(fleet: Fleet, vm: str) -> bool:
+    """Return whether a server answers."""
+    try:
+        fleet.runs(vm)
+    except OSError:
+        return False
+    return True
+
+
 @attrs.define
 class Soak:
     """A fleet, the calls sent to it and what was found.
@@ -199,6 +208,7 @@
         self.earlier_runs += await self.count_runs(vm)
         fleet.kill(vm, "server")
         fleet.start_server(vm)
+        await wait_until(lambda: is_listening(fleet, vm))
         self.note(f"{vm} has a new server")
 
     async def wait_until_served(self) -> None:
