A stopping daemon accepts and reads what has arrived before it closes

What callers saw: a request on a new connection, sent up to some tenths of a second before a stopping daemon closes its listening sockets, was not answered: the connection was reset.

Cause: the close does not know what has arrived. If the process was held up, the event loop runs timers first, so the end of draining closed the listening socket before the connections that the kernel had established were accepted.

Evidence: test_a_request_that_arrives_while_the_process_is_held_up_is_answered stops the process for 0.3 s around that moment. "new connection" failed before (connection reset, no answer), the two cases with an open connection passed before.

Change: before the listening socket and before the connections are closed, the event loop gets 10 ms in which it accepts and reads. The second is from reading only: no test shows that it was needed, since something else is mostly waited for there.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -31,6 +31,9 @@
 Planned stops have waited for calls before that.
 """
 
+ACCEPT_SECONDS: Final = 0.01
+"""Time for the event loop to accept the connections that the kernel has established."""
+
 KEEP_ALIVE_SECONDS: Final = 120.0
 """Longer than callers keep an idle connection, so that no request races with its close."""
 
@@ -139,6 +142,8 @@
 
 async def stop_accepting(runner: web.ServerRunner) -> None:
     """Stop accepting connections; open ones continue."""
+    # After a delay of the process, timers run before the event loop accepts what has connected.
+    await asyncio.sleep(ACCEPT_SECONDS)
     for site in list(runner.sites):
         await site.stop()
     await asyncio.sleep(0)
--- a/kingcuppond/ingress/in_progress.py
+++ b/kingcuppond/ingress/in_progress.py
@@ -42,6 +42,7 @@
     count: int = 0
     last_ended_at: float = float("-inf")
     is_closing: bool = False
+    _is_ending_waits: bool = False
     _waiting_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     def begin(self) -> None:
@@ -56,6 +57,9 @@
     async def close(self) -> None:
         """Refuse further requests, and answer those in progress without a result of a server."""
         self.is_closing = True
+        # After a delay of the process, timers run before the event loop reads what has arrived.
+        await asyncio.sleep(POLL_SECONDS)
+        self._is_ending_waits = True
         for task in self._waiting_tasks:
             task.cancel()
         end = self.clock.monotonic() + ANSWER_SECONDS
@@ -76,7 +80,7 @@
             return await result
         except asyncio.CancelledError:
             # The task is cancelled also if the caller disconnects.
-            if not self.is_closing or task.uncancel():
+            if not self._is_ending_waits or task.uncancel():
                 raise
             return Result.Error(failure())
         finally:
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -222,6 +222,39 @@
     assert (reply.status, reply.runs) == (503, 0)
 
 
+@pytest.mark.parametrize(
+    ("is_kept", "is_busy", "held_at", "held_until"),
+    [(True, False, 3.1, 3.6), (True, True, 4.9, 5.15), (False, True, 4.3, 4.6)],
+    ids=["open connection, idle daemon", "open connection, at the end", "new connection"],
+)
+async def test_a_request_that_arrives_while_the_process_is_held_up_is_answered(
+    fleet: Fleet, is_kept: bool, is_busy: bool, held_at: float, held_until: float
+) -> None:
+    """Connections were closed before what had arrived meanwhile was read."""
+    configure(fleet, 2, Timeout="20000ms", Kind="unsafe")
+    await asyncio.sleep(1.0)
+    caller = await open_caller(fleet, is_kept)
+    other = await open_caller(fleet, is_kept=True)
+    stopped_at = time.monotonic()
+
+    async def hold_up() -> None:
+        await asyncio.sleep(stopped_at + held_at - time.monotonic())
+        fleet.signal(STOPPING, "daemon", signal.SIGSTOP)
+        await asyncio.sleep(stopped_at + held_until - time.monotonic())
+        fleet.signal(STOPPING, "daemon", signal.SIGCONT)
+
+    service_ms = 9000 if is_busy else 1
+    reply, _, _, _ = await asyncio.gather(
+        caller.send_at(stopped_at, held_at + 0.05, "POST", "/read/1?ms=3000", 15_000),
+        other.send_at(stopped_at, 0.1, "POST", f"/read/1?ms={service_ms}", 15_000),
+        stop_as_the_platform_does(fleet, stopped_at),
+        hold_up(),
+    )
+    for it in (caller, other):
+        await it.session.close()
+    assert (reply.status, reply.runs, reply.is_closing) == (503, 0, True)
+
+
 async def send_pipelined(fleet: Fleet, paths: list[str]) -> list[tuple[int, bool]]:
     """Send requests at once on one connection, and stop the daemon meanwhile.
 
