A stopping daemon accepts all connections that are established before it closes

Cause: 10 ms were not enough. The event loop accepts one connection in each of its rounds, and handles what it has accepted in between.

Change: the sockets are closed once no connection was accepted for 10 ms, or after 0.2 s.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -32,7 +32,10 @@
 """
 
 ACCEPT_SECONDS: Final = 0.01
-"""Time for the event loop to accept the connections that the kernel has established."""
+"""If the event loop accepts no connection for so long, none that is established is left."""
+
+MAX_ACCEPT_SECONDS: Final = 0.2
+"""How long connections may be accepted after the last moment, if callers go on connecting."""
 
 KEEP_ALIVE_SECONDS: Final = 120.0
 """Longer than callers keep an idle connection, so that no request races with its close."""
@@ -74,9 +77,15 @@
 
 
 class ProblemServer(web.Server):
-    """Makes a :class:`ProblemHandler` for each connection."""
+    """Makes a :class:`ProblemHandler` for each connection.
+
+    :ivar accepted: number of connections accepted so far
+    """
+
+    accepted: int = 0
 
     def __call__(self) -> RequestHandler:
+        self.accepted += 1
         return ProblemHandler(self, loop=self._loop, **self._kwargs)
 
 
@@ -141,9 +150,20 @@
 
 
 async def stop_accepting(runner: web.ServerRunner) -> None:
-    """Stop accepting connections; open ones continue."""
-    # After a delay of the process, timers run before the event loop accepts what has connected.
-    await asyncio.sleep(ACCEPT_SECONDS)
+    """Stop accepting; open connections, and those that the kernel has established, continue."""
+    await _accept_established(runner)
     for site in list(runner.sites):
         await site.stop()
     await asyncio.sleep(0)
+
+
+async def _accept_established(runner: web.ServerRunner) -> None:
+    # After a delay of the process, timers run before the event loop accepts what has connected, and
+    # it accepts one connection in each of its rounds.
+    assert isinstance(runner.server, ProblemServer)
+    loop = asyncio.get_running_loop()
+    end = loop.time() + MAX_ACCEPT_SECONDS
+    accepted = -1
+    while accepted != runner.server.accepted and loop.time() < end:
+        accepted = runner.server.accepted
+        await asyncio.sleep(ACCEPT_SECONDS)
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -21,6 +21,7 @@
 KILL_SECONDS = 6.0
 FULL_WAIT_SECONDS = 5.0
 HANDLED_AFTER_SECONDS = 0.8
+HELD_CALLERS = 32
 LOG_CHARACTERS = 4000
 SERVICE_MS = 1500
 TIMEOUT_MS = 2000
@@ -227,13 +228,13 @@
     [(True, False, 3.1, 3.6), (True, True, 4.9, 5.15), (False, True, 4.3, 4.6)],
     ids=["open connection, idle daemon", "open connection, at the end", "new connection"],
 )
-async def test_a_request_that_arrives_while_the_process_is_held_up_is_answered(
+async def test_requests_that_arrive_while_the_process_is_held_up_are_answered(
     fleet: Fleet, is_kept: bool, is_busy: bool, held_at: float, held_until: float
 ) -> None:
     """Connections were closed before what had arrived meanwhile was read."""
     configure(fleet, 2, Timeout="20000ms", Kind="unsafe")
     await asyncio.sleep(1.0)
-    caller = await open_caller(fleet, is_kept)
+    callers = [await open_caller(fleet, is_kept) for _ in range(HELD_CALLERS)]
     other = await open_caller(fleet, is_kept=True)
     stopped_at = time.monotonic()
 
@@ -244,15 +245,20 @@
         fleet.signal(STOPPING, "daemon", signal.SIGCONT)
 
     service_ms = 9000 if is_busy else 1
-    reply, _, _, _ = await asyncio.gather(
-        caller.send_at(stopped_at, held_at + 0.05, "POST", "/read/1?ms=3000", 15_000),
+    calls = [
+        caller.send_at(stopped_at, held_at + 0.05, "POST", "/read/1?ms=3000", 15_000)
+        for caller in callers
+    ]
+    replies, _, _, _ = await asyncio.gather(
+        asyncio.gather(*calls),
         other.send_at(stopped_at, 0.1, "POST", f"/read/1?ms={service_ms}", 15_000),
         stop_as_the_platform_does(fleet, stopped_at),
         hold_up(),
     )
-    for it in (caller, other):
-        await it.session.close()
-    assert (reply.status, reply.runs, reply.is_closing) == (503, 0, True)
+    for caller in [*callers, other]:
+        await caller.session.close()
+    seen = [(reply.status, reply.runs, reply.is_closing) for reply in replies]
+    assert seen == [(503, 0, True)] * HELD_CALLERS
 
 
 async def send_pipelined(fleet: Fleet, paths: list[str]) -> list[tuple[int, bool]]:
