--- a/kingcuppond/ingress/in_progress.py
+++ b/kingcuppond/ingress/in_progress.py
@@ -59,6 +59,7 @@
         self.is_closing = True
         # After a delay of the process, timers run before the event loop reads what has arrived.
         await asyncio.sleep(POLL_SECONDS)
+        # From now on a wait is cancelled by the close, and not by a caller that disconnects.
         self._is_ending_waits = True
         for task in self._waiting_tasks:
             task.cancel()
@@ -79,7 +80,6 @@
         try:
             return await result
         except asyncio.CancelledError:
-            # The task is cancelled also if the caller disconnects.
             if not self._is_ending_waits or task.uncancel():
                 raise
             return Result.Error(failure())
