Test of calls that were sent to no server: all servers are busy before it begins

So the daemon told the truth; what was not true is what the test takes for granted, that each of three servers with one slot had a call after 0.5 s. The test now waits until each has one, and calls again if not.

--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import aiohttp
 import attrs
@@ -138,8 +139,11 @@
         fleet.wait_until_ready()
         other = fleet.vms_by_name[plans[1].name].caller
         path = "/read/1?ms=9000"
-        busy = [asyncio.create_task(send(other, path, deadline_ms=15_000)) for _ in plans]
-        await asyncio.sleep(0.5)
+        busy: list[asyncio.Task[Any]] = []
+        async with asyncio.timeout(10):
+            while idle := [it for it in plans if not fleet.runs(it.name)["in_flight"]]:
+                busy += [asyncio.create_task(send(other, path, deadline_ms=15_000)) for _ in idle]
+                await asyncio.sleep(0.5)
         caller = await open_caller(fleet, is_kept=False)
         stopped_at = time.monotonic()
         reply, _ = await asyncio.gather(
