--- a/review/rig/server.py
+++ b/review/rig/server.py
@@ -3,7 +3,8 @@
 It registers with the daemon beside it, serves one request at a time on a connection, works on as
 many as it has slots and queues a few more.  Each request that it begins to work on is one line of
 JSON in the runs file.  The last segment of the path is the work in milliseconds; ``endless`` is
-answered without end while the switch file exists, ``crash`` ends the process.  SIGUSR1 makes the
+answered without end while the switch file exists, ``crash`` ends the process.
+``?bytes=`` sets the least size of the answer.  SIGUSR1 makes the
 server cold again; it then says so in its health answers and in the next heartbeat.
 """
 
@@ -152,7 +153,9 @@
                         return
                 else:
                     await asyncio.sleep(float(last) / 1000)
-                answer(writer, "200 OK", extra, json.dumps({"target": target}).encode())
+                size = int(target.partition("?bytes=")[2] or 0)
+                text = json.dumps({"target": target}).encode()
+                answer(writer, "200 OK", extra, text.ljust(size, b"."))
                 await writer.drain()
         finally:
             self.running -= 1
