--- a/review/3/play.py
+++ b/review/3/play.py
@@ -12,6 +12,7 @@
     HOST,
     Deployment,
     Reply,
+    check_is_serving,
     has_trouble,
     make_config,
     route,
@@ -39,15 +40,13 @@
 class Upload:
     """One client attempt.
 
-    :ivar closed_at: time at which its client closed the connection, if it left
-    :ivar left_at: time at which the close had reached the other end
+    :ivar left_at: time at which the close of a client that left had reached the other end
     """
 
     def __init__(self, attempt_id: str, is_leaving: bool) -> None:
         self.attempt_id, self.is_leaving = attempt_id, is_leaving
-        self.closed_at: float | None = None
         self.left_at: float | None = None
-        self.reply = Reply()
+        self.reply = Reply(attempt_id)
 
 
 def play(case: Path) -> bool:
@@ -66,6 +65,8 @@
             late += after is not None and after > LATE_S
             what = "never ran" if after is None else f"ran {after:+.3f} s after"
             running.record(f"{upload.attempt_id}: its client left, it {what}")
+        running.record_requests([it.reply for it in uploads])
+        check_is_serving([it.reply for it in uploads if not it.is_leaving])
         counts = Counter(it.reply.status for it in uploads)
         running.record(f"{len(uploads)} uploads, answers by status: {dict(counts)}")
         running.record(
@@ -99,6 +100,7 @@
         upload.reply = await send(address, upload.attempt_id, path, method="POST", body=body)
         return
     loop = asyncio.get_running_loop()
+    upload.reply.sent_at = time.time()
     with socket.socket() as sock:
         sock.setblocking(False)
         host, _, port = address.rpartition(":")
@@ -118,7 +120,8 @@
                 return
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
-            upload.closed_at = time.time()
+            upload.reply.end = "the client left"
+            upload.reply.ended = time.time() - upload.reply.sent_at
             upload.left_at = await wait_until_received(sock)
 
 
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -4,7 +4,16 @@
 import sys
 from pathlib import Path
 
-from review.rig.deployment import Deployment, Reply, has_trouble, make_config, route, run_case, send
+from review.rig.deployment import (
+    Deployment,
+    Reply,
+    check_is_serving,
+    has_trouble,
+    make_config,
+    route,
+    run_case,
+    send,
+)
 
 SERVICE = "quote-desk"
 TIMEOUT_S = 1.5
@@ -30,6 +39,8 @@
             )
         for line in running.runs():
             running.record(f"server {line['server']}: {line['id']} {line['what']}")
+        running.record_requests(replies)
+        check_is_serving(replies)
         lasting = [it for it in replies if it.ended > TIMEOUT_S]
         late = [it for it in lasting if it.ended > TIMEOUT_S + LATE_S]
         running.record(
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -6,7 +6,16 @@
 from collections import Counter
 from pathlib import Path
 
-from review.rig.deployment import Deployment, Vm, has_trouble, make_config, route, run_case, send
+from review.rig.deployment import (
+    Deployment,
+    Vm,
+    check_is_serving,
+    has_trouble,
+    make_config,
+    route,
+    run_case,
+    send,
+)
 
 SERVICE = "quote-desk"
 MACHINES = 3
@@ -44,13 +53,17 @@
 
 async def ask(running: Deployment, vms: list[Vm], prefix: str, method: str, what: str) -> int:
     """Send some requests on a route; return how many got 404."""
-    statuses = Counter[int]()
+    replies = []
     for index in range(REQUESTS):
         attempt_id, target = f"{prefix.strip('/')}-{time.time()}", f"{prefix}{index}/20"
         address = vms[index % len(vms)].callers
         body = b"x" * 100 if method == "POST" else b""
         reply = await send(address, attempt_id, target, method=method, body=body)
-        statuses[reply.status] += 1
+        replies.append(reply)
+    running.record_requests(replies)
+    if what.startswith("version 1"):
+        check_is_serving(replies)
+    statuses = Counter(it.status for it in replies)
     running.record(f"{what}: answers by status {dict(statuses)}")
     return statuses[404]
 
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -29,7 +29,7 @@
 HOST = "shop.example"
 READY_SECONDS = 40.0
 CALLERS_PORT, RELAY_PORT, READY_PORT, CONTROL_PORT, APP_PORT = 8629, 8624, 8625, 8620, 8628
-STORE_PORT = 8627
+STORE_PORT, METRICS_PORT, PEER_PORT = 8627, 9464, 7600
 
 
 class CannotRunError(Exception):
@@ -56,7 +56,7 @@
     def __init__(self, case: Path, services: list[str], zones: tuple[str, ...] = ("a", "b")):
         self.case = case
         self.folder = Path(tempfile.mkdtemp(prefix="kingcuppond-review-"))
-        net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        net = free_net()
         self.store = f"{net}.1:{STORE_PORT}"
         self.vms = [
             Vm(f"sidecar-{i + 1}", zones[i % len(zones)], service, f"{net}.{i + 10}")
@@ -94,6 +94,20 @@
         self.record_file.write(line + "\n")
         print(line, flush=True)
 
+    def record_requests(self, replies: list["Reply"]) -> None:
+        """Write what was sent, answered and run to the record, a line for each request."""
+        runs_by_id: dict[str, list[str]] = {}
+        for line in self.runs():
+            if line["what"] == "run":
+                run = f"{line['server']} at {line['at'] - self.started:.3f}"
+                runs_by_id.setdefault(line["id"], []).append(run)
+        for reply in sorted(replies, key=lambda it: it.sent_at):
+            runs = ", ".join(runs_by_id.get(reply.attempt_id, [])) or "nowhere"
+            self.record_file.write(
+                f"{reply.attempt_id} sent at {reply.sent_at - self.started:.3f}: status "
+                f"{reply.status}, {reply.end} after {reply.ended:.3f} s; ran on {runs}\n"
+            )
+
     def spawn(self, name: str, arguments: list[str]) -> subprocess.Popen[bytes]:
         """Start a process of Python with nothing of the caller's environment but a few names."""
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
@@ -141,7 +155,7 @@
             "AppAddr": vm.app,
             "FirstStart": first_start,
             "Seeds": [f"{other.ip}:{CONTROL_PORT}" for other in self.vms if other is not vm][:3],
-            "InternalPorts": [7600, 7615],
+            "InternalPorts": [PEER_PORT, PEER_PORT + 15],
             "Listen": {
                 "Outbound": vm.callers,
                 "Inbound": f"{vm.ip}:{RELAY_PORT}",
@@ -209,6 +223,21 @@
         return [json.loads(line) for line in lines if line.endswith("}")]
 
 
+def free_net() -> str:
+    """Return the first three numbers of loopback addresses on which the ports are free."""
+    ports = (CALLERS_PORT, RELAY_PORT, READY_PORT, CONTROL_PORT, APP_PORT, STORE_PORT)
+    for _ in range(50):
+        net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        try:
+            for port in (*ports, METRICS_PORT, PEER_PORT):
+                with socket.socket() as probe:
+                    probe.bind((f"{net}.10", port))
+        except OSError:
+            continue
+        return net
+    raise CannotRunError("no free loopback addresses")
+
+
 def render(template: str, values: dict[str, Any]) -> str:
     """Fill in the placeholders of a template, as the platform's page describes them."""
 
@@ -282,12 +311,15 @@
 class Reply:
     """What a client saw of one request.
 
+    :ivar sent_at: wall clock in seconds
     :ivar status: HTTP status, 0 if no head arrived
     :ivar is_complete: whether the whole answer arrived
     :ivar ended: seconds from sending until the answer or the connection ended
     """
 
-    def __init__(self) -> None:
+    def __init__(self, attempt_id: str) -> None:
+        self.attempt_id = attempt_id
+        self.sent_at = time.time()
         self.status = 0
         self.head: dict[str, str] = {}
         self.body = b""
@@ -307,8 +339,7 @@
     give_up_s: float | None = None,
 ) -> Reply:
     """Send a request over a new connection, and read the answer until the client's deadline."""
-    reply = Reply()
-    started = time.time()
+    reply = Reply(attempt_id)
     host, _, port = address.rpartition(":")
     limit = deadline_ms / 1000 if give_up_s is None else give_up_s
     writer = None
@@ -327,7 +358,7 @@
         reply.end = "the client left"
     except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
         reply.end = f"the connection ended: {exc!r}"
-    reply.ended = time.time() - started
+    reply.ended = time.time() - reply.sent_at
     if writer is not None:
         writer.close()
     return reply
@@ -349,6 +380,16 @@
     reply.is_complete = True
 
 
+def check_is_serving(replies: list[Reply]) -> None:
+    """Check that most requests were answered with success, as the case says nothing otherwise.
+
+    :raises CannotRunError: they were not
+    """
+    good = sum(reply.status == 200 for reply in replies)
+    if good * 3 < len(replies):
+        raise CannotRunError(f"only {good} of {len(replies)} requests were answered with success")
+
+
 def has_trouble() -> bool:
     """Return whether the disruption of the case is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
