Streams end at the deadline of their call

Cause: the deadline was a timeout of each read. A read that finds bytes in the buffer succeeds at once, so a body that always has bytes ready was never cut.

Change: read_until (routing/streams.py) reads all bodies that are passed on piece by piece and checks the clock before each read. A streamed answer is sent within the time that its call has left. An answer that is cut so is late, not a lost connection: its server is not suspected to have crashed.

--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -150,8 +150,14 @@
             # A long answer is streamed to the caller and not held in memory, so it is not cached.
             self._attempts.finish(call.id, AttemptState.ANSWERED)
             return
+        try:
+            digest = await call.body.digest()
+        except TimeoutError:
+            # The server answered before the body had arrived, so repeats of it can't be compared.
+            self._attempts.finish(call.id, AttemptState.ANSWERED)
+            return
         cached = CachedAnswer(answer.status, answer.headers, answer.body)
-        self._attempts.store_answer(call.id, await call.body.digest(), cached)
+        self._attempts.store_answer(call.id, digest, cached)
 
     async def _resolve_held_key(
         self, call: Call, holder: ClaimRecord
@@ -161,7 +167,12 @@
             return Error(
                 NotRun(Reason.KEY_REUSED, "the idempotency key was used with another request")
             )
-        query = AttemptQuery(holder.attempt, holder.content, await call.body.digest())
+        try:
+            digest = await call.body.digest()
+        except TimeoutError:
+            detail = "the request body did not arrive before the deadline"
+            return Error(Unknown(Reason.DEADLINE, detail))
+        query = AttemptQuery(holder.attempt, holder.content, digest)
         reply = await self._peers.query(query, call.deadline)
         if reply.is_other_content:
             return Error(
--- a/kingcuppond/gate/server_client.py
+++ b/kingcuppond/gate/server_client.py
@@ -40,7 +40,10 @@
         if call.at_most_once:
             try:
                 await call.body.buffer()
-            except (OSError, TimeoutError, aiohttp.ClientError, web.RequestPayloadError) as exc:
+            except TimeoutError:
+                detail = "the request body did not arrive before the deadline"
+                return Error(NotRun(Reason.DEADLINE, detail))
+            except (OSError, aiohttp.ClientError, web.RequestPayloadError) as exc:
                 return Error(NotRun(Reason.BAD_REQUEST, f"the request body ended early: {exc!r}"))
         headers = to_multidict(call.headers)
         left_ms = int((call.deadline - time.monotonic()) * 1000)
@@ -107,7 +110,7 @@
             async for chunk in source:
                 yield chunk
         except InvalidAnswerError as exc:
-            await on_lost(Unknown(Reason.CONNECTION_LOST, str(exc)))
+            await on_lost(Unknown(exc.reason, str(exc)))
             raise
         on_end()
 
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -125,7 +125,11 @@
         answer = result.ok
         try:
             response = await send_answer(
-                request, answer, {}, is_last(request, self.directory.me.is_leaving)
+                request,
+                answer,
+                {},
+                is_last(request, self.directory.me.is_leaving),
+                caller_request.call.deadline - self.clock.monotonic(),
             )
         except InvalidAnswerError as exc:
             self.journal.record(
--- a/kingcuppond/ingress/relayed_calls.py
+++ b/kingcuppond/ingress/relayed_calls.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -75,7 +76,7 @@
             response.force_close()
             return response
         self.clock.observe(verified.ok.stamp)
-        call = _make_call(request, verified.ok, started)
+        call = _make_call(request, verified.ok, started, self.clock.monotonic)
         result = await self.requests.until_close(
             self.gate.run(call), lambda: stopped_during(call, self.vm)
         )
@@ -85,7 +86,11 @@
         try:
             # Relaying daemons close their connections once this daemon has left the fleet.
             return await send_answer(
-                request, answer, self._headers(call, answer.begun_slowdown), False
+                request,
+                answer,
+                self._headers(call, answer.begun_slowdown),
+                False,
+                call.deadline - self.clock.monotonic(),
             )
         except InvalidAnswerError as exc:
             raise ConnectionResetError(str(exc)) from exc
@@ -112,8 +117,11 @@
         return response
 
 
-def _make_call(request: web.BaseRequest, relay: RelayHead, started: float) -> Call:
+def _make_call(
+    request: web.BaseRequest, relay: RelayHead, started: float, now: Callable[[], float]
+) -> Call:
     connection = request.headers.get("Connection", "")
+    deadline = started + relay.left_ms / 1000
     return Call(
         id=relay.call,
         class_name=relay.class_name,
@@ -121,8 +129,8 @@
         method=request.method,
         target=request.raw_path,
         headers=end_to_end(request.headers.items(), connection, RELAY_HEADERS),
-        body=read_relayed_body(request),
-        deadline=started + relay.left_ms / 1000,
+        body=read_relayed_body(request, deadline, now),
+        deadline=deadline,
         depth=relay.depth,
         retry_budget=relay.retry_budget,
         at_most_once=relay.at_most_once,
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -4,7 +4,6 @@
 here has not run.
 """
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from typing import Final
 
@@ -27,6 +26,7 @@
     Call,
 )
 from kingcuppond.routing.headers import RELAY_HEADERS, end_to_end
+from kingcuppond.routing.streams import read_until
 
 MAX_KEY_LENGTH: Final = 255
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -72,7 +72,7 @@
     if isinstance(options, NotRun):
         return Error(options)
     deadline = started + min(options.deadline_ms, class_of_work.timeout_ms) / 1000
-    body = await _read_body(request, deadline - now())
+    body = await _read_body(request, deadline, now)
     if body.is_error():
         return Error(body.error)
     call = Call(
@@ -96,11 +96,14 @@
     return Ok(CallerRequest(call, class_of_work, options.key, started))
 
 
-def read_relayed_body(request: web.BaseRequest) -> Body:
-    """Return the body of a call relayed by another daemon, streamed from the first read on."""
+def read_relayed_body(request: web.BaseRequest, deadline: float, now: Callable[[], float]) -> Body:
+    """Return the body of a call relayed by another daemon, streamed from the first read on.
+
+    :param deadline: the call's deadline, on the monotonic clock ``now``
+    """
     if not request.body_exists:
         return Body()
-    return Body(b"", _stream(request), request.content_length)
+    return Body(b"", _stream(request, deadline, now), request.content_length)
 
 
 def _forwarded_headers(request: web.BaseRequest, dialect: Dialect) -> tuple[tuple[str, str], ...]:
@@ -186,23 +189,24 @@
     return int(text)
 
 
-async def _read_body(request: web.BaseRequest, seconds: float) -> Result[Body, Failure]:
+async def _read_body(
+    request: web.BaseRequest, deadline: float, now: Callable[[], float]
+) -> Result[Body, Failure]:
     """Read the part of the body that is held in memory.
 
-    :param seconds: time left for the first part to arrive
+    :param deadline: the call's deadline, on the monotonic clock ``now``
     """
     if not request.body_exists:
         return Ok(Body(length=0))
-    stream = _stream(request)
+    stream = _stream(request, deadline, now)
     chunks: list[bytes] = []
     size = 0
     try:
-        async with asyncio.timeout(seconds):
-            async for chunk in stream:
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > BODY_MEMORY_BYTES:
-                    return Ok(_split_body(b"".join(chunks), stream, request.content_length))
+        async for chunk in stream:
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > BODY_MEMORY_BYTES:
+                return Ok(_split_body(b"".join(chunks), stream, request.content_length))
     except TimeoutError:
         return Error(NotRun(Reason.DEADLINE, "the request body did not arrive before the deadline"))
     except (web.RequestPayloadError, OSError) as exc:
@@ -221,14 +225,12 @@
     return Body(start[:BODY_MEMORY_BYTES], stream(), length)
 
 
-async def _stream(request: web.BaseRequest) -> AsyncIterator[bytes]:
+async def _stream(
+    request: web.BaseRequest, deadline: float, now: Callable[[], float]
+) -> AsyncIterator[bytes]:
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_RESPONSE)
         # The interim response must not count as the start of the response.
         request.writer.output_size = 0
-    while True:
-        async with asyncio.timeout(STALL_TIMEOUT_SECONDS):
-            chunk = await request.content.readany()
-        if not chunk:
-            return
+    async for chunk in read_until(deadline, now, request.content.readany, STALL_TIMEOUT_SECONDS):
         yield chunk
--- a/kingcuppond/ingress/responses.py
+++ b/kingcuppond/ingress/responses.py
@@ -18,7 +18,7 @@
     problem_response,
 )
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure, Outcome
-from kingcuppond.routing.call import Answer
+from kingcuppond.routing.call import Answer, InvalidAnswerError
 from kingcuppond.routing.headers import to_multidict
 
 NO_LINGER: Final = struct.pack("ii", 1, 0)
@@ -51,13 +51,19 @@
 
 
 async def send_answer(
-    request: web.BaseRequest, answer: Answer, extra_headers: dict[str, str], is_closing: bool
+    request: web.BaseRequest,
+    answer: Answer,
+    extra_headers: dict[str, str],
+    is_closing: bool,
+    seconds: float,
 ) -> web.StreamResponse:
     """Send an answer.
 
     :param extra_headers: headers added to the answer's own
     :param is_closing: close the connection after the answer
-    :raises InvalidAnswerError: the server's answer broke off; the connection is aborted
+    :param seconds: time left until the call's deadline, which a streamed answer must not outlast
+    :raises InvalidAnswerError: the server's answer broke off, or its client has not read it by the
+        deadline; the connection is aborted
     """
     headers = to_multidict(answer.headers)
     headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
@@ -74,23 +80,27 @@
     response = web.StreamResponse(status=answer.status, headers=headers)
     if is_closing:
         response.force_close()
-    await _stream_answer(request, response, answer)
+    await _stream_answer(request, response, answer, seconds)
     return response
 
 
 async def _stream_answer(
-    request: web.BaseRequest, response: web.StreamResponse, answer: Answer
+    request: web.BaseRequest, response: web.StreamResponse, answer: Answer, seconds: float
 ) -> None:
     assert answer.chunks is not None
     if "Content-Length" not in response.headers and request.version >= (1, 1):
         response.enable_chunked_encoding()
     try:
-        await response.prepare(request)
-        async for chunk in answer.chunks:
-            # A client that stops reading must not keep the call open indefinitely.
-            async with asyncio.timeout(STALL_TIMEOUT_SECONDS):
-                await response.write(chunk)
-        await response.write_eof()
+        async with asyncio.timeout(max(0.0, seconds)):
+            await response.prepare(request)
+            async for chunk in answer.chunks:
+                # A client that stops reading must not keep the call open indefinitely.
+                async with asyncio.timeout(STALL_TIMEOUT_SECONDS):
+                    await response.write(chunk)
+            await response.write_eof()
+    except TimeoutError as exc:
+        abort_connection(request)
+        raise InvalidAnswerError("the client has not read the answer in time") from exc
     except BaseException:
         abort_connection(request)
         raise
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from kingcuppond.outcomes import Reason
+
 MAX_DEPTH: Final = 16
 DEFAULT_RETRY_BUDGET: Final = 3
 BODY_MEMORY_BYTES: Final = 65_536
@@ -153,4 +155,11 @@
 
 
 class InvalidAnswerError(Exception):
-    """An answer is truncated or unusable and must not be passed on as a complete one."""
+    """An answer is truncated or unusable and must not be passed on as a complete one.
+
+    :param reason: why the outcome of the call is unknown
+    """
+
+    def __init__(self, message: str, reason: Reason = Reason.CONNECTION_LOST) -> None:
+        super().__init__(message)
+        self.reason = reason
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -22,6 +22,7 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
+from kingcuppond.routing.streams import read_until
 from kingcuppond.settings.checks import split_address
 
 CONNECT_SECONDS: Final = 0.5
@@ -271,13 +272,12 @@
 
 async def _stream(response: aiohttp.ClientResponse, deadline: float) -> AsyncIterator[bytes]:
     try:
-        while True:
-            left = deadline - time.monotonic()
-            chunk = await asyncio.wait_for(response.content.readany(), max(left, 0.001))
-            if not chunk:
-                return
+        async for chunk in read_until(deadline, time.monotonic, response.content.readany):
             yield chunk
-    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+    except TimeoutError as exc:
+        _abort(response)
+        raise InvalidAnswerError("the answer did not end in time", Reason.DEADLINE) from exc
+    except (aiohttp.ClientError, OSError) as exc:
         _abort(response)
         raise InvalidAnswerError(f"the answer was truncated: {type(exc).__name__}") from exc
 
--- a/tests/ingress/test_truncated_answers.py
+++ b/tests/ingress/test_truncated_answers.py
@@ -25,7 +25,7 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         try:
             return await send_answer(
-                request, Answer(200, headers, chunks=broken_body()), {}, is_closing=False
+                request, Answer(200, headers, chunks=broken_body()), {}, False, seconds=2.0
             )
         except InvalidAnswerError as exc:
             raise ConnectionResetError(str(exc)) from exc
--- a/tests/routing/test_endless.py
+++ b/tests/routing/test_endless.py
@@ -14,7 +14,7 @@
 from expression import Result
 from multidict import CIMultiDict
 
-from kingcuppond.outcomes import Failure, Unknown
+from kingcuppond.outcomes import Failure, Reason, Unknown
 from kingcuppond.routing.call import Body, InvalidAnswerError
 from kingcuppond.routing.exchange import ReceivedAnswer, exchange, open_session
 from tests.servers import listening
@@ -127,6 +127,22 @@
         await session.close()
 
 
+async def test_whole_chunks_without_end_stop_at_the_deadline() -> None:
+    """They were passed on past the deadline, as a read that finds bytes never times out."""
+    async with serving(CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n") as server:
+        session = open_session()
+        deadline = time.monotonic() + DEADLINE_SECONDS
+        answer = (await fetch(session, server.address, deadline)).ok.answer
+        assert answer.chunks is not None
+        with pytest.raises(InvalidAnswerError) as raised:
+            async for _ in answer.chunks:
+                assert time.monotonic() < deadline + 0.5
+        assert raised.value.reason is Reason.DEADLINE
+        await answer.close()
+        await asyncio.wait_for(server.closed.wait(), 1.0)
+        await session.close()
+
+
 @pytest.mark.parametrize(("first", "repeated"), AFTER_ANSWER.values(), ids=AFTER_ANSWER)
 async def test_bytes_without_end_after_an_answer(first: bytes, repeated: bytes) -> None:
     """The connection is back in the pool when they come."""
