The native format's limits no longer apply to the platform's configuration

Cause: the types that daemons work with carried the validators of the product's own format. The platform's configuration is decoded into the same types, so one name with a capital letter or one timeout over 600 s made the whole version unusable.

Tests that failed on: names with capitals, spaces, other letters or over 63 characters, times over 600 s, priorities outside 0 to 100, prefixes with letters outside ASCII or over 256 characters; an evacuation of a data centre with such a name (EVAC); a daemon whose settings have such names did not start, heartbeats of its server failed; a call of a class with a name outside ASCII failed between daemons; a caller's deadline over 600 s got 400.

Change: NativeClassOfWork and NativeDataCentreState hold the limits of the native format, and what operators write in it is checked as before. The platform's numbers and times are bounded only so that they fit in messages. The settings of protocol "platform" allow any printable name.

--- a/kingcuppond/claims/copies.py
+++ b/kingcuppond/claims/copies.py
@@ -124,4 +124,4 @@
 
 def owner_of(attempt: str) -> str:
     """Return the VM of the daemon that owns an attempt."""
-    return attempt.partition("/")[0]
+    return attempt.rsplit("/", 2)[0]
--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -3,6 +3,10 @@
 A :class:`ConfigurationFormat` defines how they are kept in the store.  The native format keeps all
 objects under one kind, so that a single watch covers them: ``class/NAME``, ``data-centre/NAME`` and
 ``budget/measuring``.
+
+What the native format allows is checked by its own types, such as :class:`NativeClassOfWork`.  The
+types that daemons work with have no such limits, since another format may allow other names, paths
+and times.
 """
 
 import re
@@ -13,7 +17,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from kingcuppond.settings.checks import check_name, in_range, one_of
+from kingcuppond.settings.checks import Validator, check_name, in_range, one_of
 
 CONFIGURATION_KIND: Final = "configuration"
 CLASS_PREFIX: Final = "class/"
@@ -45,19 +49,19 @@
 class ClassOfWork:
     """A class of work: the requests that belong to it, and its latency target."""
 
-    name: str = attrs.field(validator=check_name)
+    name: str
     """Name of the class, unique."""
 
-    service: str = attrs.field(validator=check_name)
+    service: str
     """Service that runs its requests."""
 
-    path_prefix: str = attrs.field(validator=_check_path)
+    path_prefix: str
     """Start of the path of its requests; the longest match wins."""
 
-    answer_within_ms: int = attrs.field(validator=in_range(1, MAX_ANSWER_MS))
+    answer_within_ms: int
     """Target for an answer, and the deadline of a request that states none, in milliseconds."""
 
-    method: str = attrs.field(default="*", validator=one_of(*METHODS))
+    method: str = "*"
     """HTTP method of its requests, or ``*`` for every method."""
 
     at_most_once: bool = False
@@ -69,16 +73,43 @@
     split: tuple[ServiceShare, ...] = ()
     """Services among which its requests are split; empty if ``service`` gets all."""
 
-    timeout_ms: int = attrs.field(default=MAX_ANSWER_MS, validator=in_range(1, MAX_ANSWER_MS))
+    timeout_ms: int = MAX_ANSWER_MS
     """Longest time until the final answer to a request, in milliseconds."""
 
     max_attempts: int | None = None
     """How many servers a request may be sent to, or ``None`` for the default retry budget."""
 
-    priority: int = attrs.field(default=0, validator=in_range(0, MAX_PRIORITY))
+    priority: int = 0
     """Priority under overload: requests with a larger number are shed first."""
 
 
+def _limit(**validators_by_name: Validator) -> Callable[[type, list[Any]], list[Any]]:
+    """Make a field transformer that adds validators to inherited attributes."""
+
+    def transform(_class: type, fields: list[Any]) -> list[Any]:
+        return [
+            field.evolve(validator=validators_by_name.get(field.name, field.validator))
+            for field in fields
+        ]
+
+    return transform
+
+
+@attrs.frozen(
+    field_transformer=_limit(
+        name=check_name,
+        service=check_name,
+        path_prefix=_check_path,
+        answer_within_ms=in_range(1, MAX_ANSWER_MS),
+        method=one_of(*METHODS),
+        timeout_ms=in_range(1, MAX_ANSWER_MS),
+        priority=in_range(0, MAX_PRIORITY),
+    )
+)
+class NativeClassOfWork(ClassOfWork):
+    """A class of work as operators write it in the native format."""
+
+
 @attrs.frozen
 class ServiceProperties:
     """Properties of a service's servers."""
@@ -97,13 +128,18 @@
 class DataCentreState:
     """Whether a data centre accepts new work."""
 
-    name: str = attrs.field(validator=check_name)
+    name: str
     """Name of the data centre."""
 
     state: Literal["in", "out"] = "in"
     """``in`` accepts new work, ``out`` accepts none."""
 
 
+@attrs.frozen(field_transformer=_limit(name=check_name))
+class NativeDataCentreState(DataCentreState):
+    """The state of a data centre as operators write it in the native format."""
+
+
 @attrs.frozen
 class MeasurementBudget:
     """Limit on the traffic that a daemon spends on measuring load."""
@@ -162,11 +198,11 @@
 
 
 def object_type(name: str) -> type[ConfigurationObject] | None:
-    """Return the attrs class of an object from its name in the store, or ``None`` if unknown."""
+    """Return the native type of an object from its name in the store, or ``None`` if unknown."""
     if name.startswith(CLASS_PREFIX):
-        return ClassOfWork
+        return NativeClassOfWork
     if name.startswith(DATA_CENTRE_PREFIX):
-        return DataCentreState
+        return NativeDataCentreState
     return MeasurementBudget if name == BUDGET_NAME else None
 
 
--- a/kingcuppond/durations.py
+++ b/kingcuppond/durations.py
@@ -1,5 +1,6 @@
 """Durations as text: a number and a unit, such as ``1500ms`` or ``2.5s``."""
 
+import math
 import re
 from typing import Final
 
@@ -15,4 +16,7 @@
     match = DURATION_PATTERN.fullmatch(text)
     if match is None:
         raise ValueError(f"{text!r} is not a duration such as 1500ms or 2.5s")
-    return round(float(match[1]) * MS_BY_UNIT[match[2]])
+    milliseconds = float(match[1]) * MS_BY_UNIT[match[2]]
+    if math.isinf(milliseconds):
+        raise ValueError(f"the duration is too large: {text[:20]}...")
+    return round(milliseconds)
--- a/kingcuppond/gate/announcements.py
+++ b/kingcuppond/gate/announcements.py
@@ -14,7 +14,7 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.outcomes import PROBLEM_TYPE, NotRun, Reason, problem_body
-from kingcuppond.settings.checks import check_address, check_name
+from kingcuppond.settings.checks import check_address
 
 ANNOUNCEMENT_PATH: Final = "/v1/announcement"
 MAX_MESSAGE_BYTES: Final = 4096
@@ -32,7 +32,7 @@
 class Announcement:
     """A heartbeat of a server, with its state and load."""
 
-    service: str = attrs.field(validator=check_name)
+    service: str
     """Service that the server belongs to."""
 
     address: str = attrs.field(validator=check_address)
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from kingcuppond.configuration.objects import MAX_ANSWER_MS, ClassOfWork
+from kingcuppond.configuration.objects import ClassOfWork
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.dialect import DEPTH_HEADER, KEY_HEADER, RETRY_BUDGET_HEADER, Dialect
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
@@ -29,6 +29,9 @@
 from kingcuppond.routing.streams import read_until
 
 MAX_KEY_LENGTH: Final = 255
+MAX_DEADLINE_MS: Final = 999_999_999
+"""A caller that would wait longer is served as if it waited this long, over eleven days."""
+
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -143,9 +146,7 @@
 ) -> _CallOptions | NotRun:
     """Read the headers that control how a call is run."""
     key = _read_key(request)
-    deadline_ms = _read_number(
-        request, dialect.deadline_header, class_of_work.answer_within_ms, 1, MAX_ANSWER_MS
-    )
+    deadline_ms = _read_deadline(request, dialect, class_of_work.answer_within_ms)
     depth = _read_number(request, DEPTH_HEADER, 0, 0, MAX_DEPTH - 1)
     max_retries = DEFAULT_RETRY_BUDGET
     if class_of_work.max_attempts is not None:
@@ -177,6 +178,14 @@
     return key
 
 
+def _read_deadline(request: web.BaseRequest, dialect: Dialect, default_ms: int) -> int | NotRun:
+    text = request.headers.get(dialect.deadline_header, "")
+    digits = text.lstrip("0")
+    if digits.isascii() and digits.isdecimal() and len(digits) > len(str(MAX_DEADLINE_MS)):
+        return MAX_DEADLINE_MS
+    return _read_number(request, dialect.deadline_header, default_ms, 1, MAX_DEADLINE_MS)
+
+
 def _read_number(
     request: web.BaseRequest, name: str, default: int, low: int, high: int
 ) -> int | NotRun:
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -27,6 +27,12 @@
 EVACUATIONS_KIND: Final = "evacuations"
 REPEATABLE_KINDS: Final = ("safe", "download")
 
+MAX_DURATION_MS: Final = 1_000_000_000
+"""Longer durations count as this one, which is over eleven days: no request lasts so long."""
+
+MAX_COUNT: Final = 1_000_000
+"""Larger counts and priorities count as this one, so that they fit in any message."""
+
 
 class _Table(msgspec.Struct):
     columns: list[str] = msgspec.field(name="Columns")
@@ -74,22 +80,32 @@
 
 
 def _class_of_work(route: _Route) -> ClassOfWork:
+    if not route.path_prefix.startswith("/"):
+        raise ValueError(f"{route.path_prefix!r} is not a path that starts with '/'")
     split = tuple(ServiceShare(share.service, share.weight) for share in route.split)
     return ClassOfWork(
         name=route.name,
         service=route.service or split[0].service,
         path_prefix=route.path_prefix,
-        answer_within_ms=parse_duration_ms(route.target_latency),
+        answer_within_ms=_duration_ms(route.target_latency),
         # Uploads and unknown kinds of route must run at most once.
         at_most_once=route.kind not in REPEATABLE_KINDS,
         host=route.host.lower(),
         split=split,
-        timeout_ms=parse_duration_ms(route.timeout),
-        max_attempts=route.max_attempts,
-        priority=route.priority,
+        timeout_ms=_duration_ms(route.timeout),
+        max_attempts=None if route.max_attempts is None else _bounded(route.max_attempts),
+        priority=_bounded(route.priority),
     )
 
 
+def _duration_ms(text: str) -> int:
+    return min(parse_duration_ms(text), MAX_DURATION_MS)
+
+
+def _bounded(number: int) -> int:
+    return max(-MAX_COUNT, min(number, MAX_COUNT))
+
+
 def _decode_main_object(body: bytes) -> Result[ConfigurationChange, ObjectError]:
     try:
         main = msgspec.json.decode(body, type=_MainObject)
@@ -107,10 +123,7 @@
 
 def _decode(kind: str, name: str, body: bytes | None) -> Result[ConfigurationChange, ObjectError]:
     if kind == EVACUATIONS_KIND:
-        try:
-            return Ok(DataCentreState(name, "in" if body is None else "out"))
-        except ValueError as exc:
-            return Error(ObjectError(name, str(exc)))
+        return Ok(DataCentreState(name, "in" if body is None else "out"))
     if body is None or name != CONFIG_NAME:
         return Error(ObjectError(name, "is not a configuration object"))
     return _decode_main_object(body)
--- a/kingcuppond/program/operator_commands.py
+++ b/kingcuppond/program/operator_commands.py
@@ -20,6 +20,7 @@
     ConfigurationObject,
     DataCentreState,
     MeasurementBudget,
+    NativeClassOfWork,
     decode,
     encode,
 )
@@ -82,7 +83,7 @@
 
     Example: kingcuppond class apply booking.json
     """
-    item = _read(file, ClassOfWork)
+    item = _read(file, NativeClassOfWork)
     _change(settings, CLASS_PREFIX + item.name, encode(item), if_version, as_json)
 
 
--- a/kingcuppond/routing/relay.py
+++ b/kingcuppond/routing/relay.py
@@ -8,6 +8,7 @@
 """
 
 import hmac
+import json
 from hashlib import blake2b
 from typing import Final
 
@@ -51,8 +52,11 @@
 
 
 def encode(relay: RelayHead) -> str:
-    """Return the header's value."""
-    return msgspec.json.encode(relay).decode("ascii")
+    """Return the header's value, in ASCII."""
+    encoded = msgspec.json.encode(relay)
+    if not encoded.isascii():
+        encoded = json.dumps(json.loads(encoded)).encode()
+    return encoded.decode("ascii")
 
 
 def sign(key: bytes, method: str, target: str, head: str) -> str:
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -41,6 +41,14 @@
         check_address(instance, attribute, address)
 
 
+def _check_name(instance: "DaemonSettings", attribute: "attrs.Attribute[str]", value: str) -> None:
+    """Allow the names of the protocol: the platform's may have any characters that are printed."""
+    if instance.protocol != "platform":
+        check_name(instance, attribute, value)
+    elif not value or not value.isprintable():
+        raise ValueError(f"{attribute.name}: {value!r} must be one or more printable characters")
+
+
 def _check_optional_duration(
     _instance: object, attribute: "attrs.Attribute[str]", value: str
 ) -> None:
@@ -59,13 +67,13 @@
 class DaemonSettings:
     """One attribute for each key of the settings file."""
 
-    vm: str = attrs.field(validator=check_name)
+    vm: str = attrs.field(validator=_check_name)
     """Name of the VM, unique in the fleet."""
 
-    data_centre: str = attrs.field(validator=check_name)
+    data_centre: str = attrs.field(validator=_check_name)
     """Data centre that the VM is in."""
 
-    service: str = attrs.field(validator=check_name)
+    service: str = attrs.field(validator=_check_name)
     """Service of the server beside this daemon."""
 
     caller_address: str = attrs.field(validator=check_address)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -58,6 +58,34 @@
     assert found.at_most_once == at_most_once
 
 
+@pytest.mark.parametrize(
+    ("column", "value"),
+    [
+        (0, "Price-Archive"),
+        (0, "price archive"),
+        (0, "precios-históricos"),
+        (0, "r" * 64),
+        (7, "Quote Desk"),
+        (4, "900s"),
+        (5, "900s"),
+        (4, "9" * 300 + "s"),
+        (6, 101),
+        (6, -1),
+        (6, 2**70),
+        (8, 2**70),
+        (2, "/devolución/"),
+        (2, "/" + "a" * 300 + "/"),
+    ],
+)
+def test_limits_of_the_native_format_do_not_refuse_a_route(column: int, value: Any) -> None:
+    """Guards against a valid version that is refused as a whole, so that its routes get 404."""
+    row = [value if i == column else old for i, old in enumerate(ROWS[0])]
+    (found,) = decode([row]).classes
+    assert found.path_prefix == row[2]
+    message = [found.timeout_ms, found.answer_within_ms, found.priority, found.max_attempts]
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(message)) == message
+
+
 def test_weights_may_be_fractions() -> None:
     split = [{"Service": "b", "Weight": 0.9}, {"Service": "c", "Weight": 0.1}]
     (found,) = decode([[*ROWS[1][:-1], split]]).classes
@@ -79,6 +107,16 @@
     assert decoded == [DataCentreState("dc-1", "out"), DataCentreState("dc-1", "in")]
 
 
+@pytest.mark.parametrize("name", ["Kochi", "tvm 2", "montevideo-Ñ", "z" * 64])
+def test_evacuation_of_any_data_centre_is_in_force(name: str) -> None:
+    """Guards against an evacuation that is refused for the spelling of its name (EVAC)."""
+    configuration = make_configuration()
+    configuration.merge([VersionedObject(name, 2, b"{}", "evacuations")])
+    assert configuration.is_out(name)
+    configuration.merge([VersionedObject(name, 3, None, "evacuations")])
+    assert not configuration.is_out(name)
+
+
 def make_configuration() -> Configuration:
     return Configuration(Journal("vm", Clock()), PLATFORM_FORMAT)
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -22,6 +22,14 @@
 }
 
 
+@pytest.mark.parametrize("service", ["Quote-Desk", "quote desk", "z" * 64])
+def test_service_may_have_any_name(service: str) -> None:
+    """Guards against heartbeats that fail for the spelling of a service's name."""
+    body = msgspec.json.encode({**HEARTBEAT, "Service": service})
+    server = ConfiguredServer(service, SERVER.address)
+    assert decode_heartbeat("PUT", "/instances/i-1", body, server).ok.service == service
+
+
 def read(**changes: Any) -> Any:
     body = msgspec.json.encode({**HEARTBEAT, **changes})
     return decode_heartbeat("PUT", "/instances/i-1", body, SERVER)
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -18,6 +18,14 @@
     assert verify(KEY, "GET", "/a", HEAD, MAC, "b", NOW_MS).ok == RELAY
 
 
+def test_names_need_not_be_ascii() -> None:
+    """Guards against calls that fail because the name of their route can't be in a header."""
+    relay = attrs.evolve(RELAY, class_name="precios-históricos", service="Büro 東")
+    head = encode(relay)
+    assert head.isascii()
+    assert verify(KEY, "GET", "/a", head, sign(KEY, "GET", "/a", head), "b", NOW_MS).ok == relay
+
+
 @pytest.mark.parametrize(
     ("changes", "reason"),
     [
--- a/tests/settings/test_template.py
+++ b/tests/settings/test_template.py
@@ -49,6 +49,20 @@
     assert settings.stop_limit_seconds == limit
 
 
+@pytest.mark.parametrize("field", ["NodeName", "Zone", "Service"])
+@pytest.mark.parametrize("name", ["Kochi-A", "büro 2", "z" * 64])
+def test_names_of_the_platform_may_have_any_characters(field: str, name: str) -> None:
+    """Guards against a daemon that does not start for the spelling of a name."""
+    read = parse_text(render(**{field: name}), "daemon.json", DaemonSettings)
+    assert name in (read.ok.vm, read.ok.data_centre, read.ok.service)
+
+
+@pytest.mark.parametrize("name", ["", "a\nb"])
+def test_names_of_the_platform_are_printable(name: str) -> None:
+    """The name of a service is sent in a header."""
+    assert parse_text(render(Service=name), "daemon.json", DaemonSettings).is_error()
+
+
 def test_a_platform_that_names_no_grace_period_has_a_limit() -> None:
     settings = parse_text(render(**{"Bounds.Grace": ""}), "daemon.json", DaemonSettings).ok
     assert settings.stop_limit_seconds == 5.5
