Prefixes and paths are compared in one normal form

Cause: the path of a request was decoded before it was compared with the prefixes, which were not.

Change: configuration/paths.py brings both into one form, in which an encoded slash or percent sign still differs from a plain one. Matching does so itself, so that its callers pass the path as it was sent.

--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -24,6 +24,7 @@
     MeasurementBudget,
     ServiceProperties,
 )
+from kingcuppond.configuration.paths import normal_path
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
@@ -113,7 +114,7 @@
     digest: int = 0
     changed_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
-    _classes_by_host: dict[str, list[ClassOfWork]] = attrs.field(factory=dict)
+    _entries_by_host: dict[str, list["_ClassEntry"]] = attrs.field(factory=dict)
 
     @property
     def version_text(self) -> str:
@@ -164,12 +165,16 @@
     def match(self, method: str, path: str, host: str = ANY_HOST) -> ClassOfWork | None:
         """Return the class of a request, or ``None``.
 
+        :param path: path of the request as its caller sent it, without the query
+
         Classes of the request's host take precedence over those of any host, then longer path
         prefixes over shorter ones, then an exact method over ``*``.
         """
+        path = normal_path(path)
         for name in (host, ANY_HOST) if host else (ANY_HOST,):
-            for candidate in self._classes_by_host.get(name, ()):
-                if path.startswith(candidate.path_prefix) and candidate.method in ("*", method):
+            for entry in self._entries_by_host.get(name, ()):
+                candidate = entry.class_of_work
+                if path.startswith(entry.prefix) and candidate.method in ("*", method):
                     return candidate
         return None
 
@@ -206,16 +211,26 @@
         )
 
     def _index_classes(self) -> None:
-        by_host: dict[str, list[ClassOfWork]] = {}
+        by_host: dict[str, list[_ClassEntry]] = {}
         for class_of_work in self.classes_by_name.values():
-            by_host.setdefault(class_of_work.host, []).append(class_of_work)
-        for classes in by_host.values():
-            classes.sort(key=_match_precedence, reverse=True)
-        self._classes_by_host = by_host
+            entry = _ClassEntry(normal_path(class_of_work.path_prefix), class_of_work)
+            by_host.setdefault(class_of_work.host, []).append(entry)
+        for entries in by_host.values():
+            entries.sort(key=_match_precedence, reverse=True)
+        self._entries_by_host = by_host
+
+
+@attrs.frozen
+class _ClassEntry:
+    """A class of work, and its prefix in normal form."""
+
+    prefix: str
+    class_of_work: ClassOfWork
 
 
-def _match_precedence(candidate: ClassOfWork) -> tuple[int, bool, str]:
-    return len(candidate.path_prefix), candidate.method != "*", candidate.name
+def _match_precedence(entry: _ClassEntry) -> tuple[int, bool, str]:
+    candidate = entry.class_of_work
+    return len(entry.prefix), candidate.method != "*", candidate.name
 
 
 def _object_digest(item: VersionedObject) -> int:
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -10,9 +10,9 @@
 import attrs
 from aiohttp import web
 from expression import Error, Ok, Result
-from yarl import URL
 
 from kingcuppond.configuration.objects import ClassOfWork
+from kingcuppond.configuration.paths import has_dot_segments
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.dialect import DEPTH_HEADER, KEY_HEADER, RETRY_BUDGET_HEADER, Dialect
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
@@ -120,9 +120,9 @@
 ) -> Result[ClassOfWork, Failure]:
     if not request.raw_path.startswith("/"):
         return Error(NotRun(Reason.BAD_REQUEST, "the request's target must be a path"))
-    path = URL(request.raw_path.partition("?")[0], encoded=True).path
+    path = request.raw_path.partition("?")[0]
     # A server may resolve such segments, and its path would not be the one that chose the class.
-    if any(segment in (".", "..") for segment in path.split("/")):
+    if has_dot_segments(path):
         return Error(NotRun(Reason.BAD_REQUEST, "the path must not contain '.' or '..' segments"))
     if not configuration.is_ready:
         return Error(NotRun(Reason.NOT_READY, "this daemon has not received the configuration yet"))
--- a/tests/configuration/test_replica.py
+++ b/tests/configuration/test_replica.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import attrs
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -112,6 +113,34 @@
     assert found == ["all", "book", "post", None]
 
 
+@pytest.mark.parametrize(
+    ("prefix", "path", "is_match"),
+    [
+        ("/devoluci%C3%B3n/", "/devoluci%C3%B3n/1", True),
+        ("/devoluci%C3%B3n/", "/devoluci%c3%b3n/1", True),
+        ("/devolución/", "/devoluci%C3%B3n/1", True),
+        ("/shop/", "/sh%6Fp/1", True),
+        ("/a%20b/", "/a%20b/1", True),
+        ("/a%2Fb/", "/a%2fb/1", True),
+        ("/a/b/", "/a%2Fb/1", False),
+        ("/a%2Fb/", "/a/b/1", False),
+        ("/100%25/", "/100%25/1", True),
+        ("/%FF/", "/%ff/1", True),
+        ("/%FF/", "/%FE/1", False),
+        ("/shop/", "//other/shop/1", False),
+    ],
+)
+def test_match_compares_paths_and_not_their_spelling(
+    prefix: str, path: str, is_match: bool
+) -> None:
+    """Guards against 404 on a route whose prefix is percent-encoded."""
+    configuration = make_configuration()
+    item = ClassOfWork("a", "shop", prefix, 100)
+    configuration.classes_by_name["a"] = item
+    configuration.merge([VersionedObject("class/b", 1, encode(ClassOfWork("b", "shop", "/b", 1)))])
+    assert (configuration.match("GET", path) == item) is is_match
+
+
 def test_a_malformed_object_keeps_the_previous_one() -> None:
     configuration = make_configuration()
     configuration.merge([make_object("data-centre/a", 1)])
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -11,15 +11,17 @@
 from kingcuppond.dialect import DEADLINE_HEADER, NATIVE_DIALECT
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.requests import CallerRequest, read_request
-from kingcuppond.outcomes import Failure
+from kingcuppond.outcomes import Failure, Reason
 from kingcuppond.routing.split import TrafficSplitter
 
 IMPORT = ClassOfWork("import", "shop", "/shop", 500, timeout_ms=600_000)
 
 
-async def read(configuration: Configuration, deadline_ms: str) -> Result[CallerRequest, Failure]:
+async def read(
+    configuration: Configuration, deadline_ms: str, path: str = "/shop/a"
+) -> Result[CallerRequest, Failure]:
     """Read a request 0.9 s after its arrival at 100 s."""
-    request = make_mocked_request("GET", "/shop/a", headers={DEADLINE_HEADER: deadline_ms})
+    request = make_mocked_request("GET", path, headers={DEADLINE_HEADER: deadline_ms})
     return await read_request(
         request,
         configuration,
@@ -51,3 +53,25 @@
     configuration.is_complete = True
     parsed = await read(configuration, deadline_ms)
     assert parsed.ok.call.deadline == 100.0 + min(int(deadline_ms), IMPORT.timeout_ms) / 1000
+
+
+@pytest.mark.parametrize(
+    ("prefix", "path", "is_match"),
+    [
+        ("/devoluci%C3%B3n/", "/devoluci%C3%B3n/1", True),
+        ("/a%20b/", "/a%20b/1", True),
+        ("/a/b/", "/a%2Fb/1", False),
+        ("/shop/", "//other/shop/1", False),
+    ],
+)
+async def test_a_route_is_found_by_the_path_that_was_sent(
+    journal: Journal, prefix: str, path: str, is_match: bool
+) -> None:
+    """Guards against 404 on a route whose prefix is percent-encoded, and against other routes."""
+    configuration = Configuration(journal)
+    item = ClassOfWork("returns", "shop", prefix, 500)
+    configuration.merge([VersionedObject("class/returns", 1, encode(item))])
+    configuration.is_complete = True
+    parsed = await read(configuration, "800", path)
+    assert parsed.is_ok() is is_match
+    assert is_match or parsed.error.reason is Reason.NO_CLASS
