A configuration that can't be used doesn't make a daemon ready

Cause: readiness looked only at whether the required object was there, and not at whether it was in force.

The daemon's log told of the refused versions only after the restart; before it, E303 said that "5 of era 1 is newer" than versions 6 and 7, since an object that can't be decoded has no number of the operators.

Change: a daemon is ready once a version of the required object has come into force, so it answers 503 until then. A change that can't be used is logged as E302 with its error.

--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -114,6 +114,7 @@
     digest: int = 0
     changed_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
+    _is_required_in_force: bool = False
     _entries_by_host: dict[str, list["_ClassEntry"]] = attrs.field(factory=dict)
 
     @property
@@ -123,9 +124,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether requests can be routed: the copy is complete and has the required object."""
-        required = self.format.required
-        return self.is_complete and (required is None or required in self.objects_by_key)
+        """Whether requests can be routed: the copy is complete and the required object in force."""
+        return self.is_complete and (self.format.required is None or self._is_required_in_force)
 
     def merge(self, objects: Iterable[VersionedObject]) -> list[VersionedObject]:
         """Take over the objects that are newer than the copy.
@@ -188,6 +188,8 @@
                 error=decoded.error.message,
             )
             return
+        if item.key == self.format.required:
+            self._is_required_in_force = True
         match decoded.ok:
             case AllClasses(release=release, classes=classes, services=services):
                 self.release = release
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -285,16 +285,27 @@
         self._journal.record(catalogue.CONFIGURATION_HELD, kind=kind, names=" ".join(names))
 
     def _record_ignored(self, objects: list[VersionedObject]) -> None:
-        """Record the changes that are older than what this daemon has."""
+        """Record the changes that are older than what this daemon has, or that can't be used."""
         for item in objects:
             known = self._configuration.objects_by_key.get(item.key)
-            if known is not None and item.head.order < known.head.order:
+            if known is None or known.head.order <= item.head.order:
+                continue
+            decoded = self._configuration.format.decode(item.kind, item.name, item.body)
+            if decoded.is_error():
+                # An object that can't be decoded has no number of the operators, and looks older.
                 self._journal.record(
-                    catalogue.CONFIGURATION_IGNORED,
+                    catalogue.CONFIGURATION_REFUSED,
                     name=item.name,
                     version=format_version(item.version),
-                    known=format_version(known.version),
+                    error=decoded.error.message,
                 )
+                continue
+            self._journal.record(
+                catalogue.CONFIGURATION_IGNORED,
+                name=item.name,
+                version=format_version(item.version),
+                known=format_version(known.version),
+            )
 
     def _update_is_complete(self) -> None:
         if self._has_contacted_members() and self._listed_kinds.issuperset(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -129,6 +129,18 @@
     assert configuration.is_ready
 
 
+def test_not_ready_while_the_main_object_can_not_be_used() -> None:
+    """Guards against a daemon that says it is ready and answers 404 on every route."""
+    configuration = make_configuration()
+    configuration.is_complete = True
+    configuration.merge([VersionedObject("main", 2, b'{"Version": 1}', "config")])
+    assert not configuration.is_ready
+    configuration.merge([VersionedObject("main", 3, encode(ROWS), "config", 7)])
+    assert configuration.is_ready
+    configuration.merge([VersionedObject("main", 4, b'{"Version": 1}', "config", 8)])
+    assert configuration.is_ready, "the version before is still in force"
+
+
 def test_match_by_host_and_longest_prefix() -> None:
     configuration = make_configuration()
     configuration.merge([VersionedObject("main", 2, encode(ROWS), "config")])
