One route that can't be used holds up no other

If a daemon can't decode one route, the others of that version never come into force: new routes get 404, and dropped ones are served.

Cause: the tables of config/main were decoded as a whole.

Change: each row is decoded for itself. A route that can't be decoded is left out with one log line (E302). Its requests get 503, so that a route with a shorter prefix does not take them over, and nobody is told that they are forbidden. If no route at all can be decoded, the version before stays in force, which is what a test asked for already.

--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -155,16 +155,33 @@
     name: str
 
 
+@attrs.frozen
+class UnusableEntry:
+    """An entry of a configuration object that can't be decoded, while the others can.
+
+    :param host: ``Host`` header of its requests, empty if unknown
+    :param path_prefix: start of the path of its requests, empty if unknown or if it has none
+    """
+
+    name: str
+    message: str
+    host: str = ""
+    path_prefix: str = ""
+
+
 @attrs.frozen
 class AllClasses:
     """All classes of work and services in one object, with one version.
 
     :param release: the operators' own version number of this configuration
+    :param unusable: the entries that can't be decoded; requests of such a class are refused, since
+        a class with a shorter prefix must not take them over
     """
 
     release: int
     classes: tuple[ClassOfWork, ...]
     services: tuple[ServiceProperties, ...] = ()
+    unusable: tuple[UnusableEntry, ...] = ()
 
 
 ConfigurationObject = ClassOfWork | DataCentreState | MeasurementBudget
--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -23,6 +23,7 @@
     DataCentreState,
     MeasurementBudget,
     ServiceProperties,
+    UnusableEntry,
 )
 from kingcuppond.configuration.paths import normal_path
 from kingcuppond.digest import digest_of
@@ -115,6 +116,7 @@
     changed_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _is_required_in_force: bool = False
+    _unusable: tuple[UnusableEntry, ...] = ()
     _entries_by_host: dict[str, list["_ClassEntry"]] = attrs.field(factory=dict)
 
     @property
@@ -162,7 +164,9 @@
         """Return whether operators took a data centre out of service."""
         return data_centre in self.data_centres_out
 
-    def match(self, method: str, path: str, host: str = ANY_HOST) -> ClassOfWork | None:
+    def match(
+        self, method: str, path: str, host: str = ANY_HOST
+    ) -> ClassOfWork | UnusableEntry | None:
         """Return the class of a request, or ``None``.
 
         :param path: path of the request as its caller sent it, without the query
@@ -173,9 +177,8 @@
         path = normal_path(path)
         for name in (host, ANY_HOST) if host else (ANY_HOST,):
             for entry in self._entries_by_host.get(name, ()):
-                candidate = entry.class_of_work
-                if path.startswith(entry.prefix) and candidate.method in ("*", method):
-                    return candidate
+                if path.startswith(entry.prefix) and entry.method in ("*", method):
+                    return entry.item
         return None
 
     def _apply(self, item: VersionedObject) -> None:
@@ -191,8 +194,10 @@
         if item.key == self.format.required:
             self._is_required_in_force = True
         match decoded.ok:
-            case AllClasses(release=release, classes=classes, services=services):
+            case AllClasses(release=release, classes=classes, services=services, unusable=unusable):
                 self.release = release
+                self._unusable = unusable
+                self._record_unusable(item, unusable)
                 self.classes_by_name = {entry.name: entry for entry in classes}
                 self.services_by_name = {entry.name: entry for entry in services}
             case ClassOfWork() as class_of_work:
@@ -212,11 +217,22 @@
             release=item.release,
         )
 
+    def _record_unusable(self, item: VersionedObject, entries: Iterable[UnusableEntry]) -> None:
+        for entry in entries:
+            self.journal.record(
+                catalogue.CONFIGURATION_REFUSED,
+                name=f"{entry.name} in {item.name}",
+                version=format_version(item.version),
+                error=entry.message,
+            )
+
     def _index_classes(self) -> None:
         by_host: dict[str, list[_ClassEntry]] = {}
-        for class_of_work in self.classes_by_name.values():
-            entry = _ClassEntry(normal_path(class_of_work.path_prefix), class_of_work)
-            by_host.setdefault(class_of_work.host, []).append(entry)
+        items: list[ClassOfWork | UnusableEntry] = [*self.classes_by_name.values()]
+        items += [entry for entry in self._unusable if entry.path_prefix]
+        for item in items:
+            entry = _ClassEntry(normal_path(item.path_prefix), item)
+            by_host.setdefault(item.host, []).append(entry)
         for entries in by_host.values():
             entries.sort(key=_match_precedence, reverse=True)
         self._entries_by_host = by_host
@@ -224,15 +240,18 @@
 
 @attrs.frozen
 class _ClassEntry:
-    """A class of work, and its prefix in normal form."""
+    """A class of work, or one that can't be used, and its prefix in normal form."""
 
     prefix: str
-    class_of_work: ClassOfWork
+    item: ClassOfWork | UnusableEntry
+
+    @property
+    def method(self) -> str:
+        return self.item.method if isinstance(self.item, ClassOfWork) else "*"
 
 
 def _match_precedence(entry: _ClassEntry) -> tuple[int, bool, str]:
-    candidate = entry.class_of_work
-    return len(entry.prefix), candidate.method != "*", candidate.name
+    return len(entry.prefix), entry.method != "*", entry.item.name
 
 
 def _object_digest(item: VersionedObject) -> int:
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
-from kingcuppond.configuration.objects import ClassOfWork
+from kingcuppond.configuration.objects import ClassOfWork, UnusableEntry
 from kingcuppond.configuration.paths import has_dot_segments
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.dialect import DEPTH_HEADER, KEY_HEADER, RETRY_BUDGET_HEADER, Dialect
@@ -130,6 +130,9 @@
     class_of_work = configuration.match(request.method, path, host)
     if class_of_work is None:
         return Error(NotRun(Reason.NO_CLASS, f"no class of work matches {request.method} {path}"))
+    if isinstance(class_of_work, UnusableEntry):
+        detail = f"the class of work {class_of_work.name} can't be used: {class_of_work.message}"
+        return Error(NotRun(Reason.NOT_READY, detail))
     return Ok(class_of_work)
 
 
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -5,7 +5,8 @@
 service.
 """
 
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -19,6 +20,7 @@
     ObjectError,
     ServiceProperties,
     ServiceShare,
+    UnusableEntry,
 )
 from kingcuppond.durations import parse_duration_ms
 
@@ -33,6 +35,9 @@
 MAX_COUNT: Final = 1_000_000
 """Larger counts and priorities count as this one, so that they fit in any message."""
 
+T = TypeVar("T")
+U = TypeVar("U")
+
 
 class _Table(msgspec.Struct):
     columns: list[str] = msgspec.field(name="Columns")
@@ -106,19 +111,46 @@
     return max(-MAX_COUNT, min(number, MAX_COUNT))
 
 
+def _service_properties(service: _Service) -> ServiceProperties:
+    return ServiceProperties(service.name, service.health_path, service.cold_requests_per_second)
+
+
 def _decode_main_object(body: bytes) -> Result[ConfigurationChange, ObjectError]:
     try:
         main = msgspec.json.decode(body, type=_MainObject)
-        routes = msgspec.convert(main.routes.records(), list[_Route])
-        services = msgspec.convert(main.services.records(), list[_Service])
-        classes = tuple(_class_of_work(route) for route in routes)
-    except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         return Error(ObjectError(CONFIG_NAME, str(exc)))
-    properties = tuple(
-        ServiceProperties(service.name, service.health_path, service.cold_requests_per_second)
-        for service in services
-    )
-    return Ok(AllClasses(main.version, classes, properties))
+    classes, unusable_routes = _decode_rows(main.routes, _Route, _class_of_work)
+    services, unusable_services = _decode_rows(main.services, _Service, _service_properties)
+    if unusable_routes and not classes:
+        return Error(ObjectError(CONFIG_NAME, f"no route is usable: {unusable_routes[0].message}"))
+    unusable = (*unusable_routes, *unusable_services)
+    return Ok(AllClasses(main.version, tuple(classes), tuple(services), unusable))
+
+
+def _decode_rows(
+    table: _Table, row_type: type[T], make: Callable[[T], U]
+) -> tuple[list[U], list[UnusableEntry]]:
+    """Decode the rows of a table, each for itself."""
+    decoded: list[U] = []
+    unusable: list[UnusableEntry] = []
+    for record in table.records():
+        try:
+            decoded.append(make(msgspec.convert(record, row_type)))
+        except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+            unusable.append(
+                UnusableEntry(
+                    _text(record.get("Name")),
+                    str(exc),
+                    _text(record.get("Host")).lower(),
+                    _text(record.get("PathPrefix")),
+                )
+            )
+    return decoded, unusable
+
+
+def _text(value: Any) -> str:
+    return value if isinstance(value, str) else ""
 
 
 def _decode(kind: str, name: str, body: bytes | None) -> Result[ConfigurationChange, ObjectError]:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -6,7 +6,12 @@
 import pytest
 
 from kingcuppond.clock import Clock
-from kingcuppond.configuration.objects import AllClasses, DataCentreState, ServiceShare
+from kingcuppond.configuration.objects import (
+    AllClasses,
+    DataCentreState,
+    ServiceShare,
+    UnusableEntry,
+)
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.events.journal import Journal
 from kingcuppond.platform.configuration import PLATFORM_FORMAT
@@ -129,6 +134,30 @@
     assert configuration.is_ready
 
 
+@pytest.mark.parametrize(
+    "change",
+    [{4: "soon"}, {0: 5}, {7: None, 9: None}],
+    ids=["a time without a unit", "a name that is a number", "no service"],
+)
+def test_a_route_that_can_not_be_used_holds_up_no_other(change: dict[int, Any]) -> None:
+    """Guards against a whole version that is not taken up for one of its routes.
+
+    The requests of that route must not be given to the service of a shorter prefix.
+    """
+    configuration = make_configuration()
+    configuration.merge([VersionedObject("main", 2, encode(ROWS), "config", 7)])
+    row = [change.get(i, value) for i, value in enumerate(ROWS[1])]
+    body = encode([ROWS[0], row], 8)
+    assert PLATFORM_FORMAT.release_of("config", "main", body) == 8
+    configuration.merge([VersionedObject("main", 3, body, "config", 8)])
+    assert configuration.release == 8
+    assert configuration.match("GET", "/a/x", "h.example") == configuration.classes_by_name["r1"]
+    assert configuration.match("GET", "/up/x", "h.example") is None, "a dropped route must stop"
+    assert isinstance(configuration.match("GET", "/a/b/x", "h.example"), UnusableEntry)
+    refused = [entry for entry in configuration.journal.entries if entry.number == 302]
+    assert len(refused) == 1
+
+
 def test_not_ready_while_the_main_object_can_not_be_used() -> None:
     """Guards against a daemon that says it is ready and answers 404 on every route."""
     configuration = make_configuration()
