Calls that are given up reset their connections

Cause: a daemon that gives a call up closed its connection to the server. A server can't tell a closed connection from one whose client has sent everything and waits, so a request in its queue was run when a slot became free.

The daemons' logs have E513, "the caller closed its connection", 0.30 s after each late request arrived, when its client left; the deadline that the server was given shows that the request was sent to it shortly before. So the close was noticed, but the server did not hear of it.

Change: a connection that is closed while its answer is outstanding is reset, for whatever reason the call was given up: its caller has left, its deadline has passed, or a hedge has won. It is the same between two daemons.

--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from functools import partial
 from typing import Any, Final
 
@@ -16,6 +18,17 @@
 
 FIRST_FINAL_STATUS: Final = 200
 
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that the other end can't take it for one that was only half closed."""
+    connected = transport.get_extra_info("socket")
+    if connected is not None:
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
 
 class TrackedConnection(ResponseHandler):
     """Counts requests, records how a connection ended, and closes it if it delivers no answer.
@@ -57,6 +70,16 @@
         if self._answers > 1 or self._useless_bytes > MAX_USELESS_BYTES:
             self.close_at_once()
 
+    def close(self) -> None:
+        """Close the connection; reset it if the answer to a request is outstanding.
+
+        A server can't tell a connection that was closed from one whose client has sent everything
+        and still waits, so it may go on to run a request that nobody waits for.
+        """
+        if self.transport is not None and self.requests and not self._is_answer_complete():
+            reset(self.transport)
+        super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
         self.is_lost = True
--- a/kingcuppond/ingress/responses.py
+++ b/kingcuppond/ingress/responses.py
@@ -5,13 +5,11 @@
 """
 
 import asyncio
-import socket
-import struct
-from typing import Final
 
 from aiohttp import web
 
 from kingcuppond.dialect import Dialect
+from kingcuppond.http_connections import reset
 from kingcuppond.ingress.http_server import (
     STALL_TIMEOUT_SECONDS,
     has_next_request,
@@ -21,9 +19,6 @@
 from kingcuppond.routing.call import Answer, InvalidAnswerError
 from kingcuppond.routing.headers import to_multidict
 
-NO_LINGER: Final = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
-
 
 def is_last(request: web.BaseRequest, is_leaving: bool) -> bool:
     """Return whether the connection is closed after the answer to a request.
@@ -113,7 +108,4 @@
     """
     if request.transport is None or request.transport.is_closing():
         return
-    connected = request.transport.get_extra_info("socket")
-    if connected is not None:
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    request.transport.abort()
+    reset(request.transport)
