A close by the client is noticed while nothing reads from the connection

Cause: the HTTP library stops reading from a connection while the buffer of a body is full. A body over 64 kB fills it until its call is sent. Meanwhile the event loop sees neither the end of the stream nor a reset.

Change: while a connection isn't read from, the kernel is asked every 0.1 s whether the client has closed it. If so, the connection is aborted, and the library cancels the handler, as it does when it reads the end of the stream. It is the same for calls that other daemons relay.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -1,12 +1,14 @@
 """The HTTP server behind every listening port of a daemon.
 
-It is aiohttp's low-level server with two changes.  A request that can't be parsed is answered with
-problem details whose outcome is "not run", since it never reached a handler.  If a handler fails
-after the first bytes of a response, the connection is closed, so that a truncated response is never
-taken for a complete one.
+It is aiohttp's low-level server with three changes.  A request that can't be parsed is answered
+with problem details whose outcome is "not run", since it never reached a handler.  If a handler
+fails after the first bytes of a response, the connection is closed, so that a truncated response is
+never taken for a complete one.  If a client closes its connection, the handler is cancelled even if
+nothing reads from the connection, because a long body waits there until its call is sent.
 """
 
 import asyncio
+import select
 from typing import Any, Final
 
 from aiohttp import web
@@ -37,14 +39,55 @@
 MAX_ACCEPT_SECONDS: Final = 0.2
 """How long connections may be accepted after the last moment, if callers go on connecting."""
 
+CLOSE_CHECK_SECONDS: Final = 0.1
+"""Interval at which a connection that is not read from is checked for a close by its client."""
+
 KEEP_ALIVE_SECONDS: Final = 120.0
 """Longer than callers keep an idle connection, so that no request races with its close."""
 
 
 class ProblemHandler(RequestHandler):
-    """Answers requests that can't be parsed with problem details."""
+    """Answers requests that can't be parsed with problem details, and notices each close.
+
+    While the buffer of a body is full, the event loop doesn't read from the connection, so it
+    doesn't see the end of the stream either.
+    """
+
+    __slots__ = ("_close_check",)
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, **options)
+        self._close_check: asyncio.TimerHandle | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the handling of the connection."""
+        self._end_close_checks()
+        super().connection_lost(exc)
 
-    __slots__ = ()
+    def _pause_transport_reading(self) -> None:
+        super()._pause_transport_reading()
+        if self._close_check is None:
+            self._schedule_close_check()
+
+    def _resume_transport_reading(self) -> None:
+        self._end_close_checks()
+        super()._resume_transport_reading()
+
+    def _schedule_close_check(self) -> None:
+        self._close_check = self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_close)
+
+    def _end_close_checks(self) -> None:
+        if self._close_check is not None:
+            self._close_check.cancel()
+            self._close_check = None
+
+    def _check_close(self) -> None:
+        if self.transport is None:
+            return
+        if _is_closed_by_client(self.transport):
+            self.transport.abort()
+            return
+        self._schedule_close_check()
 
     @property
     def has_next_request(self) -> bool:
@@ -89,6 +132,17 @@
         return ProblemHandler(self, loop=self._loop, **self._kwargs)
 
 
+def _is_closed_by_client(transport: asyncio.Transport) -> bool:
+    """Return whether the client has closed or reset a connection, read or not."""
+    connected = transport.get_extra_info("socket")
+    if connected is None or connected.fileno() < 0:
+        return False
+    poll = select.poll()
+    # A reset is reported too, without being asked for.
+    poll.register(connected.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def make_server(handler: Any) -> ProblemServer:
     """Make a server that passes each request to a handler."""
     return ProblemServer(
