Odd entries of other writers spoil only themselves

What callers saw: nothing here yet; other operators reported machines that ended again and again, or stopped following the list of servers, after another writer had left one odd entry in it.

Cause: deep nesting raises RecursionError, which is no error of the decoder's library and was caught in one place only. A page or a batch of events is decoded as a whole, so one such entry made the whole kind unreadable, in listings and watches and at each start. Numbers over 64 bits were taken and could not be sent to other daemons; a registration's port out of range was contacted.

Change: decoding.py decodes all JSON that others wrote. Integers of messages are bounded by their types. A registration without a usable address is left out with one log line, and a message that can't be sent fails like one that was lost.

--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -17,6 +17,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.decoding import decode_json
 from kingcuppond.settings.checks import Validator, check_name, in_range, one_of
 
 CONFIGURATION_KIND: Final = "configuration"
@@ -232,10 +233,7 @@
     type_ = object_type(name)
     if type_ is None:
         return Error(ObjectError(name, "not the name of a configuration object"))
-    try:
-        return Ok(msgspec.json.decode(body, type=type_))
-    except msgspec.MsgspecError as exc:
-        return Error(ObjectError(name, str(exc)))
+    return decode_json(body, type_).map_error(lambda error: ObjectError(name, error))
 
 
 def encode(value: ConfigurationObject) -> bytes:
--- a/kingcuppond/gate/announcements.py
+++ b/kingcuppond/gate/announcements.py
@@ -9,10 +9,10 @@
 from typing import Final, Literal
 
 import attrs
-import msgspec
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from kingcuppond.decoding import MessageInt, decode_json
 from kingcuppond.outcomes import PROBLEM_TYPE, NotRun, Reason, problem_body
 from kingcuppond.settings.checks import check_address
 
@@ -24,8 +24,8 @@
 class Load:
     """The load that the server reports; it may be out of date or wrong."""
 
-    in_flight: int = 0
-    slots: int = 0
+    in_flight: MessageInt = 0
+    slots: MessageInt = 0
 
 
 @attrs.frozen
@@ -46,13 +46,13 @@
     instance: str = ""
     """Id of this incarnation, empty if the server reports none."""
 
-    born_ms: int = 0
+    born_ms: MessageInt = 0
     """Start time in Unix milliseconds, 0 if the server does not report it."""
 
-    sequence: int = 0
+    sequence: MessageInt = 0
     """Increases with each announcement of an incarnation, 0 if the server does not number them."""
 
-    cold_ms: int | None = None
+    cold_ms: MessageInt | None = None
     """Remaining milliseconds of warm-up, ``None`` if the server does not report them."""
 
 
@@ -85,10 +85,10 @@
     """
     if method != "PUT" or path != ANNOUNCEMENT_PATH:
         return Error(NotRun(Reason.BAD_REQUEST, f"only PUT {ANNOUNCEMENT_PATH} is supported"))
-    try:
-        announcement = msgspec.json.decode(body, type=Announcement)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(NotRun(Reason.BAD_REQUEST, f"invalid announcement: {exc}"))
+    decoded = decode_json(body, Announcement)
+    if decoded.is_error():
+        return Error(NotRun(Reason.BAD_REQUEST, f"invalid announcement: {decoded.error}"))
+    announcement = decoded.ok
     if announcement.service != configured_server.service:
         detail = f"this daemon is configured for service {configured_server.service}"
         return Error(NotRun(Reason.BAD_REQUEST, f"{detail}, not {announcement.service}"))
--- a/kingcuppond/gate/incarnation.py
+++ b/kingcuppond/gate/incarnation.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from kingcuppond.decoding import MessageInt
 from kingcuppond.gate.announcements import Announcement
 
 MAX_LEAVING: Final = 1000
@@ -26,7 +27,7 @@
     """
 
     id: str = ""
-    born_ms: int = 0
+    born_ms: MessageInt = 0
 
 
 @attrs.define
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -28,6 +28,7 @@
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member
+from kingcuppond.settings.checks import has_valid_port
 from kingcuppond.store.interface import (
     ABSENT_VERSION,
     Store,
@@ -230,11 +231,16 @@
         addresses = []
         for item in chosen:
             member = decode_body(item.body, Member)
-            if member.is_ok():
+            if member.is_ok() and has_valid_port(member.ok.peer_address):
                 addresses.append(member.ok.peer_address)
                 continue
+            error = (
+                member.error.message
+                if member.is_error()
+                else f"{member.ok.peer_address!r} is not an address"
+            )
             self._journal.record(
-                catalogue.REGISTRATION_UNREADABLE, member=item.name, error=member.error.message
+                catalogue.REGISTRATION_UNREADABLE, member=item.name, error=error[:200]
             )
         return Ok(not addresses or await self._gossip.join(addresses))
 
--- a/kingcuppond/operators/fleet_reader.py
+++ b/kingcuppond/operators/fleet_reader.py
@@ -11,9 +11,9 @@
 
 import aiohttp
 import attrs
-import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.decoding import decode_json
 from kingcuppond.membership.messages import Member
 from kingcuppond.membership.registration import DAEMON_KIND
 from kingcuppond.operators.messages import DaemonStatus
@@ -90,6 +90,7 @@
     try:
         async with session.get(url, timeout=timeout) as answer:
             body = await answer.read()
-        return msgspec.json.decode(body, type=type_)
-    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
         return None
+    decoded = decode_json(body, type_)
+    return decoded.ok if decoded.is_ok() else None
--- a/kingcuppond/operators/logs.py
+++ b/kingcuppond/operators/logs.py
@@ -96,7 +96,7 @@
             at_ms=int(value["at_ms"]),
             fields={name: it for name, it in value.items() if name not in RESERVED_KEYS},
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError):
+    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError, RecursionError):
         return None
 
 
--- a/kingcuppond/peers/transport.py
+++ b/kingcuppond/peers/transport.py
@@ -26,6 +26,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.settings.checks import has_valid_port
 
 PROTOCOL_VERSION: Final = 1
 ZMQ_HEARTBEAT_INTERVAL_MS: Final = 2000
@@ -156,7 +157,7 @@
 
     def tell(self, address: str, message: Any) -> None:
         """Send a message that expects no reply; it may be lost."""
-        self._send(address, message, 0)
+        self._try_to_send(address, message, 0)
 
     async def ask(
         self, address: str, message: Any, reply_type: type[T], timeout: float
@@ -171,7 +172,9 @@
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._futures_by_id[message_id] = future
         try:
-            self._send(address, message, message_id)
+            error = self._try_to_send(address, message, message_id)
+            if error is not None:
+                return Error(error)
             async with asyncio.timeout(timeout):
                 reply = await future
         except TimeoutError:
@@ -200,12 +203,27 @@
         # With ``immediate`` off, messages are also queued, up to SEND_QUEUE_MESSAGES, while the
         # connection is not established.  They are sent once it is, and may be stale by then.
         socket.immediate = False
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close(linger=0)
+            raise
         reader = asyncio.create_task(self._read_replies(socket))
         connection = _Connection(socket, reader, self._clock.monotonic())
         self._connections_by_address[address] = connection
         return connection
 
+    def _try_to_send(self, address: str, message: Any, message_id: int) -> PeerError | None:
+        """Send a message, unless its address or content is unusable; both may come from others."""
+        try:
+            if not has_valid_port(address):
+                raise ValueError(f"{address!r} is not an address")
+            self._send(address, message, message_id)
+        except (zmq.ZMQError, ValueError, OverflowError) as exc:
+            self._journal.record(catalogue.PEER_MESSAGE_DROPPED, error=repr(exc)[:200])
+            return PeerError(f"the message to {address} can't be sent: {exc}")
+        return None
+
     def _send(self, address: str, message: Any, message_id: int) -> None:
         connection = self._connections_by_address.get(address) or self._connect(address)
         connection.last_used = self._clock.monotonic()
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -7,6 +7,7 @@
 always unusable.
 """
 
+import re
 from typing import Final
 
 from kingcuppond.dialect import (
@@ -33,6 +34,9 @@
 
 PER_CENT: Final = 100.0
 
+NUMBER_PATTERN: Final = re.compile(r"[0-9]{1,15}")
+"""A number that a server may state; a longer one is not taken for a number."""
+
 STATUS_BY_REASON: Final = {
     Reason.NO_CLASS: 404,
     Reason.BAD_REQUEST: 400,
@@ -91,19 +95,22 @@
     :return: ``None`` if the text has another form
     """
     parts = text.split(",")
-    if len(parts) not in (3, 4) or not all(part.strip().isdecimal() for part in parts):
+    values = [number for part in parts if (number := _parse_number(part.strip())) is not None]
+    if len(values) != len(parts) or len(values) not in (3, 4):
         return None
-    values = [int(part) for part in parts]
     slowdown = values[3] / PER_CENT if len(values) == 4 else 1.0
     return ServerLoad(values[0], values[1], values[2], slowdown)
 
 
+def _parse_number(text: str) -> int | None:
+    return int(text) if NUMBER_PATTERN.fullmatch(text) else None
+
+
 def _parse_server_report(headers: Headers) -> ServerReport:
-    cold = headers.get(COLD_MS_HEADER, "")
     return ServerReport(
         load=parse_server_load(headers.get(SERVER_LOAD_HEADER, "")),
         instance=headers.get(INSTANCE_ID_HEADER, ""),
-        cold_ms=int(cold) if cold.isdecimal() else None,
+        cold_ms=_parse_number(headers.get(COLD_MS_HEADER, "")),
         request_id=headers.get(REQUEST_ID_HEADER, ""),
     )
 
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -22,6 +22,7 @@
     ServiceShare,
     UnusableEntry,
 )
+from kingcuppond.decoding import MessageInt, decode_json
 from kingcuppond.durations import parse_duration_ms
 
 CONFIG_KIND: Final = "config"
@@ -79,7 +80,7 @@
 
 
 class _MainObject(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
+    version: MessageInt = msgspec.field(name="Version")
     routes: _Table = msgspec.field(name="Routes")
     services: _Table = msgspec.field(name="Services")
 
@@ -116,10 +117,10 @@
 
 
 def _decode_main_object(body: bytes) -> Result[ConfigurationChange, ObjectError]:
-    try:
-        main = msgspec.json.decode(body, type=_MainObject)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(ObjectError(CONFIG_NAME, str(exc)))
+    decoded = decode_json(body, _MainObject)
+    if decoded.is_error():
+        return Error(ObjectError(CONFIG_NAME, decoded.error))
+    main = decoded.ok
     classes, unusable_routes = _decode_rows(main.routes, _Route, _class_of_work)
     services, unusable_services = _decode_rows(main.services, _Service, _service_properties)
     if unusable_routes and not classes:
--- a/kingcuppond/platform/heartbeats.py
+++ b/kingcuppond/platform/heartbeats.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.decoding import MessageInt, decode_json
 from kingcuppond.durations import parse_duration_ms
 from kingcuppond.gate.announcements import (
     Announcement,
@@ -28,11 +29,11 @@
     service: str = msgspec.field(name="Service")
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
-    slots: int = msgspec.field(name="Slots")
+    slots: MessageInt = msgspec.field(name="Slots")
     state: str = msgspec.field(name="State")
     cold_remaining: str = msgspec.field(name="ColdRemaining")
-    sequence: int = msgspec.field(name="Sequence")
-    born_ms: int = msgspec.field(name="born")
+    sequence: MessageInt = msgspec.field(name="Sequence")
+    born_ms: MessageInt = msgspec.field(name="born")
 
 
 def decode_heartbeat(
@@ -51,10 +52,13 @@
         return Ok(Withdrawal(instance))
     if method != "PUT":
         return _reject(f"{method} is not served here")
+    decoded = decode_json(body, _Heartbeat)
+    if decoded.is_error():
+        return _reject(f"invalid heartbeat: {decoded.error}")
+    heartbeat = decoded.ok
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
         cold_ms = parse_duration_ms(heartbeat.cold_remaining)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
+    except ValueError as exc:
         return _reject(f"invalid heartbeat: {exc}")
     state = STATE_BY_PLATFORM_STATE.get(heartbeat.state)
     if state is None or heartbeat.slots < 1:
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -26,6 +26,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
+from kingcuppond.decoding import decode_json
 from kingcuppond.http_connections import track_connections
 from kingcuppond.store.era import EraTracker, era_of, make_version, revision_of
 from kingcuppond.store.interface import (
@@ -352,10 +353,9 @@
 
 
 def _decode(response: _Response, type_: type[T]) -> Result[T, StoreError]:
-    try:
-        return Ok(msgspec.json.decode(response.body, type=type_))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(StoreError(f"invalid response from the store: {exc}"))
+    return decode_json(response.body, type_).map_error(
+        lambda error: StoreError(f"invalid response from the store: {error}")
+    )
 
 
 def _to_change(event: _WireEvent, era: int) -> ObjectChange:
--- a/kingcuppond/routing/relay.py
+++ b/kingcuppond/routing/relay.py
@@ -16,6 +16,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.decoding import MessageInt, decode_json
 from kingcuppond.outcomes import NotRun, Reason
 
 MAC_BYTES: Final = 16
@@ -37,16 +38,16 @@
     to: str
     class_name: str
     service: str
-    left_ms: int
+    left_ms: MessageInt
     depth: int
     retry_budget: int
     at_most_once: bool
     fingerprint: str
     is_on_trial: bool
-    stamp: int
+    stamp: MessageInt
     request_id: str = ""
     caller_service: str = ""
-    target_left_ms: int | None = None
+    target_left_ms: MessageInt | None = None
     priority: int = 0
     is_last_resort: bool = False
 
@@ -78,10 +79,11 @@
     expected = sign(key, method, target, head)
     if not hmac.compare_digest(expected.encode(), mac.encode("utf-8", "surrogateescape")):
         return Error(NotRun(Reason.FORBIDDEN, "the MAC of the call is invalid"))
-    try:
-        relay = msgspec.json.decode(head.encode(), type=RelayHead)
-    except (msgspec.MsgspecError, UnicodeEncodeError) as exc:
-        return Error(NotRun(Reason.BAD_REQUEST, f"the head of the call can't be decoded: {exc}"))
+    decoded = decode_json(head.encode("utf-8", "surrogateescape"), RelayHead)
+    if decoded.is_error():
+        detail = f"the head of the call can't be decoded: {decoded.error}"
+        return Error(NotRun(Reason.BAD_REQUEST, detail))
+    relay = decoded.ok
     if relay.to != vm:
         return Error(NotRun(Reason.FORBIDDEN, f"the call is addressed to {relay.to}"))
     if (relay.stamp >> 16) < fleet_ms - MAX_AGE_MS:
--- a/kingcuppond/settings/checks.py
+++ b/kingcuppond/settings/checks.py
@@ -10,6 +10,8 @@
 from typing import Any, Final
 
 NAME_PATTERN: Final = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+PORT_PATTERN: Final = re.compile(r"[0-9]{1,5}")
+MAX_PORT: Final = 65_535
 
 Validator = Callable[[Any, Any, Any], None]
 
@@ -24,16 +26,22 @@
 
 def check_address(_instance: Any, attribute: Any, value: str) -> None:
     """Allow an IP address with a port, such as ``10.0.0.1:8000`` or ``[::1]:8000``."""
-    host, _, port = value.rpartition(":")
+    host = value.rpartition(":")[0]
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = 1 <= int(port) <= 65535
+        valid = has_valid_port(value)
     except ValueError:
         valid = False
     if not valid:
         raise ValueError(f"{attribute.name}: {value!r} is not an IP address with a port")
 
 
+def has_valid_port(address: str) -> bool:
+    """Return whether an address ends with a port that can be connected to."""
+    host, _, port = address.rpartition(":")
+    return bool(host) and PORT_PATTERN.fullmatch(port) is not None and 1 <= int(port) <= MAX_PORT
+
+
 def in_range(low: int, high: int) -> Validator:
     """Make a validator for numbers from ``low`` to ``high``, inclusive."""
 
--- a/kingcuppond/store/interface.py
+++ b/kingcuppond/store/interface.py
@@ -17,8 +17,9 @@
 
 import attrs
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
+from kingcuppond.decoding import decode_json
 from kingcuppond.store.era import EraTracker
 
 ABSENT_VERSION: Final = 0
@@ -139,15 +140,20 @@
 
 def is_same_json(first: bytes, second: bytes) -> bool:
     """Return whether two bodies encode the same value, regardless of whitespace."""
-    return first == second or bool(msgspec.json.decode(first) == msgspec.json.decode(second))
+    if first == second:
+        return True
+    values = [decode_json(body, object) for body in (first, second)]
+    try:
+        return values[0].is_ok() and values[1].is_ok() and values[0].ok == values[1].ok
+    except RecursionError:
+        return False
 
 
 def decode_body(body: bytes, type_: type[T]) -> Result[T, StoreError]:
     """Decode the body of an object."""
-    try:
-        return Ok(msgspec.json.decode(body, type=type_))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(StoreError(f"the body of the object cannot be decoded: {exc}"))
+    return decode_json(body, type_).map_error(
+        lambda error: StoreError(f"the body of the object cannot be decoded: {error}")
+    )
 
 
 def encode_body(value: Any) -> bytes:
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -61,6 +61,31 @@
     )
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"[" * 100_000 + b"]" * 100_000,
+        encode_body(make_member("vm-2")).replace(b'"incarnation":1', b'"incarnation":1e999'),
+        encode_body(attrs.evolve(make_member("vm-2"), peer_address="10.0.0.2:99999")),
+        encode_body(attrs.evolve(make_member("vm-2"), peer_address="10.0.0.2:0")),
+    ],
+    ids=["nested deeply", "number too large", "port out of range", "port 0"],
+)
+async def test_an_odd_registration_is_left_out(
+    odd: bytes,
+    store: FakeStore,
+    gossip: FakeGossip,
+    registration: Registration,
+    journal: Journal,
+) -> None:
+    """Guards against a daemon that never joins, since its task ends at an odd entry."""
+    await store.put(DAEMON_KIND, "vm-2", odd, ABSENT_VERSION)
+    await store.put(DAEMON_KIND, "vm-3", encode_body(make_member("vm-3")), ABSENT_VERSION)
+    await registration._join_through_store()
+    assert gossip.addresses == ["vm-3:2"]
+    assert [entry.fields["member"] for entry in journal.entries if entry.number == 209] == ["vm-2"]
+
+
 async def test_an_unreadable_object_is_logged_and_other_daemons_are_joined(
     store: FakeStore, gossip: FakeGossip, registration: Registration, journal: Journal
 ) -> None:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -20,6 +20,7 @@
         ("3,0", None),
         ("3,x,8", None),
         ("-1,0,8", None),
+        ("0,0,6," + "9" * 5000, None),
     ],
 )
 def test_parse_server_load(text: str, expected: ServerLoad | None) -> None:
@@ -108,3 +109,11 @@
         "X-Kingcuppond-Caller-Service": "shop",
         "X-Kingcuppond-Target-Instance": "i-1",
     }
+
+
+def test_a_number_that_is_too_long_is_no_number() -> None:
+    """Guards against calls that fail because a server states an odd number about itself."""
+    headers = {"X-Kingcuppond-Cold-Ms": "9" * 5000, "X-Kingcuppond-Server-Load": "1,0,6"}
+    report = PLATFORM_DIALECT.parse_server_report(headers)
+    assert report.cold_ms is None
+    assert report.load == ServerLoad(1, 0, 6)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -62,6 +62,11 @@
         {"ColdRemaining": "soon"},
         {"Service": "other"},
         {"Address": "10.0.0.2:8080"},
+        {"Address": "10.0.0.1:99999"},
+        {"Slots": 10**30},
+        {"Sequence": 10**30},
+        {"born": 10**30},
+        {"ColdRemaining": "9" * 400 + "s"},
     ],
     ids=str,
 )
