A busy server is asked whether it has become cold

Cause: the health of a server was asked only if the newest report of its load was old. Each answer to a call renews that report, but says nothing of coldness, so a busy server was never asked, and its next heartbeat told of it up to 1.5 s later.

Change: the limiter of cold servers counts the calls that have started since the last question. After half of what a cold server handles in a second it is asked beside the calls; after the whole, calls wait for the answer. A question that fails counts too.

--- a/kingcuppond/gate/cold_rate_limiter.py
+++ b/kingcuppond/gate/cold_rate_limiter.py
@@ -5,6 +5,9 @@
 first.  A new process does not know what an earlier process of this daemon sent in the last second,
 so it assumes that the window is full.  A server that was kept idle may have become cold, so it is
 assumed to be until it has been queried.
+
+A server may also become cold while it is busy, and its answers to calls don't say so.  It is
+therefore asked again before more calls have started than a cold server handles in a second.
 """
 
 from collections import deque
@@ -20,6 +23,12 @@
 
 MIN_CALLS_PER_SECOND: Final = 1.0
 
+DUE_SHARE: Final = 0.5
+"""A check is due after this share of the calls that a cold server handles in a second.
+
+The rest may start while the server is asked.
+"""
+
 
 @attrs.define
 class ColdRateLimiter:
@@ -32,6 +41,7 @@
     per_second: Callable[[], float | None]
     now: Callable[[], float]
     is_assumed_cold: bool = False
+    _unchecked_starts: int = 0
     _cold_until: float = 0.0
     _blocked_until: float = 0.0
     _starts: deque[float] = attrs.field(factory=deque)
@@ -41,6 +51,22 @@
         """Whether the server is cold, or is assumed to be, so that the rate is limited."""
         return self.is_assumed_cold or self.now() < self._cold_until
 
+    @property
+    def is_check_due(self) -> bool:
+        """Whether the server should be asked if it is cold, beside the calls that start."""
+        per_second = self.per_second()
+        return per_second is not None and self._unchecked_starts >= per_second * DUE_SHARE
+
+    @property
+    def is_check_overdue(self) -> bool:
+        """Whether no call should start before the server has been asked if it is cold."""
+        per_second = self.per_second()
+        return per_second is not None and self._unchecked_starts >= per_second
+
+    def record_check(self) -> None:
+        """Count a check that begins, also one that will fail, so that each call waits for one."""
+        self._unchecked_starts = 0
+
     def set_cold_ms(self, cold_ms: int) -> None:
         """Store for how many more milliseconds the server reports to be cold.
 
@@ -69,6 +95,7 @@
         now = self.now()
         self._drop_expired(now)
         self._starts.append(now)
+        self._unchecked_starts += 1
 
     def _drop_expired(self, now: float) -> None:
         while self._starts and self._starts[0] < now - WINDOW_SECONDS - ARRIVAL_MARGIN_SECONDS:
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -103,6 +103,7 @@
             self.clock,
             self.journal,
             self._apply_self_report,
+            self.rate_limiter,
         )
         self._client = ServerClient(
             self.directory.me.vm,
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -5,9 +5,13 @@
 queried, which a server answers at once; calls that wait for a report share one query.  While no
 calls arrive, a slow periodic query keeps the report from becoming old, so that other daemons learn
 in time that a server has become slow or cold.
+
+Answers to calls don't tell whether the server is cold.  A busy server is therefore queried after a
+few calls, however fresh the report of its load is.
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -19,6 +23,7 @@
 from kingcuppond.dialect import Headers, ServerLoad, ServerReport
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.routing.call import InvalidAnswerError
 from kingcuppond.routing.exchange import close_connection
 
@@ -38,6 +43,7 @@
 
     :param health_path: returns the path to query, empty if there is none
     :param on_self_report: called with each report, and whether it came with a good health answer
+    :param rate_limiter: knows whether the server may have become cold
     """
 
     session: aiohttp.ClientSession
@@ -46,6 +52,9 @@
     clock: Clock
     journal: Journal
     on_self_report: Callable[[ServerReport, bool], None]
+    rate_limiter: ColdRateLimiter = attrs.field(
+        factory=lambda: ColdRateLimiter(lambda: None, time.monotonic)
+    )
     address: str = ""
     load: ServerLoad | None = None
     reported_at: float = float("-inf")
@@ -76,12 +85,21 @@
         self.on_self_report(self_report, is_healthy)
 
     async def refresh(self) -> None:
-        """Query the server, unless its report is fresh or there is no address or health path."""
-        if self.age <= MAX_FRESH_AGE_SECONDS or not self.address or not self.health_path():
+        """Query the server if its report is old, or if it may have become cold.
+
+        Without an address or a health path, nothing is queried.
+        """
+        is_load_old = self.age > MAX_FRESH_AGE_SECONDS
+        if not (is_load_old or self.rate_limiter.is_check_due):
+            return
+        if not self.address or not self.health_path():
             return
+        is_awaited = is_load_old or self.rate_limiter.is_check_overdue
         if self._refresh_task is None or self._refresh_task.done():
+            self.rate_limiter.record_check()
             self._refresh_task = asyncio.create_task(self._query_health())
-        await asyncio.shield(self._refresh_task)
+        if is_awaited:
+            await asyncio.shield(self._refresh_task)
 
     def clear(self) -> None:
         """Drop the report, which no longer applies to the server."""
--- a/tests/gate/test_observer.py
+++ b/tests/gate/test_observer.py
@@ -1,5 +1,7 @@
 """Only the answer to a health query is taken as the server's report about its health."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -7,11 +9,13 @@
 from kingcuppond.dialect import ServerReport
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate import observer
+from kingcuppond.gate.cold_rate_limiter import DUE_SHARE, ColdRateLimiter
 from kingcuppond.gate.observer import ServerObserver
 from kingcuppond.platform.calls import PLATFORM_DIALECT
 from kingcuppond.routing.exchange import open_session
 from tests.gate.test_stale_refusals import answer, serving
 from tests.routing.test_truncated_heads import serving as cutting
+from tests.servers import listening
 
 HEALTHY = b"HTTP/1.1 200 OK\r\nX-Kingcuppond-Instance-Id: i\r\nX-Kingcuppond-Server-Load: 3,0,8\r\n"
 HEALTHY_COLD = HEALTHY + b"X-Kingcuppond-Cold-Ms: 900\r\nContent-Length: 0\r\n\r\n"
@@ -73,3 +77,80 @@
             assert await query(server.address, times=1) == []
         server.answer = HEALTHY_COLD
         assert len(await query(server.address, times=1)) == 1
+
+
+WARM = HEALTHY + b"X-Kingcuppond-Cold-Ms: 0\r\nContent-Length: 0\r\n\r\n"
+LOAD = {"X-Kingcuppond-Server-Load": "3,0,8"}
+COLD_PER_SECOND = 7.1
+MAX_COLD_STARTS = COLD_PER_SECOND * 1.5 + 5
+"""What the users' platform allows a cold server within one second."""
+
+
+@pytest.mark.parametrize("per_second", [30, 100, 400])
+async def test_a_busy_server_that_becomes_cold_is_asked_in_time(per_second: int) -> None:
+    """Guards against the full load for a cold server whose answers to calls tell its load only."""
+    health = WARM
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(health)
+            await writer.drain()
+
+    clock = Clock()
+    limiter = ColdRateLimiter(lambda: COLD_PER_SECOND, clock.monotonic)
+
+    def take_report(report: ServerReport, _is_healthy: bool) -> None:
+        if report.cold_ms is not None:
+            limiter.set_cold_ms(report.cold_ms)
+
+    session = open_session()
+    async with listening(serve) as address:
+        server_observer = ServerObserver(
+            session,
+            PLATFORM_DIALECT.parse_server_report,
+            lambda: "/health",
+            clock,
+            Journal("vm-1", clock),
+            take_report,
+            limiter,
+            address,
+        )
+        started_at = []
+        for call in range(per_second * 2):
+            if call == per_second:
+                health = HEALTHY_COLD
+                turned_cold_at = clock.monotonic()
+            server_observer.record_report(LOAD)
+            await server_observer.refresh()
+            if limiter.may_start():
+                limiter.record_start()
+                started_at.append(clock.monotonic())
+            await asyncio.sleep(1 / per_second)
+        await session.close()
+    while_cold = [at for at in started_at if turned_cold_at <= at < turned_cold_at + 0.9]
+    assert len(started_at) > per_second / 2, "the server is busy before it becomes cold"
+    assert len(while_cold) <= MAX_COLD_STARTS
+    assert server_observer.queries < len(started_at), "not each call costs a query"
+
+
+async def test_calls_do_not_wait_for_a_server_that_answers_no_health_query() -> None:
+    """Each query may take long; one that fails is not repeated before each call."""
+    clock = Clock()
+    limiter = ColdRateLimiter(lambda: COLD_PER_SECOND, clock.monotonic)
+    session = open_session()
+    server_observer = ServerObserver(
+        session,
+        PLATFORM_DIALECT.parse_server_report,
+        lambda: "/health",
+        clock,
+        Journal("vm-1", clock),
+        lambda _report, _is_healthy: None,
+        limiter,
+        "127.0.0.1:9",
+    )
+    for _ in range(100):
+        server_observer.record_report(LOAD)
+        await server_observer.refresh()
+        limiter.record_start()
+    assert server_observer.queries <= 100 / (COLD_PER_SECOND * DUE_SHARE)
+    await session.close()
