Holds of harmful requests outlast all daemons

Cause: the notes on suspected and held requests were only in the daemons' memory.

Change: a hold is also an object of the store, written by the daemon that made it. A daemon that reads the configuration from the store after a restart reads the holds with it, and the others hear of them from that daemon. Only holds are written, since each took two servers down; their number is bounded, they are deleted once they have expired, and written again after a restore of the store.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any, Final
 
@@ -63,6 +63,10 @@
 """How long a daemon waits for others to send the configuration before it watches for itself."""
 
 
+async def _read_nothing() -> None:
+    return
+
+
 class Watcher:
     """Watches the store while this daemon is one of the watchers, and detects isolation.
 
@@ -75,6 +79,7 @@
     :param is_restart: whether this daemon may be needed at once, and not only once the whole fleet
         has started for the first time
     :param wait_ms: how long the store holds a watch without changes, in milliseconds
+    :param read_first: reads what this daemon must know before requests can be routed
     """
 
     def __init__(
@@ -90,6 +95,7 @@
         is_joined: Callable[[], bool],
         is_restart: bool,
         wait_ms: int,
+        read_first: Callable[[], Awaitable[None]] = _read_nothing,
     ) -> None:
         self.is_watching = False
         self._store = store
@@ -103,6 +109,7 @@
         self._is_joined = is_joined
         self._is_restart = is_restart
         self.wait_ms = wait_ms
+        self._read_first = read_first
         self._store_heard_at = clock.monotonic()
         self._settled_at = clock.monotonic() + MAX_RANK_SETTLE_SECONDS
         self._was_joined = False
@@ -185,7 +192,7 @@
 
     async def refresh(self, kind: str) -> Result[Listing, StoreError]:
         """List all objects of a kind, merge them and announce those that were newer."""
-        listed = await self._store.list(kind)
+        listed, _ = await asyncio.gather(self._store.list(kind), self._read_first())
         if listed.is_error():
             return Error(listed.error)
         known = self._configuration.objects_by_key
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -50,6 +50,7 @@
 from kingcuppond.planned_stop import begin_grace_period, leave_fleet
 from kingcuppond.platform.store import PlatformStore
 from kingcuppond.protocol import PROTOCOLS_BY_NAME
+from kingcuppond.quarantine.holds import HoldStore
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
@@ -135,6 +136,7 @@
         loops = {
             "registration": self.registration.run,
             "departure after a restore": self.departures.run,
+            "holds": self.holds.run,
             "silence": self._check_silence,
             "pause": self.pause_guard.run,
             "observer": self.gate.observer.run,
@@ -218,6 +220,14 @@
             self.journal,
             self.rng,
         )
+        self.holds = HoldStore(
+            self.store,
+            self.suspects,
+            self.journal,
+            self.rng,
+            lambda: self.directory.living_count,
+        )
+        self.eras.on_new_era.append(self.holds.on_new_era)
         self.watcher = Watcher(
             self.store,
             self.configuration,
@@ -230,6 +240,7 @@
             lambda: self.registration.has_contacted_members,
             not settings.is_first_start,
             settings.watch_wait_ms,
+            self._read_holds,
         )
         self.registration = Registration(
             self.store,
@@ -247,6 +258,10 @@
         """Return whether the settings state the first start of the fleet, and the store agrees."""
         return self.settings.is_first_start and not self.registration.has_predecessor
 
+    async def _read_holds(self) -> None:
+        if not self._is_first_start():
+            await self.holds.load()
+
     def _make_gate(self) -> None:
         """Create the gate and the port for the server beside this daemon."""
         may_have_run = not self.settings.is_first_start
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -112,6 +112,10 @@
 REQUEST_UNANSWERED: Final = Event(
     513, "debug", "request {request} has no answer: {closed_by} closed its connection"
 )
+HOLDS_NOT_READ: Final = Event(514, "warning", "holds of requests can't be read: {error}")
+HOLD_NOT_RECORDED: Final = Event(
+    515, "warning", "the hold of request {fingerprint} could not be recorded in the store"
+)
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
--- a/kingcuppond/quarantine/suspects.py
+++ b/kingcuppond/quarantine/suspects.py
@@ -7,7 +7,8 @@
 expires.  So a harmful request is stopped after two servers, and the harmless ones in flight beside
 it run again.
 
-The state belongs to the content of a request, not to its key or sender.  Notes spread by gossip.
+The state belongs to the content of a request, not to its key or sender.  Notes spread by gossip;
+holds are also kept in the store (see ``kingcuppond.quarantine.holds``).
 """
 
 from collections.abc import Callable, Iterable
@@ -60,7 +61,7 @@
     def level(self, fingerprint_: str) -> QuarantineLevel:
         """Return the state of a request; an unknown or expired one is cleared."""
         note = self._notes_by_fingerprint.get(fingerprint_)
-        if note is None or self._is_expired(note):
+        if note is None or self.is_expired(note):
             return QuarantineLevel.CLEARED
         return note.level
 
@@ -70,7 +71,7 @@
         servers = () if known is None else known.servers
         level = QuarantineLevel.HELD if is_on_trial else QuarantineLevel.SUSPECTED
         note = QuarantineNote(fingerprint_, level, self.clock.stamp(), (*servers, self.vm))
-        self._publish(note)
+        self.publish(note)
 
     def record_answer(self, fingerprint_: str) -> None:
         """Record that a request was answered, which clears a suspected request."""
@@ -79,7 +80,7 @@
             or self.level(fingerprint_) is not QuarantineLevel.SUSPECTED
         ):
             return
-        self._publish(QuarantineNote(fingerprint_, QuarantineLevel.CLEARED, self.clock.stamp()))
+        self.publish(QuarantineNote(fingerprint_, QuarantineLevel.CLEARED, self.clock.stamp()))
 
     def merge(self, note: QuarantineNote) -> bool:
         """Store a note if it supersedes the known one.
@@ -92,7 +93,7 @@
         known = self._notes_by_fingerprint.get(note.fingerprint)
         if known is not None and not self._supersedes(note, known):
             return False
-        if self._is_expired(note):
+        if self.is_expired(note):
             return False
         if known is None and len(self._notes_by_fingerprint) >= MAX_NOTES:
             self._evict_weakest()
@@ -110,23 +111,24 @@
         return [
             note
             for note in notes
-            if note.level is QuarantineLevel.HELD and not self._is_expired(note)
+            if note.level is QuarantineLevel.HELD and not self.is_expired(note)
         ]
 
     def expire(self) -> None:
         """Drop expired notes."""
         for note in list(self._notes_by_fingerprint.values()):
-            if self._is_expired(note):
+            if self.is_expired(note):
                 del self._notes_by_fingerprint[note.fingerprint]
                 self.digest ^= _hash(note)
 
-    def _publish(self, note: QuarantineNote) -> None:
+    def publish(self, note: QuarantineNote) -> None:
+        """Store a note if it supersedes the known one, and tell the other daemons of it."""
         if self.merge(note):
             for callback in self.on_change:
                 callback(note)
 
     def _supersedes(self, note: QuarantineNote, known: QuarantineNote) -> bool:
-        if self._is_expired(known):
+        if self.is_expired(known):
             return note.stamp > known.stamp
         # A total order, so that all daemons converge on one note whatever order notes arrive in.
         return (note.level is QuarantineLevel.HELD, note.stamp) > (
@@ -134,7 +136,8 @@
             known.stamp,
         )
 
-    def _is_expired(self, note: QuarantineNote) -> bool:
+    def is_expired(self, note: QuarantineNote) -> bool:
+        """Return whether a note no longer counts."""
         age_ms = self.clock.fleet_ms() - (note.stamp >> COUNTER_BITS)
         return age_ms > TTL_MS_BY_LEVEL[note.level]
 
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -89,6 +89,13 @@
             return Error(StoreError("restored before the write", is_outcome_unknown=True))
         return written
 
+    async def delete(self, kind: str, name: str, expected: int) -> Result[int, StoreError]:
+        found = self.objects.get((kind, name))
+        if found is None or found.version != revision_of(expected):
+            return Error(StoreError("another version", is_conflict=True))
+        del self.objects[kind, name]
+        return Ok(expected)
+
     def apply_late_writes(self) -> None:
         """Apply the delayed writes."""
         for kind, name, body, expected in self.late:
