--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -84,7 +84,7 @@
     """Priority under overload: requests with a larger number are shed first."""
 
 
-def _limit(**validators_by_name: Validator) -> Callable[[type, list[Any]], list[Any]]:
+def _with_validators(**validators_by_name: Validator) -> Callable[[type, list[Any]], list[Any]]:
     """Make a field transformer that adds validators to inherited attributes."""
 
     def transform(_class: type, fields: list[Any]) -> list[Any]:
@@ -97,7 +97,7 @@
 
 
 @attrs.frozen(
-    field_transformer=_limit(
+    field_transformer=_with_validators(
         name=check_name,
         service=check_name,
         path_prefix=_check_path,
@@ -136,7 +136,7 @@
     """``in`` accepts new work, ``out`` accepts none."""
 
 
-@attrs.frozen(field_transformer=_limit(name=check_name))
+@attrs.frozen(field_transformer=_with_validators(name=check_name))
 class NativeDataCentreState(DataCentreState):
     """The state of a data centre as operators write it in the native format."""
 
--- a/kingcuppond/gate/cold_rate_limiter.py
+++ b/kingcuppond/gate/cold_rate_limiter.py
@@ -64,7 +64,10 @@
         return per_second is not None and self._unchecked_starts >= per_second
 
     def record_check(self) -> None:
-        """Count a check that begins, also one that will fail, so that each call waits for one."""
+        """Restart the count when a check begins.
+
+        One that fails counts too: no call waits for another check right after it.
+        """
         self._unchecked_starts = 0
 
     def set_cold_ms(self, cold_ms: int) -> None:
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -230,21 +230,26 @@
         chosen = self._rng.sample(unknown, min(MAX_JOIN_TARGETS, len(unknown)))
         addresses = []
         for item in chosen:
-            member = decode_body(item.body, Member)
-            if member.is_ok() and has_valid_port(member.ok.peer_address):
-                addresses.append(member.ok.peer_address)
+            address = _read_peer_address(item.body)
+            if address.is_ok():
+                addresses.append(address.ok)
                 continue
-            error = (
-                member.error.message
-                if member.is_error()
-                else f"{member.ok.peer_address!r} is not an address"
-            )
             self._journal.record(
-                catalogue.REGISTRATION_UNREADABLE, member=item.name, error=error[:200]
+                catalogue.REGISTRATION_UNREADABLE, member=item.name, error=address.error[:200]
             )
         return Ok(not addresses or await self._gossip.join(addresses))
 
 
+def _read_peer_address(body: bytes) -> Result[str, str]:
+    """Return the address at which a registered daemon is contacted, or why there is none."""
+    member = decode_body(body, Member)
+    if member.is_error():
+        return Error(member.error.message)
+    if not has_valid_port(member.ok.peer_address):
+        return Error(f"{member.ok.peer_address!r} is not an address")
+    return Ok(member.ok.peer_address)
+
+
 def _is_found_by(body: bytes, me: Member) -> bool:
     """Return whether others find this daemon by an object, whatever else has changed since."""
     found = decode_body(body, Member)
--- a/kingcuppond/peers/transport.py
+++ b/kingcuppond/peers/transport.py
@@ -215,14 +215,17 @@
 
     def _try_to_send(self, address: str, message: Any, message_id: int) -> PeerError | None:
         """Send a message, unless its address or content is unusable; both may come from others."""
-        try:
-            if not has_valid_port(address):
-                raise ValueError(f"{address!r} is not an address")
-            self._send(address, message, message_id)
-        except (zmq.ZMQError, ValueError, OverflowError) as exc:
-            self._journal.record(catalogue.PEER_MESSAGE_DROPPED, error=repr(exc)[:200])
-            return PeerError(f"the message to {address} can't be sent: {exc}")
-        return None
+        error = None if has_valid_port(address) else "it is not an address"
+        if error is None:
+            try:
+                self._send(address, message, message_id)
+            except (zmq.ZMQError, ValueError, OverflowError) as exc:
+                error = repr(exc)
+        if error is None:
+            return None
+        text = f"not sent to {address[:60]!r}: {error[:140]}"
+        self._journal.record(catalogue.PEER_MESSAGE_DROPPED, error=text)
+        return PeerError(text)
 
     def _send(self, address: str, message: Any, message_id: int) -> None:
         connection = self._connections_by_address.get(address) or self._connect(address)
