A fleet that starts at once is one fleet

What callers saw: while the servers of one data centre were down, 503 although those of the other one were idle; a harmful request was tried on the servers of each data centre as if the other one had not seen it.

Cause: a joining daemon is introduced by the first seed that answers. If all daemons are introduced by members of their own data centre, which know no other one yet, the data centres don't know each other until the registrations are listed, every 30 s.

Change: a daemon that was introduced tells its other seeds of itself. They contact it, and exchange the state with it, as with any new member.

--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -152,6 +152,10 @@
         addresses may belong to daemons that no longer exist, so the timeout is no longer than that
         of a ping.
 
+        Daemons that start at the same time may all be introduced by members of their own data
+        centre, which know no other one yet.  The other addresses are therefore told of this daemon
+        as well, so that the data centres find each other.
+
         :param addresses: peer addresses to contact
         :return: whether another daemon sent its state
         """
@@ -163,6 +167,9 @@
         if introducer is None:
             return False
         me = self.directory.me
+        for address in addresses:
+            if address != introducer:
+                self._transport.tell(address, Rumours(members=(me,), era=self._eras.era))
         neighbours = [
             member.peer_address
             for member in self.directory.living()
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -247,10 +247,10 @@
         return NEAR_SECONDS if sender.data_centre == receiver.data_centre else FAR_SECONDS
 
 
-def run_simulated(scenario: Callable[[Network], Any]) -> None:
-    """Run a coroutine function in simulated time on a new network."""
+def run_simulated(scenario: Callable[[Network], Any], network: Network | None = None) -> None:
+    """Run a coroutine function in simulated time, on a new network if none is given."""
     loop = VirtualTimeLoop()
-    network = Network()
+    network = network or Network()
     try:
         loop.run_until_complete(scenario(network))
         network.stop()
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from random import Random
 
 import pytest
 
@@ -262,3 +263,25 @@
             assert bridge.vm not in contacts.pinged_by_vm
             assert len(contacts.informed_by_vm) <= 8 + DATA_CENTRES
             assert other in {member.data_centre for member in contacts.informed_by_vm.values()}
+
+
+@pytest.mark.parametrize(("count", "data_centres"), [(6, 2), (12, 4), (13, 3)])
+def test_a_fleet_that_starts_at_once_is_one_fleet(count: int, data_centres: int) -> None:
+    """Guards against data centres that don't know each other until the store is listed again.
+
+    The platform names the first three other VMs as seeds.  Which of them answers first is random.
+    """
+
+    async def scenario(network: Network) -> None:
+        for i in range(count):
+            network.add(f"vm-{i:04}", f"dc-{i % data_centres}")
+        for vm, daemon in network.daemons_by_vm.items():
+            others = [other for other in network.daemons_by_vm if other != vm]
+            daemon.start(others[:3], network.rng)
+        daemons = network.daemons_by_vm.values()
+        await wait_until(
+            lambda: all(len(it.directory.members_by_vm) == count for it in daemons), 5.0
+        )
+
+    for seed in range(40):
+        run_simulated(scenario, Network(Random(seed)))
