A hold in the store is kept up to date, and read whatever fails first

Cause, from reading the change again: the store of holds promised more than it did. 1. An older, expired object of the same request counted as the new hold, so that the hold was forgotten with the daemons. The same for a second hold of one process. 2. A hold was given up after ten attempts, about ten seconds of an outage. 3. After a failed listing nothing tried again until the configuration was listed the next time, and requests were routed without the holds meanwhile. 4. A deletion that failed, and a write whose answer was lost, left the object for good. 5. After a restore of the store each daemon that knew of holds wrote all of them.

Change: one state for each hold, its note and what is known of its object, brought up to date by one loop with a backoff. A conflict reads the object and replaces an older note. After a restore the holds are listed first, and only what is missing is written. E515 tells the error. The load is named in the module.

The mutation check of the holds fails with their listing off.

--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -114,7 +114,7 @@
 )
 HOLDS_NOT_READ: Final = Event(514, "warning", "holds of requests can't be read: {error}")
 HOLD_NOT_RECORDED: Final = Event(
-    515, "warning", "the hold of request {fingerprint} could not be recorded in the store"
+    515, "warning", "the hold of request {fingerprint} is not up to date in the store: {error}"
 )
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -349,8 +349,8 @@
     Mechanism(
         "holds are read from the store",
         "quarantine/holds.py",
-        "            self._merge(listed.ok.items)",
-        "            pass",
+        "                self._merge(item)",
+        "                pass",
         "tests/quarantine/test_holds.py",
     ),
     Mechanism(
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -90,6 +90,8 @@
         return written
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[int, StoreError]:
+        if self.is_down:
+            return Error(StoreError("down"))
         found = self.objects.get((kind, name))
         if found is None or found.version != revision_of(expected):
             return Error(StoreError("another version", is_conflict=True))
--- a/tests/failures/test_platform.py
+++ b/tests/failures/test_platform.py
@@ -255,17 +255,22 @@
     assert [reply.status for reply in replies] == [404] * len(VM_NAMES)
 
 
-async def test_the_fleet_recovers_when_all_daemons_are_killed_at_once(fleet: Fleet) -> None:
-    """Guards against a recovery that waits for the answer of a pending watch.
-
-    The daemons list the store before they can ask each other for changes.
-    """
+def kill_and_restart_daemons(fleet: Fleet) -> None:
+    """Kill all daemons at once, and start them again."""
     for name in VM_NAMES:
         fleet.kill(name, "daemon")
         settings = fleet.vms_by_name[name].settings
         settings.write_text(settings.read_text().replace('start": true', 'start": false'))
     for name in VM_NAMES:
         fleet.start_daemon(name)
+
+
+async def test_the_fleet_recovers_when_all_daemons_are_killed_at_once(fleet: Fleet) -> None:
+    """Guards against a recovery that waits for the answer of a pending watch.
+
+    The daemons list the store before they can ask each other for changes.
+    """
+    kill_and_restart_daemons(fleet)
     waited_seconds = await wait_until(lambda: all(is_ready(fleet, name) for name in VM_NAMES))
     assert waited_seconds < RECOVERY_SECONDS
     await wait_until(lambda: fleet.status(VM_NAMES[0])["server_state"] == "warm")
@@ -273,6 +278,31 @@
     assert statuses.count(200) >= 5
 
 
+async def test_a_held_request_stays_held_after_all_daemons_were_killed(fleet: Fleet) -> None:
+    """Guards against a request that takes servers down again, since nobody remembers it."""
+
+    async def send_harmful(index: int) -> int:
+        return (await send(caller_address(fleet, index), "/read/1?crash=1")).status
+
+    for index in range(6):
+        await send_harmful(index % len(VM_NAMES))
+        for name in VM_NAMES:
+            if fleet.vms_by_name[name].processes_by_role["server"].poll() is not None:
+                fleet.start_server(name)
+        if fleet.status(VM_NAMES[0])["held"]:
+            break
+        await asyncio.sleep(0.5)
+    assert fleet.status(VM_NAMES[0])["held"]
+    await asyncio.sleep(1.0)
+    kill_and_restart_daemons(fleet)
+    await wait_until(lambda: all(is_ready(fleet, name) for name in VM_NAMES))
+    await wait_until(lambda: all(fleet.status(name)["server_state"] == "warm" for name in VM_NAMES))
+    statuses = [await send_harmful(index) for index in range(len(VM_NAMES))]
+    assert statuses == [503] * len(VM_NAMES)
+    servers = [fleet.vms_by_name[name].processes_by_role["server"] for name in VM_NAMES]
+    assert [server.poll() for server in servers] == [None] * len(VM_NAMES)
+
+
 async def test_a_planned_stop_cuts_off_no_call(fleet: Fleet) -> None:
     long_call = asyncio.create_task(send(caller_address(fleet), "/read/1?ms=1500"))
     await asyncio.sleep(0.3)
--- a/tests/quarantine/test_holds.py
+++ b/tests/quarantine/test_holds.py
@@ -21,7 +21,8 @@
 
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(holds_module, "RETRY_SECONDS", 0.001)
+    monkeypatch.setattr(holds_module, "INITIAL_BACKOFF_SECONDS", 0.001)
+    monkeypatch.setattr(holds_module, "MAX_BACKOFF_SECONDS", 0.01)
     monkeypatch.setattr(holds_module, "SWEEP_SECONDS", 0.01)
 
 
@@ -90,17 +91,80 @@
     assert store.objects == {}
 
 
+async def test_an_expired_hold_is_deleted_after_an_outage_of_the_store(fake_time: FakeTime) -> None:
+    """Guards against objects that nobody deletes, as the first attempt failed."""
+    store = FakeStore()
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        hold(holds, "f")
+        await asyncio.sleep(0.05)
+        store.is_down = True
+        fake_time.advance(HELD_TTL_MS / 1000 + 1)
+        await asyncio.sleep(0.05)
+        store.is_down = False
+    assert store.objects == {}
+
+
 async def test_holds_that_have_expired_are_deleted_when_they_are_read(fake_time: FakeTime) -> None:
     store = FakeStore()
     async with running(make_holds(store, fake_time, "vm-1")) as holds:
         hold(holds, "f")
     fake_time.advance(HELD_TTL_MS / 1000 + 1)
-    restarted = make_holds(store, fake_time, "vm-2")
-    await restarted.load()
+    async with running(make_holds(store, fake_time, "vm-2")) as restarted:
+        await restarted.load()
     assert restarted.suspects.level("f") is QuarantineLevel.CLEARED
     assert store.objects == {}
 
 
+async def test_a_hold_replaces_an_expired_one_of_another_daemon(fake_time: FakeTime) -> None:
+    """Guards against a hold that counts as written, though the store has an older one."""
+    store = FakeStore()
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        hold(holds, "f")
+    fake_time.advance(HELD_TTL_MS / 1000 + 1)
+    async with running(make_holds(store, fake_time, "vm-2")) as holds:
+        hold(holds, "f")
+    restarted = make_holds(store, fake_time, "vm-3")
+    await restarted.load()
+    assert restarted.suspects.level("f") is QuarantineLevel.HELD
+
+
+async def test_a_second_hold_of_a_request_is_written(fake_time: FakeTime) -> None:
+    """Guards against a second hold that begins before the first one's object is deleted."""
+    store = FakeStore()
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        hold(holds, "f")
+        await asyncio.sleep(0.05)
+        fake_time.advance(HELD_TTL_MS / 1000 + 1)
+        hold(holds, "f")
+    restarted = make_holds(store, fake_time, "vm-2")
+    await restarted.load()
+    assert restarted.suspects.level("f") is QuarantineLevel.HELD
+
+
+async def test_a_hold_is_written_after_a_long_outage_of_the_store(fake_time: FakeTime) -> None:
+    """Guards against a hold that is given up after a number of attempts."""
+    store = FakeStore(is_down=True)
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        hold(holds, "f")
+        await asyncio.sleep(0.3)
+        store.is_down = False
+    assert list(store.objects) == [(HOLDS_KIND, "f")]
+
+
+async def test_holds_are_read_after_a_failure_without_another_listing(
+    fake_time: FakeTime,
+) -> None:
+    """Guards against a daemon that routes requests without the holds, as their listing failed."""
+    store = FakeStore()
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        hold(holds, "f")
+    store.is_down = True
+    async with running(make_holds(store, fake_time, "vm-2")) as restarted:
+        await restarted.load()
+        store.is_down = False
+    assert restarted.suspects.level("f") is QuarantineLevel.HELD
+
+
 @pytest.mark.parametrize("fault", ["dropped", "lost", "refused"])
 async def test_a_write_that_fails_is_repeated(fake_time: FakeTime, fault: str) -> None:
     store = FakeStore(faults=[fault, fault])
@@ -143,3 +207,17 @@
         store.objects.clear()
         holds.on_new_era(1)
     assert list(store.objects) == [(HOLDS_KIND, "f")]
+
+
+async def test_holds_that_a_restored_store_still_has_are_not_written_again(
+    fake_time: FakeTime,
+) -> None:
+    """All daemons that know of holds would write all of them at the same time."""
+    store = FakeStore()
+    async with running(make_holds(store, fake_time, "vm-1")) as holds:
+        for index in range(holds_module.MAX_HOLDS):
+            hold(holds, f"f{index}")
+        await asyncio.sleep(0.2)
+        writes = store.writes
+        holds.on_new_era(1)
+    assert store.writes == writes == holds_module.MAX_HOLDS
