Queries of a busy server's health are bounded, whatever the load

A query followed each few calls, so their number grew with the calls: at the site's ColdPerS of 7.1 and 400 calls a second 108 a second, at a ColdPerS of 1 one for each call. The platform allows 60 for each server. At a ColdPerS of 0 each call waited for a query.

Change: queries are at least 30 ms apart, so about 33 a second at most, as for the reports of the load. A rate below one call a second counts as one, as it does in may_start.

--- a/kingcuppond/gate/cold_rate_limiter.py
+++ b/kingcuppond/gate/cold_rate_limiter.py
@@ -6,8 +6,10 @@
 so it assumes that the window is full.  A server that was kept idle may have become cold, so it is
 assumed to be until it has been queried.
 
-A server may also become cold while it is busy, and its answers to calls don't say so.  It is
-therefore asked again before more calls have started than a cold server handles in a second.
+A server may also become cold while it is busy, and its answers to calls don't say so.  Its health
+is therefore queried again before more calls have started than a cold server handles in a second.
+Queries are at least ``MIN_CHECK_INTERVAL_SECONDS`` apart, whatever the load, so that they cost a
+busy server no more than the reports of its load cost a server with few calls.
 """
 
 from collections import deque
@@ -26,9 +28,12 @@
 DUE_SHARE: Final = 0.5
 """A check is due after this share of the calls that a cold server handles in a second.
 
-The rest may start while the server is asked.
+The rest may start while its health is being queried.
 """
 
+MIN_CHECK_INTERVAL_SECONDS: Final = 0.03
+"""About 33 queries a second at most; the users' platform allows 60 for each server."""
+
 
 @attrs.define
 class ColdRateLimiter:
@@ -42,6 +47,7 @@
     now: Callable[[], float]
     is_assumed_cold: bool = False
     _unchecked_starts: int = 0
+    _checked_at: float = float("-inf")
     _cold_until: float = 0.0
     _blocked_until: float = 0.0
     _starts: deque[float] = attrs.field(factory=deque)
@@ -53,15 +59,13 @@
 
     @property
     def is_check_due(self) -> bool:
-        """Whether the server should be asked if it is cold, beside the calls that start."""
-        per_second = self.per_second()
-        return per_second is not None and self._unchecked_starts >= per_second * DUE_SHARE
+        """Whether the server's health is to be queried, while calls go on starting."""
+        return self._has_unchecked_starts(DUE_SHARE)
 
     @property
     def is_check_overdue(self) -> bool:
-        """Whether no call should start before the server has been asked if it is cold."""
-        per_second = self.per_second()
-        return per_second is not None and self._unchecked_starts >= per_second
+        """Whether calls must wait for the query, as too many have started since the last one."""
+        return self._has_unchecked_starts(1.0)
 
     def record_check(self) -> None:
         """Restart the count when a check begins.
@@ -69,6 +73,7 @@
         One that fails counts too: no call waits for another check right after it.
         """
         self._unchecked_starts = 0
+        self._checked_at = self.now()
 
     def set_cold_ms(self, cold_ms: int) -> None:
         """Store for how many more milliseconds the server reports to be cold.
@@ -100,6 +105,13 @@
         self._starts.append(now)
         self._unchecked_starts += 1
 
+    def _has_unchecked_starts(self, share: float) -> bool:
+        """Return whether this share of a cold server's rate has started since the last check."""
+        per_second = self.per_second()
+        if per_second is None or self.now() - self._checked_at < MIN_CHECK_INTERVAL_SECONDS:
+            return False
+        return self._unchecked_starts >= max(per_second, MIN_CALLS_PER_SECOND) * share
+
     def _drop_expired(self, now: float) -> None:
         while self._starts and self._starts[0] < now - WINDOW_SECONDS - ARRIVAL_MARGIN_SECONDS:
             self._starts.popleft()
--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -7,7 +7,7 @@
 in time that a server has become slow or cold.
 
 Answers to calls don't tell whether the server is cold.  A busy server is therefore queried after a
-few calls, however fresh the report of its load is.
+few calls too, however fresh the report of its load is (see ``kingcuppond.gate.cold_rate_limiter``).
 """
 
 import asyncio
--- a/tests/gate/test_observer.py
+++ b/tests/gate/test_observer.py
@@ -133,6 +133,41 @@
     assert server_observer.queries < len(started_at), "not each call costs a query"
 
 
+@pytest.mark.parametrize("cold_per_second", [0.0, 0.4, 1.0, 7.1])
+async def test_queries_of_a_busy_server_are_bounded(cold_per_second: float) -> None:
+    """Guards against a query before each call where a cold server handles few of them."""
+    queries_per_second = 60
+    clock = Clock()
+    limiter = ColdRateLimiter(lambda: cold_per_second, clock.monotonic)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(WARM)
+            await writer.drain()
+
+    session = open_session()
+    async with listening(serve) as address:
+        server_observer = ServerObserver(
+            session,
+            PLATFORM_DIALECT.parse_server_report,
+            lambda: "/health",
+            clock,
+            Journal("vm-1", clock),
+            lambda _report, _is_healthy: None,
+            limiter,
+            address,
+        )
+        started = clock.monotonic()
+        while clock.monotonic() < started + 1.0:
+            server_observer.record_report(LOAD)
+            await server_observer.refresh()
+            limiter.record_start()
+            await asyncio.sleep(0.002)
+        seconds = clock.monotonic() - started
+        await session.close()
+    assert server_observer.queries <= queries_per_second * seconds
+
+
 async def test_calls_do_not_wait_for_a_server_that_answers_no_health_query() -> None:
     """Each query may take long; one that fails is not repeated before each call."""
     clock = Clock()
@@ -152,5 +187,7 @@
         server_observer.record_report(LOAD)
         await server_observer.refresh()
         limiter.record_start()
-    assert server_observer.queries <= 100 / (COLD_PER_SECOND * DUE_SHARE)
+        await asyncio.sleep(0.005)
+    assert 1 < server_observer.queries <= 100 / (COLD_PER_SECOND * DUE_SHARE)
+    await asyncio.sleep(0.1)
     await session.close()
