Responses that are read as a whole are bounded in memory

A watch of the store reads for up to 21 s, and a health answer for 0.1 s, whatever comes; a listing went from page to page for as long as the store said that there was another one.

Change: read_limited, beside read_until in streams.py, which moved out of routing, as the store's client uses it too. It also replaces the loop of its own that read answers without a length. A listing ends at 100,000 objects.

--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -26,6 +26,7 @@
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.routing.call import InvalidAnswerError
 from kingcuppond.routing.exchange import close_connection
+from kingcuppond.streams import StreamTooLongError, read_limited
 
 MAX_FRESH_AGE_SECONDS: Final = 0.03
 """A sixteenth of the half second for which a machine's speed usually stays the same."""
@@ -36,6 +37,9 @@
 HEALTH_TIMEOUT_SECONDS: Final = 0.1
 """Timeout of a query on the same machine; about a hundred times the usual answer time."""
 
+MAX_HEALTH_BYTES: Final = 65_536
+"""Longest body of a health answer, of which only the head is used."""
+
 
 @attrs.define
 class ServerObserver:
@@ -124,8 +128,14 @@
                 if self.parse_server_report(answer.headers).request_id:
                     close_connection(answer)
                     raise InvalidAnswerError("the answer belongs to an earlier call")
-                await answer.read()
-        except (aiohttp.ClientError, InvalidAnswerError, TimeoutError, OSError) as exc:
+                await read_limited(MAX_HEALTH_BYTES, answer.content.readany)
+        except (
+            aiohttp.ClientError,
+            InvalidAnswerError,
+            StreamTooLongError,
+            TimeoutError,
+            OSError,
+        ) as exc:
             # Not taken as a report; the calls themselves show whether the server is reachable.
             self.journal.record(
                 catalogue.HEALTH_CHECK_FAILED, address=self.address, error=repr(exc)
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -26,7 +26,7 @@
     Call,
 )
 from kingcuppond.routing.headers import RELAY_HEADERS, end_to_end
-from kingcuppond.routing.streams import read_until
+from kingcuppond.streams import read_until
 
 MAX_KEY_LENGTH: Final = 255
 MAX_DEADLINE_MS: Final = 999_999_999
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -38,6 +38,7 @@
     StoreError,
     WatchResult,
 )
+from kingcuppond.streams import StreamTooLongError, read_limited
 
 CALL_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a call that is not a watch: about 250 times the usual response time."""
@@ -53,6 +54,12 @@
 KEEPALIVE_PROBES: Final = 2
 """A watch on a dead connection fails after about 3 s, without a call to the store."""
 
+MAX_RESPONSE_BYTES: Final = 67_108_864
+"""A page has about 1 MB; a watch may report many changes of objects of up to 1 MB each."""
+
+MAX_LISTED_OBJECTS: Final = 100_000
+"""Far more than a fleet has; a listing whose pages never end is an error."""
+
 NOT_EXECUTED_STATUSES: Final = (429, 503)
 
 ERA_HEADER: Final = "Store-Era"
@@ -155,6 +162,8 @@
             )
             if not page.ok.has_more or not page.ok.items:
                 return Ok(Listing(items, version))
+            if len(items) > MAX_LISTED_OBJECTS:
+                return Error(StoreError(f"the listing has over {MAX_LISTED_OBJECTS} objects"))
             query = f"?after={_quote(items[-1].name)}"
 
     async def put(
@@ -253,10 +262,10 @@
                     method, URL(self._base + path, encoded=True), data=body, headers=headers
                 ) as response,
             ):
-                content = await response.read()
+                content = await read_limited(MAX_RESPONSE_BYTES, response.content.readany)
         except aiohttp.ClientConnectorError as exc:
             return Error(StoreError(f"store is unreachable: {exc.strerror}"))
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        except (aiohttp.ClientError, StreamTooLongError, TimeoutError, OSError) as exc:
             self._drop_session(session)
             message = f"no response from the store: {type(exc).__name__}"
             return Error(StoreError(message, is_outcome_unknown=is_write))
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -22,8 +22,8 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
-from kingcuppond.routing.streams import read_until
 from kingcuppond.settings.checks import split_address
+from kingcuppond.streams import StreamTooLongError, read_limited, read_until
 
 CONNECT_SECONDS: Final = 0.5
 """Timeout of a connection attempt; TCP retransmits a lost SYN only after one second."""
@@ -256,11 +256,10 @@
         longer than ``MAX_UNFRAMED_BYTES``
     """
     protocol = response._protocol
-    body = await response.content.read(MAX_UNFRAMED_BYTES + 1)
-    while not response.content.at_eof() and len(body) <= MAX_UNFRAMED_BYTES:
-        body += await response.content.readany()
-    if len(body) > MAX_UNFRAMED_BYTES:
-        raise InvalidAnswerError("an answer without a length is too large to be buffered")
+    try:
+        body = await read_limited(MAX_UNFRAMED_BYTES, response.content.readany)
+    except StreamTooLongError as exc:
+        raise InvalidAnswerError(f"an answer without a length can't be buffered: {exc}") from exc
     if not isinstance(protocol, TrackedConnection) or not protocol.is_lost:
         raise InvalidAnswerError("the answer has no length and its connection was not closed")
     if protocol.lost_exc is not None:
--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -313,7 +313,7 @@
     ),
     Mechanism(
         "streams end at the deadline",
-        "routing/streams.py",
+        "streams.py",
         "        if left <= 0:",
         "        left = stall_seconds\n        if False:",
         "tests/routing/test_endless.py::test_whole_chunks_without_end_stop_at_the_deadline",
--- a/tests/gate/test_observer.py
+++ b/tests/gate/test_observer.py
@@ -14,6 +14,8 @@
 from kingcuppond.platform.calls import PLATFORM_DIALECT
 from kingcuppond.routing.exchange import open_session
 from tests.gate.test_stale_refusals import answer, serving
+from tests.routing.test_endless import assert_closed
+from tests.routing.test_endless import serving as serving_endless
 from tests.routing.test_truncated_heads import serving as cutting
 from tests.servers import listening
 
@@ -79,6 +81,14 @@
         assert len(await query(server.address, times=1)) == 1
 
 
+async def test_health_answer_without_end_takes_no_memory() -> None:
+    """It was held in memory until the query's timeout."""
+    head = HEALTHY + b"Transfer-Encoding: chunked\r\n\r\n"
+    async with serving_endless(head, b"10000\r\n" + b"x" * 65_536 + b"\r\n") as server:
+        assert await asyncio.wait_for(query(server.address, times=1), 3.0) == []
+        await assert_closed(server, 1.0)
+
+
 WARM = HEALTHY + b"X-Kingcuppond-Cold-Ms: 0\r\nContent-Length: 0\r\n\r\n"
 LOAD = {"X-Kingcuppond-Server-Load": "3,0,8"}
 COLD_PER_SECOND = 7.1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,11 +8,12 @@
 import pytest
 from aiohttp import web
 
-from kingcuppond.platform.store import PlatformStore
+from kingcuppond.platform.store import MAX_LISTED_OBJECTS, MAX_RESPONSE_BYTES, PlatformStore
 from kingcuppond.store.era import era_of, revision_of
 from kingcuppond.store.interface import ABSENT_VERSION
 from standins.fleet import free_ports
 from standins.platform import make_app
+from tests.routing.test_endless import serving as serving_endless
 from tests.servers import listening
 
 
@@ -228,3 +229,40 @@
             assert writes == count
             await asyncio.sleep(0.2)
         await store.close()
+
+
+@pytest.mark.parametrize("is_chunked", [True, False], ids=["chunks", "no length"])
+async def test_a_response_without_end_takes_no_memory(is_chunked: bool) -> None:
+    """Guards against a watch that fills the memory for as long as it may wait."""
+    piece = b"x" * 65_536
+    framing = b"Transfer-Encoding: chunked" if is_chunked else b"Connection: close"
+    head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n"
+    async with serving_endless(head, b"10000\r\n%b\r\n" % piece if is_chunked else piece) as server:
+        store = PlatformStore(server.address)
+        watched = await asyncio.wait_for(store.watch("kind", 1, 20_000), 10.0)
+        assert watched.is_error()
+        await asyncio.wait_for(server.closed.wait(), 3.0)
+        assert server.sent < 2 * MAX_RESPONSE_BYTES
+        await store.close()
+
+
+async def test_a_listing_without_end_is_an_error() -> None:
+    """Guards against a reader that goes from page to page forever."""
+    pages = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal pages
+        while await reader.readuntil(b"\r\n\r\n"):
+            pages += 1
+            items = b",".join(
+                b'{"Metadata":{"Name":"%d-%d","Rev":1}}' % (pages, i) for i in range(5000)
+            )
+            body = b'{"StoreRevision":1,"HasMore":true,"items":[' + items + b"]}"
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await writer.drain()
+
+    async with listening(serve) as address:
+        store = PlatformStore(address)
+        assert (await asyncio.wait_for(store.list("kind"), 20.0)).is_error()
+        await store.close()
+    assert pages <= MAX_LISTED_OBJECTS / 5000 + 1
