Three more limits of ours no longer refuse what the platform allows

The settings took no grace period over 600 s, so that the daemon would not start. The headers Kingcuppond-Depth and Kingcuppond-Retry-Budget mean something in the native dialect only, but were read, checked (400) and dropped on the platform, which says that other headers are forwarded. A request line had to be shorter than 8,190 bytes, while a head may have 16,384.

Change: a dialect names these headers, or none. The grace period has no upper limit of ours. A request line may be as long as a head.

--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -91,6 +91,10 @@
     """The header conventions for callers and servers.
 
     :param deadline_header: header with the caller's timeout in milliseconds
+    :param depth_header: header with the number of calls that led to a request; empty if the dialect
+        has none
+    :param retry_budget_header: header with the retries that a request may use; empty if the dialect
+        has none
     :param request_id_header: header with the caller's own id of the request
     :param private_headers: lower-case names of request headers that are never forwarded
     :param failure_status: returns the HTTP status that reports a failure to a caller
@@ -103,6 +107,8 @@
     """
 
     deadline_header: str
+    depth_header: str
+    retry_budget_header: str
     request_id_header: str
     private_headers: frozenset[str]
     failure_status: Callable[[Failure], int]
@@ -137,6 +143,8 @@
 
 NATIVE_DIALECT: Final = Dialect(
     deadline_header=DEADLINE_HEADER,
+    depth_header=DEPTH_HEADER,
+    retry_budget_header=RETRY_BUDGET_HEADER,
     request_id_header="",
     private_headers=NATIVE_HEADERS,
     failure_status=lambda failure: failure.status,
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -19,7 +19,7 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown, problem_body
 from kingcuppond.settings.checks import split_address
 
-MAX_LINE_BYTES: Final = 8190
+MAX_LINE_BYTES: Final = 16_384
 MAX_FIELD_BYTES: Final = 16_384
 MAX_HEADERS: Final = 128
 READ_BUFFER_BYTES: Final = 65_536
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -14,7 +14,7 @@
 from kingcuppond.configuration.objects import ClassOfWork, UnusableEntry
 from kingcuppond.configuration.paths import has_dot_segments
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import DEPTH_HEADER, KEY_HEADER, RETRY_BUDGET_HEADER, Dialect
+from kingcuppond.dialect import KEY_HEADER, Dialect
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.suspects import fingerprint
@@ -150,12 +150,12 @@
     """Read the headers that control how a call is run."""
     key = _read_key(request)
     deadline_ms = _read_deadline(request, dialect, class_of_work.answer_within_ms)
-    depth = _read_number(request, DEPTH_HEADER, 0, 0, MAX_DEPTH - 1)
+    depth = _read_number(request, dialect.depth_header, 0, 0, MAX_DEPTH - 1)
     max_retries = DEFAULT_RETRY_BUDGET
     if class_of_work.max_attempts is not None:
         max_retries = max(0, class_of_work.max_attempts - 1)
     retry_budget = _read_number(
-        request, RETRY_BUDGET_HEADER, max_retries, 0, max(max_retries, DEFAULT_RETRY_BUDGET)
+        request, dialect.retry_budget_header, max_retries, 0, max(max_retries, DEFAULT_RETRY_BUDGET)
     )
     if isinstance(key, NotRun):
         return key
@@ -182,6 +182,7 @@
 
 
 def _read_deadline(request: web.BaseRequest, dialect: Dialect, default_ms: int) -> int | NotRun:
+    """Read how long the caller waits, in milliseconds; any larger number counts as the largest."""
     text = request.headers.get(dialect.deadline_header, "")
     digits = text.lstrip("0")
     if digits.isascii() and digits.isdecimal() and len(digits) > len(str(MAX_DEADLINE_MS)):
@@ -192,6 +193,7 @@
 def _read_number(
     request: web.BaseRequest, name: str, default: int, low: int, high: int
 ) -> int | NotRun:
+    """Read a header; one without a name is never sent."""
     text = request.headers.get(name)
     if text is None:
         return default
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from kingcuppond.dialect import (
-    NATIVE_HEADERS,
     RETRY_LATER_REASONS,
     AnswerKind,
     Dialect,
@@ -117,9 +116,12 @@
 
 PLATFORM_DIALECT: Final = Dialect(
     deadline_header=DEADLINE_MS_HEADER,
+    depth_header="",
+    retry_budget_header="",
     request_id_header=REQUEST_ID_HEADER,
-    private_headers=NATIVE_HEADERS
-    | {DEADLINE_MS_HEADER.lower(), CALLER_SERVICE_HEADER.lower(), TARGET_INSTANCE_HEADER.lower()},
+    private_headers=frozenset(
+        name.lower() for name in (DEADLINE_MS_HEADER, CALLER_SERVICE_HEADER, TARGET_INSTANCE_HEADER)
+    ),
     failure_status=_failure_status,
     failure_headers=_failure_headers,
     server_headers=_server_headers,
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -58,9 +58,8 @@
         milliseconds = parse_duration_ms(value)
     except ValueError as exc:
         raise ValueError(f"{attribute.name}: {exc}") from exc
-    if not PROCESS_END_MS < milliseconds <= MAX_MS:
-        limits = f"more than {PROCESS_END_MS} ms and up to {MAX_MS} ms"
-        raise ValueError(f"{attribute.name}: {value} is not {limits}")
+    if milliseconds <= PROCESS_END_MS:
+        raise ValueError(f"{attribute.name}: {value} is not more than {PROCESS_END_MS} ms")
 
 
 @attrs.frozen
