A server's message is read whole

What servers saw: a heartbeat that arrives in more than one packet was rejected (400), so that a notice of leaving was not acknowledged there.

Cause: one read of the stream returns what has arrived so far. A message in chunks was cut at 4 kB and decoded, and one that stalls held its connection for good.

Change: the message is read to its end, at most 4 kB, within the second in which an acknowledgement counts.

--- a/kingcuppond/gate/server_port.py
+++ b/kingcuppond/gate/server_port.py
@@ -5,6 +5,7 @@
 as the store answers in time, since the acknowledgement also binds a later process of this daemon.
 """
 
+import asyncio
 from typing import Final
 
 import attrs
@@ -17,9 +18,13 @@
 from kingcuppond.gate.incarnation import Incarnation
 from kingcuppond.ingress.http_server import problem_response
 from kingcuppond.outcomes import NotRun, Reason
+from kingcuppond.streams import StreamTooLongError, read_limited
 
 DRAINING: Final = "draining"
 
+MESSAGE_SECONDS: Final = 1.0
+"""An acknowledgement that takes a second or longer counts for nothing."""
+
 
 @attrs.define
 class ServerPort:
@@ -36,9 +41,13 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one message of the server."""
-        if (request.content_length or 0) > announcements.MAX_MESSAGE_BYTES:
-            return problem_response(NotRun(Reason.TOO_LARGE, "the message is too large"))
-        body = await request.content.read(announcements.MAX_MESSAGE_BYTES)
+        try:
+            async with asyncio.timeout(MESSAGE_SECONDS):
+                body = await read_limited(announcements.MAX_MESSAGE_BYTES, request.content.readany)
+        except StreamTooLongError as exc:
+            return _refuse(Reason.TOO_LARGE, f"the message is too large: {exc}")
+        except TimeoutError:
+            return _refuse(Reason.BAD_REQUEST, "the message did not arrive in time")
         parsed = self.decode(request.method, request.path, body, self.configured_server)
         if parsed.is_error():
             return announcements.refusal_response(parsed.error)
@@ -54,3 +63,10 @@
     async def _record_departure(self, leaving: Incarnation) -> None:
         if leaving.id:
             await self.departures.record(leaving)
+
+
+def _refuse(reason: Reason, detail: str) -> web.Response:
+    response = problem_response(NotRun(reason, detail))
+    # The rest of the message is not read.
+    response.force_close()
+    return response
