--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -152,9 +152,10 @@
         addresses may belong to daemons that no longer exist, so the timeout is no longer than that
         of a ping.
 
-        Daemons that start at the same time may all be introduced by members of their own data
-        centre, which know no other one yet.  The other addresses are therefore told of this daemon
-        as well, so that the data centres find each other.
+        Daemons that start at the same time may be introduced to each other in separate groups, as
+        no introducer knows the others yet.  The other addresses are therefore told of this daemon
+        as well, so that the groups find each other.  The seeds of a fleet receive about as many of
+        these messages as requests for an introduction, one or two from each daemon that starts.
 
         :param addresses: peer addresses to contact
         :return: whether another daemon sent its state
--- a/proofs/mechanisms.py
+++ b/proofs/mechanisms.py
@@ -340,7 +340,7 @@
         "tests/gate/test_observer.py",
     ),
     Mechanism(
-        "data centres that start at the same time find each other",
+        "daemons that start at the same time find each other",
         "membership/gossip.py",
         "            if address != introducer:",
         "            if False:",
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -267,7 +267,7 @@
 
 @pytest.mark.parametrize(("count", "data_centres"), [(6, 2), (12, 4), (13, 3)])
 def test_a_fleet_that_starts_at_once_is_one_fleet(count: int, data_centres: int) -> None:
-    """Guards against data centres that don't know each other until the store is listed again.
+    """Guards against groups of daemons that don't know each other until the store is listed.
 
     The platform names the first three other VMs as seeds.  Which of them answers first is random.
     """
