The observer always has its rate limiter; one place of its tests makes observers

The default limiter was there for the tests only. An answer that a client has not read in time bears the reason "deadline", as one that the server has not ended does.

--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -11,7 +11,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -56,9 +55,7 @@
     clock: Clock
     journal: Journal
     on_self_report: Callable[[ServerReport, bool], None]
-    rate_limiter: ColdRateLimiter = attrs.field(
-        factory=lambda: ColdRateLimiter(lambda: None, time.monotonic)
-    )
+    rate_limiter: ColdRateLimiter
     address: str = ""
     load: ServerLoad | None = None
     reported_at: float = float("-inf")
--- a/kingcuppond/ingress/responses.py
+++ b/kingcuppond/ingress/responses.py
@@ -15,7 +15,7 @@
     has_next_request,
     problem_response,
 )
-from kingcuppond.outcomes import OUTCOME_HEADER, Failure, Outcome
+from kingcuppond.outcomes import OUTCOME_HEADER, Failure, Outcome, Reason
 from kingcuppond.routing.call import Answer, InvalidAnswerError
 from kingcuppond.routing.headers import to_multidict
 
@@ -96,7 +96,8 @@
     except BaseException as exc:
         abort_connection(request)
         if isinstance(exc, TimeoutError):
-            raise InvalidAnswerError("the client has not read the answer in time") from exc
+            message = "the client has not read the answer in time"
+            raise InvalidAnswerError(message, Reason.DEADLINE) from exc
         raise
 
 
--- a/tests/gate/test_observer.py
+++ b/tests/gate/test_observer.py
@@ -1,6 +1,7 @@
 """Only the answer to a health query is taken as the server's report about its health."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import pytest
@@ -29,21 +30,33 @@
     monkeypatch.setattr(observer, "HEALTH_TIMEOUT_SECONDS", 5.0)
 
 
-async def query(
-    address: str, times: int, shared_session: aiohttp.ClientSession | None = None
-) -> list[tuple[ServerReport, bool]]:
-    """Return the reports that the queries led to, and whether each was a good one."""
-    reports: list[tuple[ServerReport, bool]] = []
-    session = shared_session or open_session()
+def make_observer(
+    session: aiohttp.ClientSession,
+    address: str,
+    take_report: Callable[[ServerReport, bool], None] = lambda _report, _is_healthy: None,
+    limiter: ColdRateLimiter | None = None,
+) -> ServerObserver:
     clock = Clock()
-    server_observer = ServerObserver(
+    return ServerObserver(
         session,
         PLATFORM_DIALECT.parse_server_report,
         lambda: "/health",
         clock,
         Journal("vm-1", clock),
-        lambda report, is_healthy: reports.append((report, is_healthy)),
-        address=address,
+        take_report,
+        limiter or ColdRateLimiter(lambda: None, clock.monotonic),
+        address,
+    )
+
+
+async def query(
+    address: str, times: int, shared_session: aiohttp.ClientSession | None = None
+) -> list[tuple[ServerReport, bool]]:
+    """Return the reports that the queries led to, and whether each was a good one."""
+    reports: list[tuple[ServerReport, bool]] = []
+    session = shared_session or open_session()
+    server_observer = make_observer(
+        session, address, lambda report, is_healthy: reports.append((report, is_healthy))
     )
     for _ in range(times):
         server_observer.clear()
@@ -115,16 +128,7 @@
 
     session = open_session()
     async with listening(serve) as address:
-        server_observer = ServerObserver(
-            session,
-            PLATFORM_DIALECT.parse_server_report,
-            lambda: "/health",
-            clock,
-            Journal("vm-1", clock),
-            take_report,
-            limiter,
-            address,
-        )
+        server_observer = make_observer(session, address, take_report, limiter)
         started_at = []
         for call in range(per_second * 2):
             if call == per_second:
@@ -157,16 +161,7 @@
 
     session = open_session()
     async with listening(serve) as address:
-        server_observer = ServerObserver(
-            session,
-            PLATFORM_DIALECT.parse_server_report,
-            lambda: "/health",
-            clock,
-            Journal("vm-1", clock),
-            lambda _report, _is_healthy: None,
-            limiter,
-            address,
-        )
+        server_observer = make_observer(session, address, limiter=limiter)
         started = clock.monotonic()
         while clock.monotonic() < started + 1.0:
             server_observer.record_report(LOAD)
@@ -183,16 +178,7 @@
     clock = Clock()
     limiter = ColdRateLimiter(lambda: COLD_PER_SECOND, clock.monotonic)
     session = open_session()
-    server_observer = ServerObserver(
-        session,
-        PLATFORM_DIALECT.parse_server_report,
-        lambda: "/health",
-        clock,
-        Journal("vm-1", clock),
-        lambda _report, _is_healthy: None,
-        limiter,
-        "127.0.0.1:9",
-    )
+    server_observer = make_observer(session, "127.0.0.1:9", limiter=limiter)
     for _ in range(100):
         server_observer.record_report(LOAD)
         await server_observer.refresh()
