The components of a daemon are assembled in a module of their own

Creating and connecting the components is now assembly.py; what the daemon does stays. No change of behaviour: the tests of the planned stop, the program and the operators' pages pass.

--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -17,8 +17,12 @@
 from prometheus_client import CollectorRegistry
 
 from kingcuppond.addresses import BindError, Listeners, make_handlers
-from kingcuppond.claims.attempts import AttemptTable
-from kingcuppond.claims.confirmation import make_confirmed_era
+from kingcuppond.assembly import (
+    assemble_gate,
+    assemble_ingress,
+    assemble_membership,
+    assemble_routing,
+)
 from kingcuppond.claims.coordinator import ClaimCoordinator
 from kingcuppond.claims.guard import ClaimGuard
 from kingcuppond.claims.peers import ClaimPeers
@@ -35,29 +39,24 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.gate.incarnation import Incarnation
 from kingcuppond.gate.server_port import ServerPort
-from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
-from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import Registration
 from kingcuppond.operators.status import register_gauges
 from kingcuppond.pause import PauseGuard
-from kingcuppond.peers.registry import TYPES_BY_TAG
-from kingcuppond.peers.transport import PeerTransport, derive_keys
+from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.planned_stop import begin_grace_period, leave_fleet
 from kingcuppond.platform.store import PlatformStore
 from kingcuppond.protocol import PROTOCOLS_BY_NAME
 from kingcuppond.quarantine.holds import HoldStore
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.budgets import WindowBudget
-from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
 from kingcuppond.routing.exchange import open_session
 from kingcuppond.routing.router import Router
 from kingcuppond.routing.sender import Sender
-from kingcuppond.routing.split import TrafficSplitter
 from kingcuppond.service import LoopService
 from kingcuppond.settings.checks import split_address
 from kingcuppond.settings.daemon import DaemonSettings
@@ -76,6 +75,24 @@
     :param is_hedging: whether the router may hedge calls
     """
 
+    transport: PeerTransport
+    gossip: Gossip
+    holds: HoldStore
+    watcher: Watcher
+    registration: Registration
+    gate: Gate
+    departures: DepartureStore
+    server_port: ServerPort
+    sender: Sender
+    router: Router
+    claim_coordinator: ClaimCoordinator
+    claim_peers: ClaimPeers
+    claim_renewal: ClaimRenewal
+    guard: ClaimGuard
+    report_budget: WindowBudget
+    requests: RequestsInProgress
+    port: CallPort
+
     def __init__(
         self,
         settings: DaemonSettings,
@@ -101,13 +118,13 @@
         self.eras = EraTracker()
         self.eras.on_new_era.append(self._record_era)
         self.store = PlatformStore(settings.platform_address, self.eras)
-        self._make_membership(fleet_key)
+        assemble_membership(self, fleet_key)
         self.session = open_session()
         self.fresh_session = open_session(reuses_connections=False)
-        self._make_gate()
-        self._make_routing(fleet_key, policy, is_hedging)
+        assemble_gate(self)
+        assemble_routing(self, fleet_key, policy, is_hedging)
         self.pause_guard = PauseGuard(self.clock, self.journal, self._catch_up)
-        self._make_ingress(fleet_key)
+        assemble_ingress(self, fleet_key)
         self.stop_requested = asyncio.Event()
         self._last_id = 0
         self.listeners = Listeners()
@@ -194,189 +211,20 @@
         self.watcher.wait_ms = settings.watch_wait_ms
         self.router.detour_seconds = settings.detour_ms / 1000
         self.router.fleet_retries = settings.fleet_retries
-        self.server_port.configured_server = self._configured_server()
+        self.server_port.configured_server = self.configured_server()
         self.port.service = settings.service
         if settings.service != self.directory.me.service:
             self.directory.publish_own_change(service=settings.service)
 
-    def _make_membership(self, fleet_key: bytes) -> None:
-        """Create the components for fleet membership and for access to the store."""
-        settings = self.settings
-        self.transport = PeerTransport(
-            settings.vm,
-            settings.peer_address,
-            derive_keys(fleet_key),
-            TYPES_BY_TAG,
-            self.clock,
-            self.journal,
-        )
-        self.gossip = Gossip(
-            self.directory,
-            self.configuration,
-            self.suspects,
-            self.transport,
-            self.eras,
-            self.clock,
-            self.journal,
-            self.rng,
-        )
-        self.holds = HoldStore(
-            self.store,
-            self.suspects,
-            self.journal,
-            self.rng,
-            lambda: self.directory.living_count,
-        )
-        self.eras.on_new_era.append(self.holds.on_new_era)
-        self.watcher = Watcher(
-            self.store,
-            self.configuration,
-            self.gossip,
-            self.directory,
-            self.clock,
-            self.journal,
-            self.rng,
-            lambda: self.registration.has_contacted_members or self._is_first_start(),
-            lambda: self.registration.has_contacted_members,
-            not settings.is_first_start,
-            settings.watch_wait_ms,
-            self._read_holds,
-        )
-        self.registration = Registration(
-            self.store,
-            self.directory,
-            self.gossip,
-            self.clock,
-            self.journal,
-            self.rng,
-            self._seed_addresses(),
-            self.watcher.has_rank,
-        )
-        self.eras.on_new_era.append(self.registration.on_new_era)
-
-    def _is_first_start(self) -> bool:
+    def is_first_start(self) -> bool:
         """Return whether the settings state the first start of the fleet, and the store agrees."""
         return self.settings.is_first_start and not self.registration.has_predecessor
 
-    async def _read_holds(self) -> None:
-        if not self._is_first_start():
+    async def read_holds(self) -> None:
+        """Read the held requests from the store, unless there can't be any yet."""
+        if not self.is_first_start():
             await self.holds.load()
 
-    def _make_gate(self) -> None:
-        """Create the gate and the port for the server beside this daemon."""
-        may_have_run = not self.settings.is_first_start
-        self.gate = Gate(
-            self.directory,
-            self.configuration,
-            self.suspects,
-            self.session,
-            self.fresh_session,
-            self.clock,
-            self.journal,
-            self.protocol.dialect,
-            self.settings.server_silent_ms / 1000,
-            self.settings.suspect_hold_ms / 1000,
-            self._is_isolated,
-            is_unconfirmed=may_have_run,
-            is_departure_checked=not may_have_run,
-        )
-        self.configuration.on_change.append(self.gate.on_configuration_change)
-        self.directory.on_earlier_incarnation.append(self._on_earlier_incarnation)
-        self.departures = DepartureStore(
-            self.settings.vm,
-            self.store,
-            self.journal,
-            self.rng,
-            self.gate.incarnations.is_superseded,
-            lambda: self.directory.living_count,
-        )
-        self.eras.on_new_era.append(self.departures.on_new_era)
-        self.server_port = ServerPort(
-            self.gate, self.departures, self.protocol.decode_message, self._configured_server()
-        )
-
-    def _make_routing(self, fleet_key: bytes, policy: str, is_hedging: bool) -> None:
-        """Create the components that route and send calls."""
-        self.sender = Sender(
-            self.directory,
-            self.gate,
-            self.session,
-            fleet_key,
-            self.clock,
-            self.journal,
-        )
-        self.router = Router(
-            self.directory,
-            self.configuration,
-            self.sender,
-            self.clock,
-            self.journal,
-            self.rng,
-            self.next_id,
-            self.settings.detour_ms / 1000,
-            self.settings.fleet_retries,
-            policy=POLICY_FACTORIES_BY_NAME[policy](),
-            is_hedging=is_hedging,
-            has_full_budgets=self.settings.is_first_start,
-        )
-
-    def _make_ingress(self, fleet_key: bytes) -> None:
-        """Create the port for calls and the guard of their idempotency keys."""
-        eras = self.eras
-        self.claim_coordinator = ClaimCoordinator(
-            self.store,
-            eras,
-            make_confirmed_era(self.directory, self._knows_members),
-            self.clock,
-            self.journal,
-        )
-        self.claim_peers = ClaimPeers(
-            self.directory,
-            self.transport,
-            self.claim_coordinator,
-            AttemptTable(),
-            eras,
-            self.clock,
-        )
-        self.claim_renewal = ClaimRenewal(
-            self.directory, self.claim_peers, self.claim_coordinator, eras, self.clock, self.journal
-        )
-        self.guard = ClaimGuard(
-            self.claim_peers,
-            eras,
-            self.clock,
-            self.journal,
-            self.router.run,
-            self.next_id,
-            self.pause_guard.wait_until_current,
-        )
-        self.report_budget = WindowBudget(
-            lambda: self.configuration.budget.bytes_per_second, self.clock.monotonic
-        )
-        self.requests = RequestsInProgress(
-            self.settings.vm, self.clock, self.pause_guard.wait_until_current
-        )
-        relayed = RelayedCallPort(
-            self.settings.vm, self.gate, fleet_key, self.report_budget, self.clock, self.requests
-        )
-        self.port = CallPort(
-            self.settings.vm,
-            self.settings.service,
-            self.protocol.dialect,
-            TrafficSplitter(self.rng).choose,
-            self.configuration,
-            self.directory,
-            self.router,
-            self.guard,
-            self.suspects,
-            CallCounts(self.registry),
-            self.clock,
-            self.journal,
-            self.next_id,
-            self.requests,
-            relayed,
-        )
-
     def _make_member(self) -> Member:
         settings = self.settings
         return Member(
@@ -389,10 +237,11 @@
             incarnation=self.clock.wall_ms(),
         )
 
-    def _configured_server(self) -> ConfiguredServer:
+    def configured_server(self) -> ConfiguredServer:
+        """Return the server that the settings name."""
         return ConfiguredServer(self.settings.service, self.settings.application_address)
 
-    def _seed_addresses(self) -> list[str]:
+    def seed_addresses(self) -> list[str]:
         """Return the peer addresses of the seeds' daemons; all VMs use the same peer port."""
         own_host, port = split_address(self.settings.peer_address)
         hosts = [split_address(seed)[0] for seed in self.settings.seeds]
@@ -406,7 +255,7 @@
         )
         return is_answered or await self.watcher.read_all()
 
-    def _knows_members(self) -> bool:
+    def knows_members(self) -> bool:
         """Return whether the directory holds the other members, if there are any.
 
         A daemon that was restarted and finds no other one may only not see them: the store may have
@@ -420,7 +269,8 @@
             or self.clock.monotonic() - self._created_at > LONE_START_SECONDS
         )
 
-    def _is_isolated(self) -> bool:
+    def is_isolated(self) -> bool:
+        """Return whether this daemon is cut off from the fleet or has just been paused."""
         return self.watcher.is_isolated() or self.pause_guard.is_stale
 
     def _record_era(self, era: int) -> None:
@@ -429,7 +279,8 @@
     def _record_dropped_lines(self, count: int, kinds: str) -> None:
         self.journal.record(catalogue.LINES_DROPPED, count=count, kinds=kinds)
 
-    def _on_earlier_incarnation(self, member: Member) -> None:
+    def on_earlier_incarnation(self, member: Member) -> None:
+        """Remember the departure that an earlier process of this daemon acknowledged."""
         if member.state is ServerState.DRAINING and member.instance:
             leaving = Incarnation(member.instance, member.born_ms)
             self.gate.mark_leaving(leaving)
