Organisations: requests are identified by the key that they carry

Keys are now looked up at the ingress through a keyed hash; the server is told the organisation on each attempt, also a relayed one; an unknown key gets 401, or 503 at a daemon that may have missed a change. Deployments without the table are served as before.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -21,6 +21,7 @@
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.registration import Registration
+from kingcuppond.organisations.guard import make_organisation_guard
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
 from kingcuppond.quarantine.holds import HoldStore
@@ -191,6 +192,9 @@
     daemon.requests = RequestsInProgress(
         daemon.settings.vm, daemon.clock, daemon.pause_guard.wait_until_current
     )
+    daemon.organisations = make_organisation_guard(
+        daemon.configuration, daemon.key_policy(), daemon.is_isolated, daemon.clock.monotonic
+    )
     relayed = RelayedCallPort(
         daemon.settings.vm,
         daemon.gate,
@@ -215,4 +219,5 @@
         daemon.next_id,
         daemon.requests,
         relayed,
+        daemon.organisations,
     )
--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -18,6 +18,7 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.decoding import decode_json
+from kingcuppond.organisations.organisation import OrganisationTable
 from kingcuppond.settings.checks import Validator, check_name, in_range, one_of
 
 CONFIGURATION_KIND: Final = "configuration"
@@ -83,6 +84,9 @@
     priority: int = 0
     """Priority under overload: requests with a larger number are shed first."""
 
+    is_public: bool = False
+    """Whether its requests need no key where the configuration has organisations."""
+
 
 def _with_validators(**validators_by_name: Validator) -> Callable[[type, list[Any]], list[Any]]:
     """Make a field transformer that adds validators to inherited attributes."""
@@ -177,12 +181,14 @@
     :param release: the operators' own version number of this configuration
     :param unusable: the entries that can't be decoded; requests of such a class are refused, since
         a class with a shorter prefix must not take them over
+    :param organisations: ``None`` if requests carry no keys
     """
 
     release: int
     classes: tuple[ClassOfWork, ...]
     services: tuple[ServiceProperties, ...] = ()
     unusable: tuple[UnusableEntry, ...] = ()
+    organisations: OrganisationTable | None = None
 
 
 ConfigurationObject = ClassOfWork | DataCentreState | MeasurementBudget
--- a/kingcuppond/configuration/replica.py
+++ b/kingcuppond/configuration/replica.py
@@ -29,6 +29,7 @@
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.organisations.organisation import OrganisationTable
 from kingcuppond.store.era import format_version
 
 DEFAULT_BUDGET: Final = MeasurementBudget()
@@ -99,6 +100,7 @@
     :param is_complete: whether all objects as of some moment were received, and not only changes
     :param version: the newest version of the store that this daemon has heard of
     :param release: the operators' own version number of the configuration, 0 if they give none
+    :param organisations: the organisations whose requests carry keys, ``None`` if there are no keys
     :param changed_at: monotonic time in seconds of the last change of this copy
     """
 
@@ -108,6 +110,7 @@
     classes_by_name: dict[str, ClassOfWork] = attrs.field(factory=dict)
     services_by_name: dict[str, ServiceProperties] = attrs.field(factory=dict)
     data_centres_out: set[str] = attrs.field(factory=set)
+    organisations: OrganisationTable | None = None
     budget: MeasurementBudget = DEFAULT_BUDGET
     is_complete: bool = False
     version: int = 0
@@ -194,12 +197,13 @@
         if item.key == self.format.required:
             self._is_required_in_force = True
         match decoded.ok:
-            case AllClasses(release=release, classes=classes, services=services, unusable=unusable):
-                self.release = release
-                self._unusable = unusable
-                self._record_unusable(item, unusable)
-                self.classes_by_name = {entry.name: entry for entry in classes}
-                self.services_by_name = {entry.name: entry for entry in services}
+            case AllClasses() as everything:
+                self.release = everything.release
+                self._unusable = everything.unusable
+                self._record_unusable(item, everything.unusable)
+                self.classes_by_name = {entry.name: entry for entry in everything.classes}
+                self.services_by_name = {entry.name: entry for entry in everything.services}
+                self.organisations = everything.organisations
             case ClassOfWork() as class_of_work:
                 self.classes_by_name[class_of_work.name] = class_of_work
             case ClassRemoved(name=name):
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -46,6 +46,8 @@
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import Registration
 from kingcuppond.operators.status import register_gauges
+from kingcuppond.organisations.guard import OrganisationGuard
+from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.pause import PauseGuard
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.planned_stop import begin_grace_period, leave_fleet
@@ -90,6 +92,7 @@
     claim_renewal: ClaimRenewal
     guard: ClaimGuard
     report_budget: WindowBudget
+    organisations: OrganisationGuard
     requests: RequestsInProgress
     port: CallPort
 
@@ -213,6 +216,7 @@
         self.router.fleet_retries = settings.fleet_retries
         self.server_port.configured_server = self.configured_server()
         self.port.service = settings.service
+        self.organisations.policy = self.key_policy()
         if settings.service != self.directory.me.service:
             self.directory.publish_own_change(service=settings.service)
 
@@ -241,6 +245,10 @@
         """Return the server that the settings name."""
         return ConfiguredServer(self.settings.service, self.settings.application_address)
 
+    def key_policy(self) -> KeyPolicy:
+        """Return the settings that concern keys while this daemon is isolated."""
+        return KeyPolicy(self.settings.fail_closed, self.settings.revoke_seconds)
+
     def seed_addresses(self) -> list[str]:
         """Return the peer addresses of the seeds' daemons; all VMs use the same peer port."""
         own_host, port = split_address(self.settings.peer_address)
--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -40,6 +40,7 @@
     :param left_ms: time until the deadline, in milliseconds
     :param caller_service: service of the VM where the request originated
     :param instance: incarnation of the server that the request is for, empty if unknown
+    :param organisation: name of the organisation that it is served for, empty if there is none
     """
 
     left_ms: int
@@ -47,6 +48,7 @@
     retry_budget: int
     caller_service: str
     instance: str
+    organisation: str = ""
 
 
 @attrs.frozen
@@ -96,6 +98,8 @@
     :param retry_budget_header: header with the retries that a request may use; empty if the dialect
         has none
     :param request_id_header: header with the caller's own id of the request
+    :param organisation_key_header: lower-case name of the header with an organisation's key, which
+        is never forwarded where there are organisations; empty if the dialect has none
     :param private_headers: lower-case names of request headers that are never forwarded
     :param failure_status: returns the HTTP status that reports a failure to a caller
     :param failure_headers: returns the headers that report a failure to a caller, given the seconds
@@ -110,6 +114,7 @@
     depth_header: str
     retry_budget_header: str
     request_id_header: str
+    organisation_key_header: str
     private_headers: frozenset[str]
     failure_status: Callable[[Failure], int]
     failure_headers: Callable[[Failure, float], dict[str, str]]
@@ -146,6 +151,7 @@
     depth_header=DEPTH_HEADER,
     retry_budget_header=RETRY_BUDGET_HEADER,
     request_id_header="",
+    organisation_key_header="",
     private_headers=NATIVE_HEADERS,
     failure_status=lambda failure: failure.status,
     failure_headers=_failure_headers,
--- a/kingcuppond/gate/server_client.py
+++ b/kingcuppond/gate/server_client.py
@@ -53,6 +53,7 @@
             call.retry_budget,
             call.caller_service,
             self.instance(),
+            call.organisation,
         )
         headers.update(self.dialect.server_headers(server_request))
 
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -28,6 +28,7 @@
 from kingcuppond.ingress.responses import is_last, refuse, send_answer
 from kingcuppond.ingress.retry_after import retry_after_seconds
 from kingcuppond.membership.directory import Directory
+from kingcuppond.organisations.guard import OrganisationGuard
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -41,6 +42,7 @@
     """Serves callers.
 
     :param relayed: serves the calls that other daemons relay
+    :param organisations: identifies the organisations of requests
     :param choose_service: chooses the service for a request of a class
     :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
@@ -62,6 +64,7 @@
     next_id: Callable[[], str]
     requests: RequestsInProgress
     relayed: RelayedCallPort
+    organisations: OrganisationGuard
     last_request_at: float = float("-inf")
     grace: GracePeriod | None = None
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -101,6 +104,7 @@
                 started,
                 self.clock.monotonic,
                 self.next_id,
+                self.organisations,
             ),
             lambda: NotRun(Reason.LEAVING, f"{self.vm} stops before the request has arrived"),
         )
--- a/kingcuppond/ingress/relayed_calls.py
+++ b/kingcuppond/ingress/relayed_calls.py
@@ -143,4 +143,5 @@
         ),
         priority=relay.priority,
         is_last_resort=relay.is_last_resort,
+        organisation=relay.organisation,
     )
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -16,6 +16,8 @@
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.dialect import KEY_HEADER, Dialect
 from kingcuppond.ingress.http_server import STALL_TIMEOUT_SECONDS
+from kingcuppond.organisations.guard import OrganisationGuard
+from kingcuppond.organisations.organisation import Organisation
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.suspects import fingerprint
 from kingcuppond.routing.call import (
@@ -41,12 +43,14 @@
 
     :param key: the caller's ``Idempotency-Key``, or empty
     :param started: monotonic time of its arrival, in seconds
+    :param organisation: the organisation that it is served for, if there is one
     """
 
     call: Call
     class_of_work: ClassOfWork
     key: str
     started: float
+    organisation: Organisation | None = None
 
 
 async def read_request(
@@ -58,6 +62,7 @@
     started: float,
     now: Callable[[], float],
     next_id: Callable[[], str],
+    organisations: OrganisationGuard,
 ) -> Result[CallerRequest, Failure]:
     """Validate a caller's request and read the first part of its body.
 
@@ -66,11 +71,16 @@
     :param started: monotonic time of the request's arrival, in seconds
     :param now: monotonic clock, in seconds
     :param next_id: generates the id of a new attempt
+    :param organisations: identifies the organisation of the request
     """
     found = _match_class(request, configuration)
     if found.is_error():
         return Error(found.error)
     class_of_work = found.ok
+    identified = _identify(request, class_of_work, dialect, organisations)
+    if identified.is_error():
+        return Error(identified.error)
+    organisation = identified.ok
     options = _read_options(request, class_of_work, dialect)
     if isinstance(options, NotRun):
         return Error(options)
@@ -84,7 +94,7 @@
         service=choose_service(class_of_work),
         method=request.method,
         target=request.raw_path,
-        headers=_forwarded_headers(request, dialect),
+        headers=_forwarded_headers(request, dialect, organisations.needs_keys),
         body=body.ok,
         deadline=deadline,
         depth=options.depth + 1,
@@ -94,9 +104,10 @@
         request_id=request.headers.get(dialect.request_id_header, ""),
         caller_service=caller_service,
         target_at=started + class_of_work.answer_within_ms / 1000,
-        priority=class_of_work.priority,
+        priority=_priority(class_of_work, organisation),
+        organisation="" if organisation is None else organisation.name,
     )
-    return Ok(CallerRequest(call, class_of_work, options.key, started))
+    return Ok(CallerRequest(call, class_of_work, options.key, started, organisation))
 
 
 def read_relayed_body(request: web.BaseRequest, deadline: float, now: Callable[[], float]) -> Body:
@@ -109,9 +120,29 @@
     return Body(b"", _stream(request, deadline, now), request.content_length)
 
 
-def _forwarded_headers(request: web.BaseRequest, dialect: Dialect) -> tuple[tuple[str, str], ...]:
+def _identify(
+    request: web.BaseRequest,
+    class_of_work: ClassOfWork,
+    dialect: Dialect,
+    organisations: OrganisationGuard,
+) -> Result[Organisation | None, NotRun]:
+    keys = request.headers.getall(dialect.organisation_key_header, [])
+    return organisations.identify(keys, class_of_work)
+
+
+def _priority(class_of_work: ClassOfWork, organisation: Organisation | None) -> int:
+    if organisation is None or organisation.priority is None:
+        return class_of_work.priority
+    return organisation.priority
+
+
+def _forwarded_headers(
+    request: web.BaseRequest, dialect: Dialect, has_keys: bool
+) -> tuple[tuple[str, str], ...]:
     connection = request.headers.get("Connection", "")
     excluded_headers = dialect.private_headers | RELAY_HEADERS
+    if has_keys:
+        excluded_headers |= {dialect.organisation_key_header}
     return end_to_end(request.headers.items(), connection, excluded_headers)
 
 
--- a/kingcuppond/outcomes.py
+++ b/kingcuppond/outcomes.py
@@ -32,6 +32,7 @@
     NO_CLASS = "no-class"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
+    UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
     NOT_READY = "not-ready"
     NO_SERVER = "no-server"
@@ -57,6 +58,7 @@
     Reason.NO_CLASS: 404,
     Reason.BAD_REQUEST: 400,
     Reason.TOO_LARGE: 413,
+    Reason.UNAUTHORIZED: 401,
     Reason.FORBIDDEN: 403,
     Reason.KEY_REUSED: 409,
     Reason.KEY_RUNNING: 409,
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -29,6 +29,8 @@
 NOT_EXECUTED_HEADER: Final = "X-Kingcuppond-Not-Executed"
 SERVER_LOAD_HEADER: Final = "X-Kingcuppond-Server-Load"
 INSTANCE_ID_HEADER: Final = "X-Kingcuppond-Instance-Id"
+ORGANISATION_HEADER: Final = "X-Kingcuppond-Tenant"
+ORGANISATION_KEY_HEADER: Final = "Api-Key"
 COLD_MS_HEADER: Final = "X-Kingcuppond-Cold-Ms"
 
 PER_CENT: Final = 100.0
@@ -39,6 +41,7 @@
 STATUS_BY_REASON: Final = {
     Reason.NO_CLASS: 404,
     Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
     Reason.TOO_LARGE: 413,
 }
 """All other requests that were not run get 503, which lets the client retry."""
@@ -64,6 +67,8 @@
     }
     if request.instance:
         headers[TARGET_INSTANCE_HEADER] = request.instance
+    if request.organisation:
+        headers[ORGANISATION_HEADER] = request.organisation
     return headers
 
 
@@ -119,8 +124,15 @@
     depth_header="",
     retry_budget_header="",
     request_id_header=REQUEST_ID_HEADER,
+    organisation_key_header=ORGANISATION_KEY_HEADER.lower(),
     private_headers=frozenset(
-        name.lower() for name in (DEADLINE_MS_HEADER, CALLER_SERVICE_HEADER, TARGET_INSTANCE_HEADER)
+        name.lower()
+        for name in (
+            DEADLINE_MS_HEADER,
+            CALLER_SERVICE_HEADER,
+            TARGET_INSTANCE_HEADER,
+            ORGANISATION_HEADER,
+        )
     ),
     failure_status=_failure_status,
     failure_headers=_failure_headers,
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -1,12 +1,12 @@
 """The operators' configuration as the platform's store holds it.
 
-``config/main`` holds all routes and all services as two tables with ``Columns`` and ``Rows``; each
-route becomes a class of work.  ``evacuations/ZONE`` exists while that data centre is out of
-service.
+``config/main`` holds all routes and all services as tables with ``Columns`` and ``Rows``; each
+route becomes a class of work.  It may hold all organisations as well.  ``evacuations/ZONE`` exists
+while that data centre is out of service.
 """
 
 from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from typing import Final, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -24,6 +24,9 @@
 )
 from kingcuppond.decoding import MessageInt, decode_json
 from kingcuppond.durations import parse_duration_ms
+from kingcuppond.organisations.organisation import OrganisationTable
+from kingcuppond.platform.organisations import decode_organisations
+from kingcuppond.platform.tables import Table, bounded, text_of
 
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
@@ -33,28 +36,10 @@
 MAX_DURATION_MS: Final = 1_000_000_000
 """Longer durations count as this one, which is over eleven days: no request lasts so long."""
 
-MAX_COUNT: Final = 1_000_000
-"""Larger counts and priorities count as this one, so that they fit in any message."""
-
 T = TypeVar("T")
 U = TypeVar("U")
 
 
-class _Table(msgspec.Struct):
-    columns: list[str] = msgspec.field(name="Columns")
-    rows: list[list[Any]] = msgspec.field(name="Rows")
-
-    def records(self) -> list[dict[str, Any]]:
-        return [
-            {
-                name: value
-                for name, value in zip(self.columns, row, strict=False)
-                if value is not None
-            }
-            for row in self.rows
-        ]
-
-
 class _Share(msgspec.Struct):
     service: str = msgspec.field(name="Service")
     weight: float = msgspec.field(name="Weight")
@@ -71,6 +56,7 @@
     service: str = msgspec.field(name="Service", default="")
     max_attempts: int | None = msgspec.field(name="MaxAttempts", default=None)
     split: list[_Share] = msgspec.field(name="TrafficSplit", default_factory=list)
+    is_public: bool = msgspec.field(name="Public", default=False)
 
 
 class _Service(msgspec.Struct):
@@ -81,8 +67,9 @@
 
 class _MainObject(msgspec.Struct):
     version: MessageInt = msgspec.field(name="Version")
-    routes: _Table = msgspec.field(name="Routes")
-    services: _Table = msgspec.field(name="Services")
+    routes: Table = msgspec.field(name="Routes")
+    services: Table = msgspec.field(name="Services")
+    tenants: Table | None = msgspec.field(name="Tenants", default=None)
 
 
 def _class_of_work(route: _Route) -> ClassOfWork:
@@ -99,8 +86,9 @@
         host=route.host.lower(),
         split=split,
         timeout_ms=_duration_ms(route.timeout),
-        max_attempts=None if route.max_attempts is None else _bounded(route.max_attempts),
-        priority=_bounded(route.priority),
+        max_attempts=None if route.max_attempts is None else bounded(route.max_attempts),
+        priority=bounded(route.priority),
+        is_public=route.is_public,
     )
 
 
@@ -108,10 +96,6 @@
     return min(parse_duration_ms(text), MAX_DURATION_MS)
 
 
-def _bounded(number: int) -> int:
-    return max(-MAX_COUNT, min(number, MAX_COUNT))
-
-
 def _service_properties(service: _Service) -> ServiceProperties:
     return ServiceProperties(service.name, service.health_path, service.cold_requests_per_second)
 
@@ -125,12 +109,18 @@
     services, unusable_services = _decode_rows(main.services, _Service, _service_properties)
     if unusable_routes and not classes:
         return Error(ObjectError(CONFIG_NAME, f"no route is usable: {unusable_routes[0].message}"))
-    unusable = (*unusable_routes, *unusable_services)
-    return Ok(AllClasses(main.version, tuple(classes), tuple(services), unusable))
+    unusable = [*unusable_routes, *unusable_services]
+    organisations: OrganisationTable | None = None
+    if main.tenants is not None:
+        organisations, unusable_organisations = decode_organisations(main.tenants)
+        unusable += unusable_organisations
+    return Ok(
+        AllClasses(main.version, tuple(classes), tuple(services), tuple(unusable), organisations)
+    )
 
 
 def _decode_rows(
-    table: _Table, row_type: type[T], make: Callable[[T], U]
+    table: Table, row_type: type[T], make: Callable[[T], U]
 ) -> tuple[list[U], list[UnusableEntry]]:
     """Decode the rows of a table, each for itself."""
     decoded: list[U] = []
@@ -141,19 +131,15 @@
         except (msgspec.MsgspecError, ValueError, IndexError) as exc:
             unusable.append(
                 UnusableEntry(
-                    _text(record.get("Name")),
+                    text_of(record.get("Name")),
                     str(exc),
-                    _text(record.get("Host")).lower(),
-                    _text(record.get("PathPrefix")),
+                    text_of(record.get("Host")).lower(),
+                    text_of(record.get("PathPrefix")),
                 )
             )
     return decoded, unusable
 
 
-def _text(value: Any) -> str:
-    return value if isinstance(value, str) else ""
-
-
 def _decode(kind: str, name: str, body: bytes | None) -> Result[ConfigurationChange, ObjectError]:
     if kind == EVACUATIONS_KIND:
         return Ok(DataCentreState(name, "in" if body is None else "out"))
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -105,6 +105,7 @@
         expires
     :param priority: priority of its class; larger numbers are shed first
     :param is_last_resort: no other server accepts it, so a late answer is better than none
+    :param organisation: name of the organisation that it is served for, empty if there is none
     :param delivery: shared by all attempts of the call
     """
 
@@ -126,6 +127,7 @@
     target_at: float = math.inf
     priority: int = 0
     is_last_resort: bool = False
+    organisation: str = ""
     delivery: Delivery = attrs.field(factory=Delivery)
 
     @property
--- a/kingcuppond/routing/relay.py
+++ b/kingcuppond/routing/relay.py
@@ -50,6 +50,7 @@
     target_left_ms: MessageInt | None = None
     priority: int = 0
     is_last_resort: bool = False
+    organisation: str = ""
 
 
 def encode(relay: RelayHead) -> str:
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -177,6 +177,7 @@
             target_left_ms=int(target_left * 1000),
             priority=call.priority,
             is_last_resort=call.is_last_resort,
+            organisation=call.organisation,
         )
 
     async def _read_result(
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -49,6 +49,13 @@
         raise ValueError(f"{attribute.name}: {value!r} must be one or more printable characters")
 
 
+def _check_duration(_instance: object, attribute: "attrs.Attribute[str]", value: str) -> None:
+    try:
+        parse_duration_ms(value)
+    except ValueError as exc:
+        raise ValueError(f"{attribute.name}: {exc}") from exc
+
+
 def _check_optional_duration(
     _instance: object, attribute: "attrs.Attribute[str]", value: str
 ) -> None:
@@ -141,11 +148,26 @@
     )
     """Retries that all daemons together may spend on a service beyond a share of its calls."""
 
+    fail_closed: bool = False
+    """Whether requests with a key are refused once a removed key could be in use unnoticed.
+
+    If not, a daemon that is cut off from the store and the other daemons goes on with the keys that
+    it knows.
+    """
+
+    revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
+    """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
     """Lowest level of events that are logged."""
 
+    @property
+    def revoke_seconds(self) -> float:
+        """The time within which a removed key must be refused."""
+        return parse_duration_ms(self.revoke_within) / 1000
+
     @property
     def stop_limit_seconds(self) -> float:
         """The time limit of a planned stop, 0 for none."""
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -74,6 +74,8 @@
     :param acknowledged: states of the heartbeats and withdrawals that the daemon accepted
     :param runs_by_id: executions by request id
     :param callers_by_id: calling service by request id
+    :param organisations_by_id: organisation by request id, as far as requests name one
+    :param keys: keys of organisations that requests carried, which no server should see
     """
 
     options: Options
@@ -85,6 +87,8 @@
     acknowledged: list[str] = attrs.field(factory=list)
     runs_by_id: Counter[str] = attrs.field(factory=Counter)
     callers_by_id: dict[str, str] = attrs.field(factory=dict)
+    organisations_by_id: dict[str, str] = attrs.field(factory=dict)
+    keys: list[str] = attrs.field(factory=list)
 
     @property
     def instance(self) -> str:
@@ -126,6 +130,8 @@
             {
                 "runs_by_id": state.runs_by_id,
                 "callers_by_id": state.callers_by_id,
+                "organisations_by_id": state.organisations_by_id,
+                "keys": state.keys,
                 "acknowledged": state.acknowledged,
                 "in_flight": state.in_flight,
             }
@@ -147,6 +153,9 @@
     body = await request.read()
     state.runs_by_id[request_id] += 1
     state.callers_by_id[request_id] = request.headers.get("X-Kingcuppond-Caller-Service", "")
+    if "X-Kingcuppond-Tenant" in request.headers:
+        state.organisations_by_id[request_id] = request.headers["X-Kingcuppond-Tenant"]
+    state.keys += request.headers.getall("Api-Key", [])
     if request.query.get("crash"):
         os._exit(1)
     state.in_flight += 1
--- a/tests/ingress/test_endless_calls.py
+++ b/tests/ingress/test_endless_calls.py
@@ -15,6 +15,8 @@
 from kingcuppond.ingress.http_server import listen, make_server
 from kingcuppond.ingress.requests import read_relayed_body, read_request
 from kingcuppond.ingress.responses import send_answer
+from kingcuppond.organisations.guard import make_organisation_guard
+from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 
 DEADLINE_SECONDS = 0.5
@@ -59,6 +61,7 @@
         time.monotonic(),
         time.monotonic,
         lambda: "id",
+        make_organisation_guard(configuration, KeyPolicy(), lambda: False, lambda: 0.0),
     )
     return parsed.ok.call.body
 
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -32,6 +32,8 @@
 from kingcuppond.ingress.in_progress import ANSWER_SECONDS, RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
+from kingcuppond.organisations.guard import make_organisation_guard
+from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
@@ -103,6 +105,9 @@
         next_id=lambda: "id",
         requests=requests,
         relayed=RelayedCallPort("vm-1", gate, b"", unused, clock, requests),
+        organisations=make_organisation_guard(
+            configuration, KeyPolicy(), lambda: False, clock.monotonic
+        ),
     )
     return port, router
 
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -14,6 +14,8 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.http_server import listen, make_server
 from kingcuppond.ingress.requests import CallerRequest, read_request
+from kingcuppond.organisations.guard import make_organisation_guard
+from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.outcomes import Failure, Reason
 from kingcuppond.platform.calls import PLATFORM_DIALECT
 from kingcuppond.routing.split import TrafficSplitter
@@ -44,6 +46,7 @@
         100.0,
         lambda: 100.9,
         lambda: "id",
+        make_organisation_guard(configuration, KeyPolicy(), lambda: False, lambda: 0.0),
     )
 
 
--- a/tests/settings/test_template.py
+++ b/tests/settings/test_template.py
@@ -11,6 +11,7 @@
 from kingcuppond.settings.jsonc import parse_text
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "daemon.json"
+SECTION = re.compile(r"\{\{#([A-Za-z0-9.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9.]+)(\|json)?\}\}")
 FIELDS: dict[str, Any] = {
     "NodeName": "sidecar-mvd-a-1",
@@ -39,7 +40,8 @@
         value = values.get(match[1], "")
         return json.dumps(value) if match[2] else str(value)
 
-    return PLACEHOLDER.sub(fill, TEMPLATE.read_text())
+    text = SECTION.sub(lambda match: match[2] if match[1] in values else "", TEMPLATE.read_text())
+    return PLACEHOLDER.sub(fill, text)
 
 
 @pytest.mark.parametrize(
@@ -68,3 +70,15 @@
 def test_a_platform_that_names_no_grace_period_has_a_limit() -> None:
     settings = parse_text(render(**{"Bounds.Grace": ""}), "daemon.json", DaemonSettings).ok
     assert settings.stop_limit_seconds == 5.5
+
+
+def test_a_deployment_without_keys_has_no_bound_for_their_removal() -> None:
+    settings = parse_text(render(), "daemon.json", DaemonSettings).ok
+    assert (settings.fail_closed, settings.revoke_seconds) == (False, 0.0)
+
+
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_the_bound_for_the_removal_of_keys(is_closed: bool) -> None:
+    fields = {"Bounds.Revoke": "5000ms", "Bounds.FailClosed": is_closed}
+    settings = parse_text(render(**fields), "daemon.json", DaemonSettings).ok
+    assert (settings.fail_closed, settings.revoke_seconds) == (is_closed, 5.0)
