A fleet that restarts after a power loss serves about a second sooner

Traced by the logs of two daemons: (1) a daemon that is a seed itself waited 0.7 s for other seeds that were still starting, although daemons that had contacted it could send their state; it now joins through them. (2) each gate blocked its cold server for 1.05 s from the end of the imports, though no earlier process can have sent anything since this process started, 0.5 to 1.4 s before. The window now counts from the start of the process.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -109,6 +109,9 @@
         is_unconfirmed=may_have_run,
         is_departure_checked=not may_have_run,
     )
+    if may_have_run:
+        # No earlier process has sent anything since this one started.
+        daemon.gate.rate_limiter.assume_window_full(daemon.process_started_at)
     daemon.configuration.on_change.append(daemon.gate.on_configuration_change)
     daemon.directory.on_earlier_incarnation.append(daemon.on_earlier_incarnation)
     daemon.departures = DepartureStore(
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -75,6 +75,7 @@
 
     :param policy: name of the routing policy; policies other than the default are for the bench
     :param is_hedging: whether the router may hedge calls
+    :param process_started_at: start of the process on the monotonic clock; now by default
     """
 
     transport: PeerTransport
@@ -104,11 +105,13 @@
         rng: Random | None = None,
         policy: str = "least-expected",
         is_hedging: bool = True,
+        process_started_at: float | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.clock = clock or Clock()
         self._created_at = self.clock.monotonic()
+        self.process_started_at = process_started_at
         self.rng = rng or Random()
         self.protocol = PROTOCOLS_BY_NAME[settings.protocol]
         self.journal = Journal(settings.vm, self.clock)
--- a/kingcuppond/gate/cold_rate_limiter.py
+++ b/kingcuppond/gate/cold_rate_limiter.py
@@ -2,9 +2,9 @@
 
 A cold server handles calls at the configured rate and fails at a much higher one.  All calls to the
 server pass this gate, so the sliding window of starts here is exact.  Two things are unknown at
-first.  A new process does not know what an earlier process of this daemon sent in the last second,
-so it assumes that the window is full.  A server that was kept idle may have become cold, so it is
-assumed to be until it has been queried.
+first.  A new process does not know what an earlier process of this daemon sent in the last second
+before its own start, so it assumes that the window was full then.  A server that was kept idle may
+have become cold, so it is assumed to be until it has been queried.
 
 A server may also become cold while it is busy, and its answers to calls don't say so.  Its health
 is therefore queried again before more calls have started than a cold server handles in a second.
@@ -83,9 +83,13 @@
         self.is_assumed_cold = False
         self._cold_until = self.now() + cold_ms / 1000
 
-    def assume_window_full(self) -> None:
-        """Allow no start at a cold server for one window, since earlier starts are unknown."""
-        self._blocked_until = self.now() + WINDOW_SECONDS + ARRIVAL_MARGIN_SECONDS
+    def assume_window_full(self, since: float | None = None) -> None:
+        """Allow no start at a cold server for one window, since earlier starts are unknown.
+
+        :param since: monotonic time after which there were certainly none; now by default
+        """
+        begin = self.now() if since is None else since
+        self._blocked_until = begin + WINDOW_SECONDS + ARRIVAL_MARGIN_SECONDS
 
     def may_start(self) -> bool:
         """Return whether a call may start now."""
--- a/kingcuppond/membership/registration.py
+++ b/kingcuppond/membership/registration.py
@@ -2,7 +2,8 @@
 
 The settings may name a few seeds: other VMs whose daemons are contacted at the start.  With seeds,
 a daemon can join the fleet while the store is down, and without a call to the store.  A daemon that
-none of its seeds answers, or that has none, joins through the daemons registered in the store.
+none of its seeds answers, or that has none, joins through the daemons registered in the store.  One
+that is a seed itself joins through the first daemons that contact it.
 
 A daemon without seeds registers when it starts.  Of those with seeds, only the few that act for
 their data centre do, so that the number of objects does not grow with the fleet.  The object is
@@ -52,6 +53,9 @@
 A daemon on a busy VM may answer late, and a listing may be stale or that of a restored copy.
 """
 
+MAX_CONTACTS: Final = 2
+CONTACT_POLL_SECONDS: Final = 0.05
+
 SEED_RETRY_SECONDS: Final = 0.3
 SEED_PATIENCE_SECONDS: Final = 1.0
 """How long a daemon waits for its seeds before it joins through the store too."""
@@ -111,7 +115,9 @@
 
     async def run(self) -> None:
         """Join and register, then re-read the listing periodically."""
-        await asyncio.gather(self._join_through_seeds(), self._join_through_store())
+        await asyncio.gather(
+            self._join_through_seeds(), self._join_through_contacts(), self._join_through_store()
+        )
         await asyncio.gather(self._keep_registered(), self._relist())
 
     async def _join_through_seeds(self) -> None:
@@ -121,6 +127,25 @@
                 return
             await asyncio.sleep(SEED_RETRY_SECONDS * self._rng.uniform(0.5, 1.0))
 
+    async def _join_through_contacts(self) -> None:
+        """Join through the daemons that have contacted this one first.
+
+        If the whole fleet restarts, the seeds of a daemon may not run yet, while others that name
+        it as their seed already do.
+        """
+        while self._seeds and not self.has_contacted_members:
+            contacts = self._contact_addresses()
+            if contacts and await self._gossip.join(contacts):
+                self.has_contacted_members = True
+                return
+            await asyncio.sleep(CONTACT_POLL_SECONDS)
+
+    def _contact_addresses(self) -> list[str]:
+        me = self._directory.me
+        members = [member for member in self._directory.living() if member.vm != me.vm]
+        chosen = self._rng.sample(members, min(MAX_CONTACTS, len(members)))
+        return [member.peer_address for member in chosen]
+
     async def _join_through_store(self) -> None:
         if self._seeds:
             await self._wait_for_seeds()
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -12,6 +12,7 @@
 import typer
 from absl import logging
 
+from kingcuppond import STARTED_AT
 from kingcuppond.events.log import LEVELS_BY_NAME
 from kingcuppond.program.output import EXIT_USAGE, error_exit
 from kingcuppond.program.reload import reload_forever
@@ -70,7 +71,9 @@
 ) -> str:
     from kingcuppond.daemon import Daemon
 
-    service = Daemon(settings, key, policy=policy, is_hedging=is_hedging)
+    service = Daemon(
+        settings, key, policy=policy, is_hedging=is_hedging, process_started_at=STARTED_AT
+    )
     bound = await service.bind()
     if bound.is_error():
         await service.on_stop()
--- a/tests/gate/test_cold_rate_limiter.py
+++ b/tests/gate/test_cold_rate_limiter.py
@@ -57,6 +57,19 @@
     assert rate_limiter.may_start()
 
 
+def test_the_window_counts_from_the_start_of_the_process() -> None:
+    """Guards against a fleet that waits a second longer after a power loss than it needs to."""
+    time = FakeTime()
+    rate_limiter = make_rate_limiter(time)
+    rate_limiter.is_assumed_cold = True
+    started_at = time.seconds
+    time.advance(0.9)
+    rate_limiter.assume_window_full(started_at)
+    assert not rate_limiter.may_start()
+    time.advance(0.2)
+    assert rate_limiter.may_start()
+
+
 def test_the_report_of_the_server_ends_the_assumption() -> None:
     time = FakeTime()
     rate_limiter = make_rate_limiter(time)
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -251,3 +251,37 @@
     await joining
     assert registration.has_contacted_members
     assert len(gossip.addresses) == 2
+
+
+async def test_a_seed_joins_through_the_daemons_that_contact_it(
+    store: FakeStore, clock: Clock, journal: Journal, rng: Random
+) -> None:
+    """Guards against a seed that serves a second later than others after a loss of all power."""
+    directory = Directory(make_member("vm-1"), clock, journal)
+    gossip = SelectiveGossip("vm-2:2")
+    joining = Registration(
+        cast(Store, store),
+        directory,
+        cast(Gossip, gossip),
+        clock,
+        journal,
+        rng,
+        ["vm-3:2"],
+        lambda: True,
+    )
+    task = asyncio.create_task(joining._join_through_contacts())
+    await asyncio.sleep(0.1)
+    assert not joining.has_contacted_members
+    directory.merge(make_member("vm-2"))
+    await asyncio.wait_for(task, 1.0)
+    assert joining.has_contacted_members
+
+
+@attrs.define
+class SelectiveGossip:
+    """Reaches one daemon only."""
+
+    reachable: str
+
+    async def join(self, addresses: list[str]) -> bool:
+        return self.reachable in addresses
