--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -16,8 +16,7 @@
 The server is chosen by ``kingcuppond.routing.placement``.
 
 A repeatable call that takes much longer than others of its class is hedged: a second attempt starts
-at another server, early enough for the call's target, the first complete answer wins, and the other
-attempt is cancelled.
+at another server, the first complete answer wins, and the other attempt is cancelled.
 """
 
 import asyncio
@@ -36,13 +35,17 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
-from kingcuppond.routing.hedge_delay import hedge_delay_seconds
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
 from kingcuppond.routing.placement import ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, allowance_of_daemon, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
 
+HEDGE_LATENCY_RATIO: Final = 6.0
+"""The typical latency follows the shorter answers of a class; answers that take half as long again,
+and those of busy machines, must not cause hedges."""
+
+HEDGE_MIN_SECONDS: Final = 0.010
 MAX_SERVERS_PER_ROUND: Final = 4
 MAX_BACKLOG: Final = 32
 
@@ -301,4 +304,4 @@
             return None
         if call.retry_budget < 1 or call.is_on_trial:
             return None
-        return hedge_delay_seconds(typical_seconds, call.target_at - self.clock.monotonic())
+        return max(HEDGE_MIN_SECONDS, HEDGE_LATENCY_RATIO * typical_seconds)
