A daemon listens for callers before it imports its libraries

The kernel now keeps their connections until the daemon accepts them. What fails here is left to the check of the settings and to the daemon.

--- a/kingcuppond/addresses.py
+++ b/kingcuppond/addresses.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from kingcuppond.early_listener import take_socket
 from kingcuppond.ingress.http_server import has_unsent_bytes, listen, make_server, stop_accepting
 from kingcuppond.ingress.ready import make_ready_handler
 from kingcuppond.operators.http_handler import make_handler
@@ -42,7 +43,7 @@
 
     async def bind(self, key: str, address: str, handler: Handler) -> Result[None, BindError]:
         """Start to accept connections at an address."""
-        listening = await listen(make_server(handler), address)
+        listening = await listen(make_server(handler), address, take_socket(address))
         if listening.is_error():
             return Error(BindError(key, address, listening.error.strerror or "in use"))
         self._runners_by_key[key] = listening.ok
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import select
+import socket
 from typing import Any, Final
 
 from aiohttp import web
@@ -186,17 +187,23 @@
     )
 
 
-async def listen(server: ProblemServer, address: str) -> Result[web.ServerRunner, OSError]:
+async def listen(
+    server: ProblemServer, address: str, listening: socket.socket | None = None
+) -> Result[web.ServerRunner, OSError]:
     """Start to accept connections.
 
     :param address: IP number and port
+    :param listening: a socket that listens there already, if there is one
     :return: the runner, whose ``cleanup`` stops the server, or why the address can't be used
     """
     host, port = split_address(address)
     runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
     await runner.setup()
     try:
-        await web.TCPSite(runner, host, port, backlog=LISTEN_BACKLOG).start()
+        if listening is None:
+            await web.TCPSite(runner, host, port, backlog=LISTEN_BACKLOG).start()
+        else:
+            await web.SockSite(runner, listening, backlog=LISTEN_BACKLOG).start()
     except OSError as exc:
         await runner.cleanup()
         return Error(exc)
--- a/kingcuppond/settings/jsonc.py
+++ b/kingcuppond/settings/jsonc.py
@@ -15,9 +15,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuppond.settings.comments import blank_comments
+
 MAX_FILE_BYTES: Final = 1_000_000
-STRING_OR_COMMENT_PATTERN: Final = re.compile(r'"(?:\\.|[^"\\\n])*"|//[^\n]*|/\*.*?\*/', re.DOTALL)
-NOT_NEWLINE_PATTERN: Final = re.compile(r"[^\n]")
 VALIDATION_ERROR_PATTERN: Final = re.compile(r"(?P<what>.*) - at `\$(?P<path>.*)`$", re.DOTALL)
 
 T = TypeVar("T")
@@ -55,7 +55,7 @@
 
 def parse_text(text: str, path: str, type_: type[T]) -> Result[T, FileError]:
     """Parse the text of a file; see :func:`read_file`."""
-    plain = STRING_OR_COMMENT_PATTERN.sub(_blank_comment, text)
+    plain = blank_comments(text)
     try:
         raw = json.loads(plain, object_pairs_hook=_reject_duplicate_keys)
         entries = json_source_map.calculate(plain)
@@ -94,13 +94,6 @@
     return Error(FileError(path, line, f"key {key!r}: {reason.strip()}"))
 
 
-def _blank_comment(match: re.Match[str]) -> str:
-    token = match[0]
-    if token.startswith('"'):
-        return token
-    return NOT_NEWLINE_PATTERN.sub(" ", token)
-
-
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     result = dict(pairs)
     if len(result) < len(pairs):
