--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -46,6 +46,8 @@
 from kingcuppond.membership.messages import Member, ServerState
 from kingcuppond.membership.registration import Registration
 from kingcuppond.operators.status import register_gauges
+from kingcuppond.organisations.guard import OrganisationGuard
+from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.pause import PauseGuard
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.planned_stop import begin_grace_period, leave_fleet
@@ -73,6 +75,7 @@
 
     :param policy: name of the routing policy; policies other than the default are for the bench
     :param is_hedging: whether the router may hedge calls
+    :param process_started_at: start of the process on the monotonic clock; now by default
     """
 
     transport: PeerTransport
@@ -90,6 +93,7 @@
     claim_renewal: ClaimRenewal
     guard: ClaimGuard
     report_budget: WindowBudget
+    organisations: OrganisationGuard
     requests: RequestsInProgress
     port: CallPort
 
@@ -101,11 +105,13 @@
         rng: Random | None = None,
         policy: str = "least-expected",
         is_hedging: bool = True,
+        process_started_at: float | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.clock = clock or Clock()
         self._created_at = self.clock.monotonic()
+        self.process_started_at = process_started_at
         self.rng = rng or Random()
         self.protocol = PROTOCOLS_BY_NAME[settings.protocol]
         self.journal = Journal(settings.vm, self.clock)
@@ -213,6 +219,7 @@
         self.router.fleet_retries = settings.fleet_retries
         self.server_port.configured_server = self.configured_server()
         self.port.service = settings.service
+        self.organisations.policy = self.key_policy()
         if settings.service != self.directory.me.service:
             self.directory.publish_own_change(service=settings.service)
 
@@ -241,6 +248,10 @@
         """Return the server that the settings name."""
         return ConfiguredServer(self.settings.service, self.settings.application_address)
 
+    def key_policy(self) -> KeyPolicy:
+        """Return the settings that concern keys while this daemon is isolated."""
+        return KeyPolicy(self.settings.fail_closed, self.settings.revoke_seconds)
+
     def seed_addresses(self) -> list[str]:
         """Return the peer addresses of the seeds' daemons; all VMs use the same peer port."""
         own_host, port = split_address(self.settings.peer_address)
