Quotas of organisations over the whole fleet: admitted at once, counted and limited by shares

Callers of one organisation that sent several times its quota took the capacity of all others; nothing limited them.

Daemons report what they admit to the coordinator of a shard of organisations, which sets the share of an organisation's requests that all daemons admit. Over the quota, callers get 429 with Retry-After. Deployments without rates start no task and send no message.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -25,11 +25,13 @@
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
 from kingcuppond.quarantine.holds import HoldStore
+from kingcuppond.quotas.loop import make_quotas
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
 from kingcuppond.routing.router import Router
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.split import TrafficSplitter
+from kingcuppond.settings_change import quota_bound
 
 if TYPE_CHECKING:
     from kingcuppond.daemon import Daemon
@@ -195,6 +197,16 @@
     daemon.organisations = make_organisation_guard(
         daemon.configuration, daemon.key_policy(), daemon.is_isolated, daemon.clock.monotonic
     )
+    daemon.quotas, daemon.quota_loop = make_quotas(
+        quota_bound(daemon.settings),
+        daemon.configuration,
+        daemon.directory,
+        daemon.transport,
+        daemon.clock,
+        daemon.journal,
+        daemon.rng,
+        daemon.registry,
+    )
     relayed = RelayedCallPort(
         daemon.settings.vm,
         daemon.gate,
@@ -220,4 +232,5 @@
         daemon.requests,
         relayed,
         daemon.organisations,
+        daemon.quotas,
     )
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -55,6 +55,8 @@
 from kingcuppond.protocol import PROTOCOLS_BY_NAME
 from kingcuppond.quarantine.holds import HoldStore
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.quotas.guard import QuotaGuard
+from kingcuppond.quotas.loop import QuotaLoop
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.exchange import open_session
 from kingcuppond.routing.router import Router
@@ -62,6 +64,7 @@
 from kingcuppond.service import LoopService
 from kingcuppond.settings.checks import split_address
 from kingcuppond.settings.daemon import DaemonSettings
+from kingcuppond.settings_change import apply_settings
 from kingcuppond.store.era import EraTracker
 
 SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
@@ -93,6 +96,8 @@
     guard: ClaimGuard
     report_budget: WindowBudget
     organisations: OrganisationGuard
+    quotas: QuotaGuard
+    quota_loop: QuotaLoop
     requests: RequestsInProgress
     port: CallPort
 
@@ -198,6 +203,7 @@
         await self.requests.close()
         await self.listeners.close()
         self.claim_coordinator.stop()
+        self.quota_loop.stop()
         self.gossip.stop()
         await self.transport.close()
         await self.session.close()
@@ -208,17 +214,7 @@
 
     def apply_settings(self, settings: DaemonSettings) -> None:
         """Apply the settings that can change while the daemon runs."""
-        self.settings = settings
-        self.gate.server_timeout_seconds = settings.server_silent_ms / 1000
-        self.gate.suspect_delay_seconds = settings.suspect_hold_ms / 1000
-        self.watcher.wait_ms = settings.watch_wait_ms
-        self.router.detour_seconds = settings.detour_ms / 1000
-        self.router.fleet_retries = settings.fleet_retries
-        self.server_port.configured_server = self.configured_server()
-        self.port.service = settings.service
-        self.organisations.policy = self.key_policy()
-        if settings.service != self.directory.me.service:
-            self.directory.publish_own_change(service=settings.service)
+        apply_settings(self, settings)
 
     def is_first_start(self) -> bool:
         """Return whether the settings state the first start of the fleet, and the store agrees."""
--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -28,7 +28,10 @@
     name.lower() for name in (DEADLINE_HEADER, DEPTH_HEADER, RETRY_BUDGET_HEADER)
 )
 RETRY_AFTER_SECONDS: Final = 1
-"""``Retry-After`` in the native dialect is in whole seconds, as RFC 9110 defines it."""
+"""``Retry-After`` in the native dialect is in whole seconds, as RFC 9110 defines it.
+
+Only a request over its quota is told a fraction, since there is room again in less than a second.
+"""
 
 Headers = Mapping[str, str]
 
@@ -125,7 +128,9 @@
 
 def _failure_headers(failure: Failure, _retry_after_seconds: float) -> dict[str, str]:
     headers = problem_headers(failure)
-    if isinstance(failure, NotRun) and failure.status == 503:
+    if isinstance(failure, NotRun) and failure.room_after_seconds is not None:
+        headers["Retry-After"] = f"{failure.room_after_seconds:.3f}"
+    elif isinstance(failure, NotRun) and failure.status == 503:
         headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
     return headers
 
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -32,6 +32,7 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.quotas.guard import QuotaGuard
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
 from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.routing.router import Router
@@ -43,6 +44,7 @@
 
     :param relayed: serves the calls that other daemons relay
     :param organisations: identifies the organisations of requests
+    :param quotas: admits the requests of organisations within their quotas
     :param choose_service: chooses the service for a request of a class
     :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
@@ -65,6 +67,7 @@
     requests: RequestsInProgress
     relayed: RelayedCallPort
     organisations: OrganisationGuard
+    quotas: QuotaGuard
     last_request_at: float = float("-inf")
     grace: GracePeriod | None = None
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -180,13 +183,18 @@
             return Result.Error(NotRun(Reason.HARMFUL, detail))
         if level is QuarantineLevel.SUSPECTED:
             call = attrs.evolve(call, is_on_trial=True)
+        organisation = caller_request.organisation
         if not (call.at_most_once and caller_request.key):
-            return await self.router.run(call)
+            return await self.quotas.run(organisation, call, self.router.run)
+
+        def run_once(call: Call) -> Awaitable[Result[Answer, Failure]]:
+            return self.guard.run_once(call, caller_request.key)
+
         if not call.body.is_buffered:
-            return await self.guard.run_once(call, caller_request.key)
+            return await self.quotas.run(organisation, call, run_once)
         # A claimed request runs to its end even if its caller disconnects, so that a retry by the
         # caller is given the answer.
-        task = asyncio.create_task(self.guard.run_once(call, caller_request.key))
+        task = asyncio.create_task(self.quotas.run(organisation, call, run_once))
         self._claimed_tasks.add(task)
         task.add_done_callback(self._claimed_tasks.discard)
         try:
--- a/kingcuppond/outcomes.py
+++ b/kingcuppond/outcomes.py
@@ -49,6 +49,7 @@
     KEY_RUNNING = "key-running"
     KEY_RAN = "key-ran"
     HARMFUL = "held-as-harmful"
+    QUOTA = "over-quota"
     CONNECTION_LOST = "connection-lost"
     CANCELLED = "cancelled"
     DUPLICATE = "doubled"
@@ -64,15 +65,20 @@
     Reason.KEY_RUNNING: 409,
     Reason.KEY_RAN: 409,
     Reason.HARMFUL: 422,
+    Reason.QUOTA: 429,
 }
 
 
 @attrs.frozen
 class NotRun:
-    """No server has run the call, and this attempt will never be run."""
+    """No server has run the call, and this attempt will never be run.
+
+    :param room_after_seconds: when there will be room, if that is known
+    """
 
     reason: Reason
     detail: str
+    room_after_seconds: float | None = None
 
     @property
     def status(self) -> int:
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -26,6 +26,7 @@
     StateReply,
     StateRequest,
 )
+from kingcuppond.quotas.messages import QuotaAck, QuotaReport, QuotaShares
 
 TYPES_BY_TAG: Final[dict[str, type]] = {
     "ping": Ping,
@@ -44,4 +45,7 @@
     "claim-renewal-reply": RenewalReply,
     "recall-ask": AttemptQuery,
     "recall-reply": AttemptReply,
+    "q": QuotaReport,
+    "qa": QuotaAck,
+    "qs": QuotaShares,
 }
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -43,6 +43,7 @@
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHORIZED: 401,
     Reason.TOO_LARGE: 413,
+    Reason.QUOTA: 429,
 }
 """All other requests that were not run get 503, which lets the client retry."""
 
@@ -55,7 +56,9 @@
 
 def _failure_headers(failure: Failure, retry_after_seconds: float) -> dict[str, str]:
     headers = problem_headers(failure)
-    if isinstance(failure, NotRun) and failure.reason in RETRY_LATER_REASONS:
+    if isinstance(failure, NotRun) and failure.room_after_seconds is not None:
+        headers["Retry-After"] = f"{failure.room_after_seconds:.3f}"
+    elif isinstance(failure, NotRun) and failure.reason in RETRY_LATER_REASONS:
         headers["Retry-After"] = f"{retry_after_seconds:.3f}"
     return headers
 
--- /dev/null
+++ b/kingcuppond/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations over the whole fleet."""
--- /dev/null
+++ b/kingcuppond/quotas/ledger.py
@@ -0,0 +1,204 @@
+"""What a daemon has counted for each organisation, and what the coordinators know of it.
+
+Counts are cumulative within an epoch, so a report replaces all earlier ones and may be lost, or
+arrive twice or out of order.  If a shard gets another coordinator, a new epoch begins with what the
+one before it has not acknowledged.
+"""
+
+from random import Random
+from typing import Final
+
+import attrs
+
+from kingcuppond.quotas.bucket import Bucket
+from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport
+
+SILENT_SECONDS: Final = 0.4
+"""A coordinator is silent if it has not acknowledged a report for as long.
+
+An acknowledgement takes 0.05 s and the delay of two messages.
+"""
+
+SILENT_INTERVALS: Final = 2.0
+RESEND_PART: Final = 0.5
+"""Counts are reported again after this part of the time after which a coordinator is silent."""
+
+
+@attrs.define(eq=False)
+class OrganisationCount:
+    """The counts of one organisation at this daemon since its start.
+
+    :param acked: the part that a coordinator has acknowledged
+    :param base: the counts at the start of the shard's epoch
+    :param due: part of the next admission that earlier requests have saved up while a share applies
+    :param local: bucket that applies while the coordinator is silent, ``None`` at other times
+    :param arrived_at: time of the latest request while limited, monotonic, in seconds
+    :param spacing: typical time between requests while limited, in seconds
+    :param next_room: when the next refused request may return, monotonic time in seconds
+    """
+
+    id: bytes
+    link: "ShardLink"
+    due: float
+    admitted: int = 0
+    credited: int = 0
+    refused: int = 0
+    acked: Counts = NOTHING
+    base: Counts = NOTHING
+    local: Bucket | None = None
+    arrived_at: float | None = None
+    spacing: float = 0.0
+    next_room: float = 0.0
+
+    @property
+    def total(self) -> Counts:
+        """The counts since the daemon's start."""
+        return self.admitted, self.credited, self.refused
+
+    @property
+    def unacked(self) -> int:
+        """Requests that were admitted and not credited, and that no coordinator knows of."""
+        return (self.admitted - self.acked[0]) - (self.credited - self.acked[1])
+
+    def since_base(self) -> Counts:
+        """Return the counts of the epoch."""
+        return (
+            self.admitted - self.base[0],
+            self.credited - self.base[1],
+            self.refused - self.base[2],
+        )
+
+
+@attrs.define
+class _Sent:
+    at: float
+    totals: list[tuple[OrganisationCount, Counts]]
+
+
+@attrs.define(eq=False)
+class ShardLink:
+    """One daemon's reports to the coordinator of a shard.
+
+    :param coordinator: VM of the coordinator
+    :param shares_by_id: admitted share of each organisation that is limited
+    :param version: the version of its shares, 0 if it has not set any
+    :param shares_until: monotonic time in seconds until which the shares apply
+    """
+
+    shard: int
+    coordinator: str
+    silent_seconds: float = SILENT_SECONDS
+    shares_by_id: dict[bytes, float] = attrs.field(factory=dict)
+    version: int = 0
+    shares_until: float = 0.0
+    counts_by_id: dict[bytes, OrganisationCount] = attrs.field(factory=dict)
+    _epoch: int = 0
+    _seq: int = 0
+    _is_first: bool = True
+    _dirty: set[OrganisationCount] = attrs.field(factory=set)
+    _sent_by_seq: dict[int, _Sent] = attrs.field(factory=dict)
+    _unacked_since: float | None = None
+
+    def count(self, id_: bytes, rng: Random) -> OrganisationCount:
+        """Return the counts of an organisation."""
+        count = self.counts_by_id.get(id_)
+        if count is None:
+            count = self.counts_by_id[id_] = OrganisationCount(id_, self, rng.random())
+        return count
+
+    def forget(self, count: OrganisationCount) -> None:
+        """Drop the counts of an organisation that has no rate any more."""
+        self.counts_by_id.pop(count.id, None)
+        self._dirty.discard(count)
+
+    def mark_changed(self, count: OrganisationCount) -> None:
+        """Have an organisation's counts reported."""
+        self._dirty.add(count)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the coordinator has not answered for too long."""
+        since = self._unacked_since
+        return since is not None and now - since > self.silent_seconds
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there is something to report or to wait for."""
+        return bool(self._dirty or self._sent_by_seq)
+
+    def begin_epoch(self, coordinator: str, epoch: int) -> None:
+        """Start again with what has not been acknowledged.
+
+        A silence of the earlier coordinator goes on until the new one has answered.
+
+        :param epoch: a number larger than all earlier ones
+        """
+        if coordinator != self.coordinator:
+            self.version = 0
+        self.coordinator = coordinator
+        self._epoch = max(epoch, self._epoch + 1)
+        self._seq = 0
+        self._is_first = True
+        self._sent_by_seq.clear()
+        for count in self.counts_by_id.values():
+            count.base = count.acked
+            if count.total != count.acked:
+                self._dirty.add(count)
+        if not self._dirty:
+            self._unacked_since = None
+
+    def make_report(self, now: float) -> QuotaReport | None:
+        """Return the next report, or ``None`` if there is nothing to say."""
+        resent_before = now - self.silent_seconds * RESEND_PART
+        for seq, sent in list(self._sent_by_seq.items()):
+            if sent.at < resent_before:
+                del self._sent_by_seq[seq]
+                self._dirty.update(count for count, total in sent.totals if count.acked != total)
+        if not self._dirty:
+            return None
+        self._seq += 1
+        totals = [(count, count.total) for count in self._dirty]
+        counts = {count.id: count.since_base() for count in self._dirty}
+        self._dirty.clear()
+        self._sent_by_seq[self._seq] = _Sent(now, totals)
+        if self._unacked_since is None:
+            self._unacked_since = now
+        return QuotaReport(self.shard, self._epoch, self._seq, self._is_first, self.version, counts)
+
+    def on_ack(self, sender: str, ack: QuotaAck, now: float, shares_until: float) -> None:
+        """Take over an acknowledgement.
+
+        :param shares_until: time until which the shares apply that it confirms
+        """
+        if sender != self.coordinator or ack.epoch != self._epoch:
+            return
+        if not ack.seqs:
+            self.begin_epoch(self.coordinator, self._epoch + 1)
+            return
+        self._is_first = False
+        for seq in ack.seqs:
+            sent = self._sent_by_seq.pop(seq, None)
+            for count, total in () if sent is None else sent.totals:
+                count.acked = (
+                    max(count.acked[0], total[0]),
+                    max(count.acked[1], total[1]),
+                    max(count.acked[2], total[2]),
+                )
+        self._unacked_since = min((sent.at for sent in self._sent_by_seq.values()), default=None)
+        if ack.permille_by_id is not None:
+            self.set_shares(sender, ack.version, ack.permille_by_id, shares_until)
+        elif ack.version == self.version:
+            self.shares_until = max(self.shares_until, shares_until)
+
+    def set_shares(
+        self, coordinator: str, version: int, permille_by_id: dict[bytes, int], until: float
+    ) -> bool:
+        """Replace the shares by newer ones.
+
+        :return: whether they were newer
+        """
+        if coordinator != self.coordinator or version <= self.version:
+            return False
+        self.version = version
+        self.shares_by_id = {id_: permille / 1000 for id_, permille in permille_by_id.items()}
+        self.shares_until = until
+        return True
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -20,6 +20,9 @@
 DEFAULT_WATCH_WAIT_MS: Final = 1000
 DEFAULT_SUSPECT_HOLD_MS: Final = 250
 DEFAULT_FLEET_RETRIES: Final = 100.0
+DEFAULT_QUOTA_WINDOW: Final = "5s"
+DEFAULT_QUOTA_OVER: Final = 0.1
+DEFAULT_QUOTA_SLACK: Final = 20.0
 MAX_MS: Final = 600_000
 FLEET_KEY_BYTES: Final = 32
 
@@ -56,6 +59,14 @@
         raise ValueError(f"{attribute.name}: {exc}") from exc
 
 
+def _check_positive_duration(
+    instance: object, attribute: "attrs.Attribute[str]", value: str
+) -> None:
+    _check_duration(instance, attribute, value)
+    if not parse_duration_ms(value):
+        raise ValueError(f"{attribute.name}: {value} is not longer than 0")
+
+
 def _check_optional_duration(
     _instance: object, attribute: "attrs.Attribute[str]", value: str
 ) -> None:
@@ -158,6 +169,17 @@
     revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
     """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
 
+    quota_window: str = attrs.field(
+        default=DEFAULT_QUOTA_WINDOW, validator=_check_positive_duration
+    )
+    """Any time as long, in which an organisation's requests must stay within the bound."""
+
+    quota_over: float = attrs.field(default=DEFAULT_QUOTA_OVER, validator=in_range(0, 1_000))
+    """Part of an organisation's quota that may run in addition in any window."""
+
+    quota_slack: float = attrs.field(default=DEFAULT_QUOTA_SLACK, validator=in_range(0, 1_000_000))
+    """Requests of an organisation that may run in addition in any window."""
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
@@ -168,6 +190,11 @@
         """The time within which a removed key must be refused."""
         return parse_duration_ms(self.revoke_within) / 1000
 
+    @property
+    def quota_window_seconds(self) -> float:
+        """The window of the quotas."""
+        return parse_duration_ms(self.quota_window) / 1000
+
     @property
     def stop_limit_seconds(self) -> float:
         """The time limit of a planned stop, 0 for none."""
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -36,10 +36,14 @@
 from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.quotas.bucket import QuotaBound
+from kingcuppond.quotas.guard import QuotaGuard
+from kingcuppond.quotas.peers import QuotaPeers
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.store.era import EraTracker
 from tests.conftest import FakeTime
+from tests.quotas.fleet import FakeMembers
 
 LIMIT_SECONDS = 5.5
 
@@ -108,10 +112,26 @@
         organisations=make_organisation_guard(
             configuration, KeyPolicy(), lambda: False, clock.monotonic
         ),
+        quotas=make_quota_guard(configuration, clock),
     )
     return port, router
 
 
+def make_quota_guard(configuration: Configuration, clock: Clock) -> QuotaGuard:
+    """Return the guard of a daemon that is alone."""
+    members = FakeMembers({"vm-1": "dc-1"})
+    peers = QuotaPeers(
+        "vm-1", members, QuotaBound(), _ignore, clock.fleet_ms, lambda _name, _share: None
+    )
+    return QuotaGuard(
+        configuration, peers, clock.monotonic, Random(1), lambda _name: None, lambda: None
+    )
+
+
+def _ignore(_vm: str, _message: object) -> None:
+    """Send nothing."""
+
+
 @attrs.define
 class FakePeers:
     """Coordinators that grant no claim before a test lets them."""
