--- a/kingcuppond/quotas/bucket.py
+++ b/kingcuppond/quotas/bucket.py
@@ -22,7 +22,7 @@
 The rest is for what is admitted before a surge has been noticed.
 """
 
-NOISE_DEVIATIONS: Final = 1.5
+NOISE_DEVIATIONS: Final = 2.0
 """Standard deviations of a second's requests that are not taken for excess without a debt."""
 
 OVERLAP_SECONDS: Final = 1.0
--- a/kingcuppond/quotas/shares.py
+++ b/kingcuppond/quotas/shares.py
@@ -20,6 +20,12 @@
 CHANGE_PART: Final = 0.2
 """Smaller changes of a share are not sent: they are within the noise of the demand."""
 
+FIRST_SHARE: Final = 0.8
+"""A larger share does not begin a limit: the noise of a small organisation's demand would.
+
+If the demand stays as high, the debt lowers the share.
+"""
+
 LEAST_CHANGE: Final = 0.005
 BIN_COUNT: Final = 10
 ENOUGH_REQUESTS: Final = 20
@@ -63,7 +69,9 @@
 
 def is_new_share(known: float, share: float) -> bool:
     """Return whether a share differs enough from the known one to be sent."""
-    if (known == 1.0) != (share == 1.0):
+    if known == 1.0:
+        return share < FIRST_SHARE
+    if share == 1.0:
         return True
     return abs(share - known) > max(LEAST_CHANGE, CHANGE_PART * known)
 
--- a/tests/settings/test_template.py
+++ b/tests/settings/test_template.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from kingcuppond.quotas.bucket import QuotaBound
 from kingcuppond.settings.daemon import DaemonSettings
 from kingcuppond.settings.jsonc import parse_text
+from kingcuppond.settings_change import quota_bound
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "daemon.json"
 SECTION = re.compile(r"\{\{#([A-Za-z0-9.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
@@ -82,3 +84,20 @@
     fields = {"Bounds.Revoke": "5000ms", "Bounds.FailClosed": is_closed}
     settings = parse_text(render(**fields), "daemon.json", DaemonSettings).ok
     assert (settings.fail_closed, settings.revoke_seconds) == (is_closed, 5.0)
+
+
+def test_a_deployment_without_quotas_has_the_default_bound() -> None:
+    settings = parse_text(render(), "daemon.json", DaemonSettings).ok
+    assert quota_bound(settings) == QuotaBound(5.0, 0.1, 20.0)
+
+
+def test_the_bound_of_the_quotas() -> None:
+    fields = {"Bounds.QuotaWindow": "4s", "Bounds.QuotaOver": 0.2, "Bounds.QuotaSlack": 30}
+    settings = parse_text(render(**fields), "daemon.json", DaemonSettings).ok
+    assert quota_bound(settings) == QuotaBound(4.0, 0.2, 30)
+
+
+def test_a_window_of_no_length_is_refused() -> None:
+    """Guards against a division by it."""
+    fields = {"Bounds.QuotaWindow": "0s", "Bounds.QuotaOver": 0.2, "Bounds.QuotaSlack": 30}
+    assert parse_text(render(**fields), "daemon.json", DaemonSettings).is_error()
