--- a/kingcuppond/quotas/guard.py
+++ b/kingcuppond/quotas/guard.py
@@ -11,27 +11,22 @@
 from kingcuppond.organisations.organisation import Organisation
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quotas.bucket import Bucket, first_local_level, local_limits
-from kingcuppond.quotas.ledger import OrganisationCount
+from kingcuppond.quotas.ledger import OrganisationCount, QuotaPass
 from kingcuppond.quotas.members import organisation_id, shard_of
 from kingcuppond.quotas.peers import QuotaPeers
 from kingcuppond.routing.call import Answer, Call
 
-OVER_QUOTA: Final = "the organisation {name} is over its quota"
-UNCONFIRMED: Final = "no daemon confirms that the organisation {name} is within its quota"
 SHORTEST_WAIT_SECONDS: Final = 0.05
 """Shares change no sooner."""
 
+WAIT_STEPS_PER_SECOND: Final = 100
+OVER_QUOTA: Final = "the organisation is over its quota"
+UNCONFIRMED: Final = "no daemon confirms that the organisation is within its quota"
+
 SPACING_PART: Final = 0.2
 """Weight of the newest time between two requests in their average."""
 
 
-@attrs.frozen
-class QuotaPass:
-    """The admission of one request; ``None`` if its organisation is not limited."""
-
-    count: OrganisationCount | None
-
-
 UNLIMITED: Final[Result[QuotaPass, NotRun]] = Ok(QuotaPass(None))
 
 
@@ -51,6 +46,8 @@
     on_refused: Callable[[str], None]
     on_active: Callable[[], None]
     _counts_by_name: dict[str, OrganisationCount] = attrs.field(factory=dict)
+    _refusals: dict[int, Result[QuotaPass, NotRun]] = attrs.field(factory=dict)
+    _unconfirmed_refusals: dict[int, Result[QuotaPass, NotRun]] = attrs.field(factory=dict)
 
     def on_configuration_change(self) -> None:
         """Take over the rates."""
@@ -84,32 +81,32 @@
         if count is None:
             count = self._make_count(organisation.name, now)
         link = count.link
-        link.mark_changed(count)
-        wait: float | None = None
-        if link.is_silent(now) or self.peers.is_tiny_part(organisation):
+        if not count.is_dirty:
+            link.mark_changed(count)
+        since = link.unacked_since
+        if (since is not None and now - since > link.silent_seconds) or self.peers.is_tiny_part(
+            organisation
+        ):
             wait = self._admit_alone(organisation, count, now)
-        else:
+        elif link.shares_by_id and now < link.shares_until and count.id in link.shares_by_id:
             count.local = None
-            share = link.shares_by_id.get(count.id) if link.shares_by_id else None
-            if share is not None and now < link.shares_until:
-                wait = self._admit_share(count, share, now)
-            else:
-                count.arrived_at = None
+            wait = self._admit_share(count, link.shares_by_id[count.id], now)
+        else:
+            count.local = count.arrived_at = wait = None
         if wait is None:
             count.admitted += 1
-            return Ok(QuotaPass(count))
+            return count.passed
         count.refused += 1
         self.on_refused(organisation.name)
-        detail = (OVER_QUOTA if count.local is None else UNCONFIRMED).format(name=organisation.name)
-        wait = min(max(SHORTEST_WAIT_SECONDS, wait), self.peers.bound.window_seconds)
-        return Error(NotRun(Reason.QUOTA, detail, wait))
+        return self._refuse(wait, count.local is None)
 
     def credit(self, quota_pass: QuotaPass) -> None:
         """Give back the admission of a request that was not run and never will be."""
         count = quota_pass.count
         if count is not None:
             count.credited += 1
-            count.link.mark_changed(count)
+            if not count.is_dirty:
+                count.link.mark_changed(count)
 
     async def run(
         self,
@@ -133,6 +130,19 @@
             self.credit(admitted.ok)
         return result
 
+    def _refuse(self, wait: float, is_confirmed: bool) -> Result[QuotaPass, NotRun]:
+        """Return the refusal with a time; there is one object for each step of the time."""
+        longest = self.peers.bound.window_seconds
+        wait = SHORTEST_WAIT_SECONDS if wait < SHORTEST_WAIT_SECONDS else wait
+        steps = int((wait if wait < longest else longest) * WAIT_STEPS_PER_SECOND)
+        refusals = self._refusals if is_confirmed else self._unconfirmed_refusals
+        refusal = refusals.get(steps)
+        if refusal is None:
+            detail = OVER_QUOTA if is_confirmed else UNCONFIRMED
+            failure = NotRun(Reason.QUOTA, detail, steps / WAIT_STEPS_PER_SECOND)
+            refusal = refusals[steps] = Error(failure)
+        return refusal
+
     def _make_count(self, name: str, now: float) -> OrganisationCount:
         self.peers.refresh(now)
         id_ = organisation_id(name)
@@ -151,19 +161,23 @@
             return None
         # Requests that are refused are told to return one after the other, each when about as many
         # requests have arrived as are needed for one more admission.
-        wait = count.spacing / share if share else self.peers.bound.window_seconds
-        count.next_room = max(count.next_room, now) + wait
-        latest = now + self.peers.bound.window_seconds
-        count.next_room = min(count.next_room, latest)
+        longest = self.peers.bound.window_seconds
+        room = count.next_room if count.next_room > now else now
+        room += count.spacing / share if share else longest
+        count.next_room = room if room < now + longest else now + longest
         return count.next_room - now
 
     def _admit_alone(
         self, organisation: Organisation, count: OrganisationCount, now: float
     ) -> float | None:
         """Admit a request without a coordinator, or return the seconds until there is room."""
-        limits = local_limits(
-            organisation.rate_per_second, organisation.burst, self.peers.bound, self.peers.known
-        )
+        basis = (organisation, self.peers.known, self.peers.bound)
+        if count.local is None or count.local_basis != basis:
+            count.local_basis = basis
+            count.local_limits = local_limits(
+                organisation.rate_per_second, organisation.burst, self.peers.bound, basis[1]
+            )
+        limits = count.local_limits
         if count.local is None:
             # What no coordinator knows of may have been beyond this daemon's part.
             count.local = Bucket(now, first_local_level(count.unacked, limits))
--- a/kingcuppond/quotas/ledger.py
+++ b/kingcuppond/quotas/ledger.py
@@ -9,8 +9,10 @@
 from typing import Final
 
 import attrs
+from expression import Ok, Result
 
-from kingcuppond.quotas.bucket import Bucket
+from kingcuppond.outcomes import NotRun
+from kingcuppond.quotas.bucket import Bucket, Limits
 from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport
 
 SILENT_SECONDS: Final = 0.4
@@ -23,6 +25,15 @@
 RESEND_PART: Final = 0.5
 """Counts are reported again after this part of the time after which a coordinator is silent."""
 
+NO_LIMITS: Final = Limits(0.0, 0.0)
+
+
+@attrs.frozen
+class QuotaPass:
+    """The admission of a request; without counts if its organisation is not limited."""
+
+    count: "OrganisationCount | None"
+
 
 @attrs.define(eq=False)
 class OrganisationCount:
@@ -30,8 +41,12 @@
 
     :param acked: the part that a coordinator has acknowledged
     :param base: the counts at the start of the shard's epoch
+    :param is_dirty: whether the counts have changed since the latest report
+    :param passed: the result for all requests that are admitted, the same for each
     :param due: part of the next admission that earlier requests have saved up while a share applies
     :param local: bucket that applies while the coordinator is silent, ``None`` at other times
+    :param local_limits: limits of this bucket
+    :param local_basis: what they were made from
     :param arrived_at: time of the latest request while limited, monotonic, in seconds
     :param spacing: typical time between requests while limited, in seconds
     :param next_room: when the next refused request may return, monotonic time in seconds
@@ -49,6 +64,13 @@
     arrived_at: float | None = None
     spacing: float = 0.0
     next_room: float = 0.0
+    is_dirty: bool = False
+    local_limits: Limits = NO_LIMITS
+    local_basis: object = None
+    passed: Result[QuotaPass, NotRun] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.passed = Ok(QuotaPass(self))
 
     @property
     def total(self) -> Counts:
@@ -83,6 +105,8 @@
     :param shares_by_id: admitted share of each organisation that is limited
     :param version: the version of its shares, 0 if it has not set any
     :param shares_until: monotonic time in seconds until which the shares apply
+    :param unacked_since: time of the first report without an acknowledgement, ``None`` if all have
+        one; the coordinator is silent if that is more than ``silent_seconds`` ago
     """
 
     shard: int
@@ -91,13 +115,13 @@
     shares_by_id: dict[bytes, float] = attrs.field(factory=dict)
     version: int = 0
     shares_until: float = 0.0
+    unacked_since: float | None = None
     counts_by_id: dict[bytes, OrganisationCount] = attrs.field(factory=dict)
     _epoch: int = 0
     _seq: int = 0
     _is_first: bool = True
     _dirty: set[OrganisationCount] = attrs.field(factory=set)
     _sent_by_seq: dict[int, _Sent] = attrs.field(factory=dict)
-    _unacked_since: float | None = None
 
     def count(self, id_: bytes, rng: Random) -> OrganisationCount:
         """Return the counts of an organisation."""
@@ -113,13 +137,9 @@
 
     def mark_changed(self, count: OrganisationCount) -> None:
         """Have an organisation's counts reported."""
+        count.is_dirty = True
         self._dirty.add(count)
 
-    def is_silent(self, now: float) -> bool:
-        """Return whether the coordinator has not answered for too long."""
-        since = self._unacked_since
-        return since is not None and now - since > self.silent_seconds
-
     @property
     def has_news(self) -> bool:
         """Whether there is something to report or to wait for."""
@@ -142,9 +162,9 @@
         for count in self.counts_by_id.values():
             count.base = count.acked
             if count.total != count.acked:
-                self._dirty.add(count)
+                self.mark_changed(count)
         if not self._dirty:
-            self._unacked_since = None
+            self.unacked_since = None
 
     def make_report(self, now: float) -> QuotaReport | None:
         """Return the next report, or ``None`` if there is nothing to say."""
@@ -152,16 +172,20 @@
         for seq, sent in list(self._sent_by_seq.items()):
             if sent.at < resent_before:
                 del self._sent_by_seq[seq]
-                self._dirty.update(count for count, total in sent.totals if count.acked != total)
+                for count, total in sent.totals:
+                    if count.acked != total:
+                        self.mark_changed(count)
         if not self._dirty:
             return None
         self._seq += 1
         totals = [(count, count.total) for count in self._dirty]
         counts = {count.id: count.since_base() for count in self._dirty}
+        for count in self._dirty:
+            count.is_dirty = False
         self._dirty.clear()
         self._sent_by_seq[self._seq] = _Sent(now, totals)
-        if self._unacked_since is None:
-            self._unacked_since = now
+        if self.unacked_since is None:
+            self.unacked_since = now
         return QuotaReport(self.shard, self._epoch, self._seq, self._is_first, self.version, counts)
 
     def on_ack(self, sender: str, ack: QuotaAck, now: float, shares_until: float) -> None:
@@ -183,7 +207,7 @@
                     max(count.acked[1], total[1]),
                     max(count.acked[2], total[2]),
                 )
-        self._unacked_since = min((sent.at for sent in self._sent_by_seq.values()), default=None)
+        self.unacked_since = min((sent.at for sent in self._sent_by_seq.values()), default=None)
         if ack.permille_by_id is not None:
             self.set_shares(sender, ack.version, ack.permille_by_id, shares_until)
         elif ack.version == self.version:
--- a/kingcuppond/quotas/loop.py
+++ b/kingcuppond/quotas/loop.py
@@ -38,7 +38,7 @@
     registry: CollectorRegistry
     refused: Counter = attrs.field(init=False)
     limited: Gauge = attrs.field(init=False)
-    _names: set[str] = attrs.field(factory=set)
+    _counters_by_name: dict[str, Counter] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.refused = Counter(
@@ -55,12 +55,14 @@
 
     def count_refused(self, name: str) -> None:
         """Count a refused request; organisations beyond the first ones share a label."""
-        if name not in self._names:
-            if len(self._names) >= MAX_LABELS - 1:
-                name = OTHER_LABEL
-            else:
-                self._names.add(name)
-        self.refused.labels(name).inc()
+        counter = self._counters_by_name.get(name)
+        if counter is None:
+            is_full = len(self._counters_by_name) >= MAX_LABELS - 1
+            label = OTHER_LABEL if is_full else name
+            counter = self.refused.labels(label)
+            if not is_full:
+                self._counters_by_name[name] = counter
+        counter.inc()
 
 
 @attrs.define
--- a/kingcuppond/quotas/peers.py
+++ b/kingcuppond/quotas/peers.py
@@ -46,6 +46,7 @@
         self._stamp_ms = stamp_ms
         self._on_share = on_share
         self._next_report = 0.0
+        self._is_divided = False
         self._scale = 1.0
 
     @property
@@ -69,7 +70,7 @@
         The first request at each of many such parts would be too many, so none is admitted before
         it is counted.
         """
-        if self._roles.reachable >= self._roles.known:
+        if not self._is_divided:
             return False
         limits = fleet_limits(
             organisation.rate_per_second,
@@ -84,6 +85,7 @@
         """Follow changes of the members."""
         if not self._roles.refresh():
             return
+        self._is_divided = self._roles.reachable < self._roles.known
         self._scale = report_interval_seconds(self._roles.known) / INTERVAL_SECONDS
         for shard in range(SHARD_COUNT):
             coordinator = self._roles.coordinator(shard)
