--- a/kingcuppond/quotas/coordinator.py
+++ b/kingcuppond/quotas/coordinator.py
@@ -11,7 +11,7 @@
 
 from kingcuppond.organisations.organisation import Organisation
 from kingcuppond.quotas.bucket import Bucket, Limits, QuotaBound, fleet_limits
-from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport
+from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport, unpack_counts
 from kingcuppond.quotas.shares import DemandMeter, admitted_share, is_new_share
 
 REPORTER_SECONDS: Final = 60.0
@@ -94,7 +94,7 @@
         reporter.seqs.append(report.seq)
         reporter.version = report.version
         for id_, counts in report.counts_by_id.items():
-            self._count(reporter, id_, counts, now)
+            self._count(reporter, id_, unpack_counts(counts), now)
 
     def update(self, now: float) -> None:
         """Set the shares anew, and forget what is no longer needed."""
--- a/kingcuppond/quotas/ledger.py
+++ b/kingcuppond/quotas/ledger.py
@@ -13,7 +13,7 @@
 
 from kingcuppond.outcomes import NotRun
 from kingcuppond.quotas.bucket import Bucket, Limits
-from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport
+from kingcuppond.quotas.messages import NOTHING, Counts, QuotaAck, QuotaReport, pack_counts
 
 SILENT_SECONDS: Final = 0.4
 """A coordinator is silent if it has not acknowledged a report for as long.
@@ -179,7 +179,7 @@
             return None
         self._seq += 1
         totals = [(count, count.total) for count in self._dirty]
-        counts = {count.id: count.since_base() for count in self._dirty}
+        counts = {count.id: pack_counts(count.since_base()) for count in self._dirty}
         for count in self._dirty:
             count.is_dirty = False
         self._dirty.clear()
--- a/kingcuppond/quotas/messages.py
+++ b/kingcuppond/quotas/messages.py
@@ -11,9 +11,22 @@
 Counts = tuple[int, int, int]
 """Requests that were admitted, credited back and refused; none of them ever falls."""
 
+PackedCounts = int | Counts
+"""Counts of which the last two are 0 are sent as the first alone: 3 of 12 bytes less."""
+
 NOTHING: Final[Counts] = (0, 0, 0)
 
 
+def pack_counts(counts: Counts) -> PackedCounts:
+    """Return the short form of counts."""
+    return counts if counts[1] or counts[2] else counts[0]
+
+
+def unpack_counts(packed: PackedCounts) -> Counts:
+    """Return counts in full."""
+    return (packed, 0, 0) if isinstance(packed, int) else packed
+
+
 class QuotaReport(msgspec.Struct, frozen=True, array_like=True):
     """What a daemon has counted for the organisations of a shard.
 
@@ -29,7 +42,7 @@
     seq: int
     is_first: bool
     version: int
-    counts_by_id: dict[bytes, Counts]
+    counts_by_id: dict[bytes, PackedCounts]
 
 
 class QuotaAck(msgspec.Struct, frozen=True, array_like=True):
--- a/kingcuppond/quotas/shares.py
+++ b/kingcuppond/quotas/shares.py
@@ -32,8 +32,13 @@
 """Demand is measured over the shortest time with as many requests."""
 
 SHORTEST_BINS: Final = 3
-DAEMONS_PER_INTERVAL: Final = 100
-"""Fleets larger than this combine reports over longer periods."""
+SMALL_FLEET: Final = 100
+SECONDS_PER_DAEMON: Final = 0.0015
+"""By how much more daemons than in a small fleet lengthen the report interval.
+
+At 2,000 daemons with 115 calls per second each, 2 s gave 1,166 bytes per second and daemon; 1,024
+are allowed.
+"""
 
 INTERVAL_SECONDS: Final = 0.1
 
@@ -43,7 +48,7 @@
 
     :param known: the number of members of the fleet
     """
-    return INTERVAL_SECONDS * max(1.0, known / DAEMONS_PER_INTERVAL)
+    return INTERVAL_SECONDS + SECONDS_PER_DAEMON * max(0, known - SMALL_FLEET)
 
 
 def target_rate(level: float, limits: Limits) -> float:
