Quotas: shares of a dead coordinator are lifted by the next one

A daemon kept refusing by the shares of a dead coordinator for up to 6 s, also if the demand had ended, since a coordinator without shares sends none. Daemons now report that they have earlier ones.

--- a/kingcuppond/quotas/coordinator.py
+++ b/kingcuppond/quotas/coordinator.py
@@ -23,6 +23,9 @@
 SHARES_SECONDS: Final = 6.0
 """For as long shares apply after they were last confirmed."""
 
+SETTLING_SECONDS: Final = 1.0
+"""Time after which a new coordinator knows the demand."""
+
 PERMILLE: Final = 1000
 
 
@@ -140,7 +143,7 @@
         self.version += 1
         return shares
 
-    def take_acks(self) -> list[tuple[str, QuotaAck]]:
+    def take_acks(self, now: float) -> list[tuple[str, QuotaAck]]:
         """Return the acknowledgements that are due, with their receivers."""
         acks = []
         for vm, reporter in list(self._reporters_by_vm.items()):
@@ -148,9 +151,11 @@
                 del self._reporters_by_vm[vm]
                 acks.append((vm, QuotaAck(self.shard, reporter.epoch, (), self.version)))
             elif reporter.seqs:
-                # Without shares, a daemon that knows of none has nothing to learn.
                 shares = None if reporter.version == self.version else self.permille_by_id()
-                if not shares and not reporter.version:
+                # A daemon that knows of no shares has nothing to learn from none.  One that has
+                # those of an earlier coordinator keeps them until the demand is known here.
+                is_settled = now - self.since >= SETTLING_SECONDS
+                if not shares and not (reporter.version and is_settled):
                     shares = None
                 ack = QuotaAck(
                     self.shard, reporter.epoch, tuple(reporter.seqs), self.version, shares
--- a/kingcuppond/quotas/ledger.py
+++ b/kingcuppond/quotas/ledger.py
@@ -25,6 +25,9 @@
 RESEND_PART: Final = 0.5
 """Counts are reported again after this part of the time after which a coordinator is silent."""
 
+EARLIER_VERSION: Final = 1
+"""Reported by a daemon that still has the shares of an earlier coordinator."""
+
 NO_LIMITS: Final = Limits(0.0, 0.0)
 
 
@@ -186,7 +189,10 @@
         self._sent_by_seq[self._seq] = _Sent(now, totals)
         if self.unacked_since is None:
             self.unacked_since = now
-        return QuotaReport(self.shard, self._epoch, self._seq, self._is_first, self.version, counts)
+        version = self.version
+        if not version and self.shares_by_id and now < self.shares_until:
+            version = EARLIER_VERSION
+        return QuotaReport(self.shard, self._epoch, self._seq, self._is_first, version, counts)
 
     def on_ack(self, sender: str, ack: QuotaAck, now: float, shares_until: float) -> None:
         """Take over an acknowledgement.
--- a/kingcuppond/quotas/members.py
+++ b/kingcuppond/quotas/members.py
@@ -93,15 +93,20 @@
     _coordinators: list[str] = attrs.field(factory=list)
     _rings: dict[str, list[str]] = attrs.field(factory=dict)
     _data_centres: dict[str, str] = attrs.field(factory=dict)
+    _leaving: frozenset[str] = frozenset()
 
     def refresh(self) -> bool:
         """Follow the members; return whether they have changed."""
         if self.members.generation == self._generation:
             return False
         self._generation = self.members.generation
-        self._data_centres = self.members.reachable()
-        self.reachable, self.known = len(self._data_centres), self.members.known
-        leaving = self.members.leaving()
+        self.known = self.members.known
+        reachable, leaving = self.members.reachable(), self.members.leaving()
+        if self._coordinators and (reachable, leaving) == (self._data_centres, self._leaving):
+            # Most changes concern the servers of members only.
+            return True
+        self._data_centres, self._leaving = reachable, leaving
+        self.reachable = len(reachable)
         candidates = [vm for vm in self._data_centres if vm not in leaving] or [self.vm]
         self._coordinators = [
             max(candidates, key=lambda vm: rendezvous_hash(f"quota-{shard}", vm))
--- a/kingcuppond/quotas/peers.py
+++ b/kingcuppond/quotas/peers.py
@@ -143,7 +143,7 @@
                 self._on_shares(self.links[shard], message, now)
         elif not coordinator.has_reporters:
             del self.coordinators_by_shard[shard]
-        for vm, ack in coordinator.take_acks():
+        for vm, ack in coordinator.take_acks(now):
             self._send(vm, ack, now)
 
     def _on_shares(self, link: ShardLink, message: QuotaShares, now: float) -> None:
--- a/tests/quotas/test_guard.py
+++ b/tests/quotas/test_guard.py
@@ -239,6 +239,22 @@
     assert report.is_first
 
 
+def test_a_new_coordinator_is_told_that_earlier_shares_still_apply(setup: Setup) -> None:
+    """Guards against shares of a dead coordinator that nobody lifts before they expire."""
+    setup.admit()
+    first = coordinator_of(setup)
+    setup.receive(first, QuotaShares(shard_of(ID), first, 7, {ID: 0}))
+    setup.members.suspected.add(first)
+    setup.members.generation += 1
+    setup.tick()
+    assert setup.admit().is_error(), "until the new one knows better"
+    setup.tick()
+    assert [report.version for report in setup.reports()] == [1, 1]
+    lifted = ack(setup.reports()[-1], version=9, permille_by_id={})
+    setup.receive(coordinator_of(setup), lifted)
+    assert setup.admit().is_ok()
+
+
 def test_shards_have_different_coordinators(setup: Setup) -> None:
     setup.admit()
     assert len({link.coordinator for link in setup.guard.peers.links}) > SHARD_COUNT // 2
