--- a/tests/quotas/test_coordinator.py
+++ b/tests/quotas/test_coordinator.py
@@ -40,7 +40,7 @@
 
 def test_reports_count_once_in_any_order(coordinator: ShardCoordinator) -> None:
     """Guards against a report that counts twice, or takes back a later one."""
-    for counts in ((5, 0, 0), (9, 2, 0), (5, 0, 0), (9, 2, 0)):
+    for counts in ((5, 0, 0), (9, 2, 0), (9, 2, 0), (5, 0, 0)):
         coordinator.on_report("vm-1", report(1, counts), 0.0)
     assert level(coordinator) == -7
 
