--- a/kingcuppond/quotas/peers.py
+++ b/kingcuppond/quotas/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.organisations.organisation import Organisation
 from kingcuppond.quotas.bucket import QuotaBound, fleet_limits
 from kingcuppond.quotas.coordinator import RENEWAL_SECONDS, SHARES_SECONDS, ShardCoordinator
@@ -87,6 +88,11 @@
             return
         self._is_divided = self._roles.reachable < self._roles.known
         self._scale = report_interval_seconds(self._roles.known) / INTERVAL_SECONDS
+        if not self.links:
+            # All daemons get the first rate at the same time; reports that all arrive together
+            # would look like a surge.
+            phase = rendezvous_hash("quota-phase", self._vm)[0] / 256
+            self._next_report = now + INTERVAL_SECONDS * self._scale * phase
         for shard in range(SHARD_COUNT):
             coordinator = self._roles.coordinator(shard)
             if len(self.links) == shard:
