--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -119,8 +119,8 @@
         link.shares_by_id = dict.fromkeys(guard.peers.organisations_by_id, 0.2)
         link.shares_until = 100.0
     limited = best_microseconds(decide(1.0))
-    guard.peers.tick(1.0)
-    alone = best_microseconds(decide(1.0 + 2 * SILENT_SECONDS))
+    guard.peers.tick(2.0)
+    alone = best_microseconds(decide(2.0 + 2 * SILENT_SECONDS))
     return found, unlimited, limited, alone
 
 
