A call that a server shed is retried in a new round of gates, at no cost until one receives it

Callers got 503 after one arrival at a server although seconds of the deadline were left. A call is shed mostly as a last resort, when four gates have already been asked: its retry was taken from the call's and the service's budgets, and then the round was over and the refusal was returned.

A retry now starts a new round without the servers that received the call, is given back if none receives it, and may wait in the backlog. A call with less time left than its typical latency is not retried. The shares of the budget are unchanged, so the platform's bound holds as before.

--- a/kingcuppond/routing/repeats.py
+++ b/kingcuppond/routing/repeats.py
@@ -105,6 +105,14 @@
             return False
         return self.repeats.take(rng)
 
+    def give_back(self) -> None:
+        """Return what a repeat took that no server has received.
+
+        A whole token is exact also where a part was taken: that was granted with the probability of
+        the part.  What exceeds the capacity is lost with the next call.
+        """
+        self.repeats.tokens += 1.0
+
 
 def allowance_of_daemon(fleet_allowance: float, members: int) -> float:
     """Return a daemon's part of the fleet's allowance, in tokens.
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -4,7 +4,9 @@
 call.  Every retry takes one from the call's own retry budget, which is sent with the call and
 shared with its nested calls (so a call tree of depth d with budget b makes at most d * (1 + b)
 attempts along any chain).  It also takes one from the daemon's budget of repeats for the service,
-as a hedge does (see ``kingcuppond.routing.repeats``).
+as a hedge does (see ``kingcuppond.routing.repeats``).  A retry starts a new round of gates without
+the servers that already received the call; what it took is given back if no further server receives
+the call.
 
 A refusal by a gate costs no server any work and takes nothing from these budgets.  Refusals are
 bounded by the number of gates that are asked in a round.  If all are full, the call waits in a
@@ -75,7 +77,9 @@
     """The retry state of one call.
 
     :param retries_left: further attempts that may reach a server
-    :param tried: VMs that were asked in this round
+    :param tried: VMs that were asked in this round, and those in ``received``
+    :param received: VMs whose server received the call, and which get it no second time in a round
+    :param has_unused_retry: a retry was taken from the budgets, and no server has received it yet
     :param late_candidates: servers that refused the call as full or too late for the target, but
         may accept it as a last resort
     :param error_answer: a 5xx answer, returned if no retry gives a better one
@@ -83,6 +87,8 @@
 
     retries_left: int
     tried: set[str] = attrs.field(factory=set)
+    received: set[str] = attrs.field(factory=set)
+    has_unused_retry: bool = False
     late_candidates: list[Candidate] = attrs.field(factory=list)
     error_answer: Answer | None = None
 
@@ -134,7 +140,10 @@
         progress = _CallProgress(call.retry_budget)
         while True:
             result = await self._run_round(call, progress)
-            if result.is_ok() or result.error.reason is not Reason.FULL or call.body.is_consumed:
+            if result.is_ok() or call.body.is_consumed:
+                break
+            is_waiting_useful = isinstance(result.error, NotRun) and progress.has_unused_retry
+            if not is_waiting_useful and result.error.reason is not Reason.FULL:
                 break
             if (
                 self.backlog >= MAX_BACKLOG
@@ -144,7 +153,13 @@
             await self._wait_in_backlog(backoff)
             backoff = min(backoff * 2, MAX_BACKLOG_BACKOFF_SECONDS)
             call = attrs.evolve(call, id=self.next_id())
-            progress = _CallProgress(progress.retries_left, error_answer=progress.error_answer)
+            progress = _CallProgress(
+                progress.retries_left,
+                has_unused_retry=progress.has_unused_retry,
+                error_answer=progress.error_answer,
+            )
+        if progress.has_unused_retry:
+            self._repeat_budget(call.service).give_back()
         if result.is_error() and progress.error_answer is not None:
             return Result.Ok(progress.error_answer)
         return result
@@ -154,7 +169,8 @@
         failure: Failure | None = None
         while True:
             candidate = self._choose(call, progress.tried)
-            is_round_over = len(progress.tried) >= MAX_SERVERS_PER_ROUND or candidate is None
+            asked = len(progress.tried) - len(progress.received)
+            is_round_over = asked >= MAX_SERVERS_PER_ROUND or candidate is None
             if is_round_over and progress.late_candidates and not call.body.is_consumed:
                 candidate = self._take_best_late_candidate(progress)
                 call = attrs.evolve(call, id=self.next_id(), is_last_resort=True)
@@ -162,7 +178,11 @@
                 return Error(failure or self._no_candidate_failure(call))
             progress.tried.add(candidate.vm)
             call = attrs.evolve(call, retry_budget=progress.retries_left)
+            asked_before = progress.tried - {candidate.vm}
             result = await self._run_hedged(call, candidate, progress)
+            if result.is_ok() or not _was_refused_before_server(result.error):
+                progress.has_unused_retry = False
+                progress.received |= progress.tried - asked_before
             if result.is_ok():
                 if not self._may_retry_error_answer(call, result.ok, progress):
                     return result
@@ -173,6 +193,8 @@
                     call, candidate, failure, progress
                 ):
                     return result
+                if progress.has_unused_retry:
+                    call = attrs.evolve(call, is_last_resort=False)
             call = attrs.evolve(call, id=self.next_id())
 
     def _may_try_another(
@@ -182,13 +204,16 @@
 
         If so, a retry is taken from the budgets, unless no server received the call.
         """
-        if failure.reason in REFUSED_BEFORE_SERVER_REASONS and isinstance(failure, NotRun):
+        if _was_refused_before_server(failure):
             if failure.reason in LAST_RESORT_REASONS and not call.is_last_resort:
                 progress.late_candidates.append(candidate)
             return not call.is_last_resort
         if not self._may_retry(call, failure, progress):
             return False
         progress.retries_left -= 1
+        progress.has_unused_retry = True
+        # The round may be over, with a last resort that its server shed: a retry needs a new one.
+        progress.tried = set(progress.received)
         self._record_retry(call, failure.reason.value, progress)
         return True
 
@@ -210,6 +235,7 @@
         if not self._repeat_budget(call.service).take(may_have_run=True, rng=self.rng):
             return False
         progress.retries_left -= 1
+        progress.has_unused_retry = True
         self._record_retry(call, f"status {answer.status}", progress)
         return True
 
@@ -269,6 +295,9 @@
             return False
         if isinstance(failure, Unknown) and not call.is_repeatable:
             return False
+        now = self.clock.monotonic()
+        if now + self.sender.typical_seconds(call.class_name) > call.deadline:
+            return False
         may_have_run = isinstance(failure, Unknown)
         return self._repeat_budget(call.service).take(may_have_run, self.rng)
 
@@ -305,3 +334,7 @@
         if call.retry_budget < 1 or call.is_on_trial:
             return None
         return max(HEDGE_MIN_SECONDS, HEDGE_LATENCY_RATIO * typical_seconds)
+
+
+def _was_refused_before_server(failure: Failure) -> bool:
+    return isinstance(failure, NotRun) and failure.reason in REFUSED_BEFORE_SERVER_REASONS
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,14 +1,23 @@
-"""What a daemon may spend on repeats does not grow when it is cut off from the others."""
+"""Which servers a call that was not run is sent to next, and what its retries cost."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any, cast
 
+import attrs
+import pytest
+from expression import Error, Ok, Result
+
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import DEAD_AFTER_SECONDS, Directory
-from kingcuppond.membership.messages import Member, Suspicion
-from kingcuppond.routing.router import Router
+from kingcuppond.membership.messages import Member, ServerState, Suspicion
+from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.routing.call import Answer, Body, Call
+from kingcuppond.routing.choice import Candidate
+from kingcuppond.routing.router import MAX_SERVERS_PER_ROUND, Router
+from kingcuppond.typical_latency import TypicalLatencies
 from tests.conftest import FakeTime
 
 
@@ -41,3 +50,146 @@
     directory.expire_suspicions()
     assert directory.living_count == 1
     assert router.repeat_allowance() == before
+
+
+TYPICAL_SECONDS = 0.1
+SHED = NotRun(Reason.SHED_BY_SERVER, "the server's queue is full")
+FULL = NotRun(Reason.FULL, "all slots are in use")
+
+Respond = Callable[[Call, int], Failure | None]
+"""Returns how the n-th attempt of a call ends, ``None`` if it is answered."""
+
+
+@attrs.define
+class FakeSender:
+    """Takes the place of the gates and servers.
+
+    :param sent: VM and attempt, in order
+    """
+
+    respond: Respond
+    sent: list[tuple[str, Call]] = attrs.field(factory=list)
+    typical_latencies: TypicalLatencies = attrs.field(factory=TypicalLatencies)
+
+    def typical_seconds(self, _class_name: str) -> float:
+        return TYPICAL_SECONDS
+
+    async def attempt(self, call: Call, candidate: Candidate) -> Result[Answer, Failure]:
+        self.sent.append((candidate.vm, call))
+        failure = self.respond(call, len(self.sent))
+        return Ok(Answer(200, ())) if failure is None else Error(failure)
+
+
+@attrs.define
+class Setting:
+    """A router of a service with nine servers, and a call."""
+
+    router: Router
+    sender: FakeSender
+    call: Call
+
+    async def run(self) -> Result[Answer, Failure]:
+        return await self.router.run(self.call)
+
+    def spent(self) -> int:
+        """Return the repeats taken from the budget; one call refills less than one."""
+        tokens = self.router.repeat_budgets_by_service["shop"].repeats.tokens
+        return round(self.router.repeat_allowance() - tokens)
+
+
+@pytest.fixture
+def make_setting(
+    clock: Clock, journal: Journal, fake_time: FakeTime
+) -> Callable[[Respond], Setting]:
+    def make(respond: Respond) -> Setting:
+        directory = Directory(make_member("me"), clock, journal)
+        for i in range(9):
+            member = attrs.evolve(make_member(f"vm-{i}"), state=ServerState.WARM)
+            directory.merge(member)
+        sender = FakeSender(respond)
+        router = Router(
+            directory,
+            Configuration(journal),
+            cast(Any, sender),
+            clock,
+            journal,
+            Random(1),
+            lambda: "id",
+            detour_seconds=0.0,
+            fleet_retries=2000.0,
+            is_hedging=False,
+        )
+        now = fake_time.read()
+        call = Call("c", "read", "shop", "POST", "/", (), Body(), now + 4.0, 1, 3, True, "f")
+        return Setting(router, sender, attrs.evolve(call, target_at=now + 0.5))
+
+    return make
+
+
+async def test_a_call_shed_as_a_last_resort_goes_to_another_server(
+    make_setting: Callable[[Respond], Setting],
+) -> None:
+    """Guards against a retry that is paid for and not made, as the round of gates is over."""
+
+    def respond(call: Call, attempt: int) -> Failure | None:
+        if attempt <= MAX_SERVERS_PER_ROUND:
+            return FULL
+        return SHED if call.is_last_resort else None
+
+    setting = make_setting(respond)
+    assert (await setting.run()).is_ok()
+    assert len(setting.sender.sent) == MAX_SERVERS_PER_ROUND + 2
+    (shed_vm, _), (served_vm, served) = setting.sender.sent[-2:]
+    assert served_vm != shed_vm
+    assert not served.is_last_resort, "the gate of another server refuses if it has no room"
+    assert setting.spent() == 1
+
+
+async def test_servers_that_shed_are_not_asked_again_in_the_round(
+    make_setting: Callable[[Respond], Setting],
+) -> None:
+    setting = make_setting(lambda call, attempt: SHED)
+    assert (await setting.run()).error.reason is Reason.SHED_BY_SERVER
+    vms = [vm for vm, _ in setting.sender.sent]
+    assert len(vms) == len(set(vms)) == 1 + setting.call.retry_budget
+    assert setting.spent() == 3
+
+
+async def test_a_retry_that_reaches_no_server_costs_nothing(
+    make_setting: Callable[[Respond], Setting], fake_time: FakeTime
+) -> None:
+    """Guards against budgets that full gates use up, so that calls shed later are not retried."""
+
+    def respond(_call: Call, attempt: int) -> Failure | None:
+        fake_time.advance(0.005)
+        return SHED if attempt == 1 else FULL
+
+    setting = make_setting(respond)
+    assert (await setting.run()).error.reason is Reason.FULL
+    assert setting.spent() == 0
+
+
+async def test_a_paid_retry_waits_in_the_backlog_for_room(
+    make_setting: Callable[[Respond], Setting],
+) -> None:
+    def respond(_call: Call, attempt: int) -> Failure | None:
+        if attempt == 1:
+            return SHED
+        return NotRun(Reason.LEAVING, "leaving") if attempt <= 10 else None
+
+    setting = make_setting(respond)
+    assert (await setting.run()).is_ok()
+    assert setting.spent() == 1
+
+
+async def test_a_call_without_time_for_an_answer_is_not_retried(
+    make_setting: Callable[[Respond], Setting], fake_time: FakeTime
+) -> None:
+    def respond(_call: Call, _attempt: int) -> Failure | None:
+        fake_time.advance(4.0 - TYPICAL_SECONDS / 2)
+        return SHED
+
+    setting = make_setting(respond)
+    assert (await setting.run()).error.reason is Reason.SHED_BY_SERVER
+    assert len(setting.sender.sent) == 1
+    assert setting.spent() == 0
