The gate's queue is ordered by what a call can still reach, and shared fairly among organisations

At a full gate calls waited by priority and deadline: the status kind, whose deadline is shortest, displaced the others of its priority; a call that could only be late took the slot of one in time; an organisation's burst displaced the calls of all others; and a waiting call that could not meet its deadline was refused only when it had passed.

gate/queueing.py decides without input, output or clock: priority, calls of servers first, calls that can be in time first, the organisation with the fewest recent starts, the least time left to the target. The refused call is of the organisation with the most waiting calls in the least urgent priority. gate/admission.py keeps the futures.

--- a/kingcuppond/gate/admission.py
+++ b/kingcuppond/gate/admission.py
@@ -1,18 +1,15 @@
 """Admission control for one server: which calls run now, which wait, and which are refused.
 
 No call starts while as many calls as the limit are in flight, whichever daemons send them.  This is
-the only exact bound in the system.  A few calls may wait, ordered by the priority of their class
-and then by deadline.  When too many wait, one call of the least urgent priority is refused, from
-the class with the most waiting calls there, so that no class starves another.  A waiting call is
-also refused once its deadline has passed.  A refused call was not run.
+the only exact bound in the system.  A few calls may wait; their order, and which of them is refused
+when too many wait, are decided by ``kingcuppond.gate.queueing``.  A waiting call is refused as soon
+as it can't meet its deadline any more.  A refused call was not run.
 
 At most one call on trial (see ``kingcuppond.quarantine``) is in flight at a time.
 """
 
 import asyncio
-import heapq
 import math
-from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -21,6 +18,14 @@
 
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.gate.concurrency_limit import ConcurrencyLimit
+from kingcuppond.gate.queueing import (
+    RecentStarts,
+    Standing,
+    WaitingCall,
+    call_to_refuse,
+    hopeless_calls,
+    next_call,
+)
 from kingcuppond.outcomes import NotRun, Reason
 
 MAX_WAITING_PER_SLOT: Final = 0.5
@@ -29,6 +34,8 @@
 MAX_WAITING_PER_ADAPTIVE_SLOT: Final = 4.0
 """An adaptive limit may be far below the server's capacity, so more of a burst is queued."""
 
+NO_STANDING: Final = Standing()
+
 COLD_RATE_REFUSAL: Final = NotRun(
     Reason.FULL, "the server is cold and its call rate is used up for this second"
 )
@@ -42,11 +49,9 @@
     :param level: calls in flight when the call was granted, including it
     """
 
-    class_name: str
-    deadline: float
+    call: WaitingCall
     is_on_trial: bool
     decision: "asyncio.Future[NotRun | None]"
-    priority: int = 0
     level: int = 0
     was_at_limit: bool = False
     is_released: bool = False
@@ -67,14 +72,14 @@
     rate_limiter: ColdRateLimiter
     in_flight: int = 0
     trials_in_flight: int = 0
-    _heap: list[tuple[int, float, int, Ticket]] = attrs.field(factory=list)
-    _waiting_by_class: Counter[str] = attrs.field(factory=Counter)
-    _enqueued_count: int = 0
+    _queue: dict[WaitingCall, Ticket] = attrs.field(factory=dict)
+    _starts: RecentStarts = attrs.field(factory=RecentStarts)
+    _arrivals: int = 0
 
     @property
     def waiting(self) -> int:
         """Number of queued calls."""
-        return self._waiting_by_class.total()
+        return len(self._queue)
 
     async def acquire(
         self,
@@ -83,28 +88,33 @@
         is_on_trial: bool,
         priority: int = 0,
         queue_timeout_seconds: float = math.inf,
+        standing: Standing = NO_STANDING,
     ) -> Result[Ticket, NotRun]:
         """Wait until the call may run.
 
         :param deadline: monotonic time by which the answer is due
         :param queue_timeout_seconds: longest wait for a slot, even if the deadline is later, since
             the calls that hold the slots may never end, or may themselves wait for this call
+        :param standing: what the call's place in the queue depends on beside its priority
         :return: a ticket, to be returned with :meth:`release`, or why the call was not run
         """
         refusal = self.refusal()
         if refusal is not None:
             return Error(refusal)
+        self._arrivals += 1
+        call = WaitingCall(class_name, priority, deadline, self._arrivals, standing)
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
-        ticket = Ticket(class_name, deadline, is_on_trial, future, priority)
+        ticket = Ticket(call, is_on_trial, future)
         if not self.rate_limiter.may_start():
             return Error(COLD_RATE_REFUSAL)
         if self._can_run(ticket) and not self.waiting:
             self._grant(ticket)
             return Ok(ticket)
-        self._enqueue(ticket)
+        self._queue[call] = ticket
         self._shed()
+        max_seconds = min(queue_timeout_seconds, call.latest_start - self.now())
         try:
-            async with asyncio.timeout(max(0.0, min(queue_timeout_seconds, deadline - self.now()))):
+            async with asyncio.timeout(max(0.0, max_seconds)):
                 refused = await future
         except TimeoutError:
             refused = self._queue_timeout_refusal(ticket)
@@ -128,26 +138,27 @@
     def process_queue(self) -> None:
         """Grant or refuse waiting calls after a change of the limit or of the gate's state."""
         refusal = self.refusal()
-        skipped = []
-        while self._heap and (refusal is not None or self.in_flight < self.limit.limit):
-            entry = heapq.heappop(self._heap)
-            ticket = entry[-1]
-            if ticket.decision.done():
-                continue
-            if refusal is not None:
-                self._refuse(ticket, refusal)
-            elif self._is_past_deadline(ticket):
-                self._refuse(ticket, NotRun(Reason.DEADLINE, "no time is left to run the call"))
-            elif not self.rate_limiter.may_start():
+        if refusal is not None:
+            for call in self._undecided():
+                self._refuse(self._queue[call], refusal)
+            return
+        for call in hopeless_calls(self._undecided(), self.now()):
+            self._refuse(self._queue[call], self._too_late_refusal())
+        while self.in_flight < self.limit.limit:
+            runnable = [it for it in self._undecided() if self._can_run(self._queue[it])]
+            if not runnable:
+                return
+            ticket = self._queue[next_call(runnable, self._starts, self.now())]
+            if not self.rate_limiter.may_start():
                 self._refuse(ticket, COLD_RATE_REFUSAL)
-            elif self._can_run(ticket):
-                self._waiting_by_class[ticket.class_name] -= 1
-                self._grant(ticket)
-                ticket.decision.set_result(None)
-            else:
-                skipped.append(entry)
-        for entry in skipped:
-            heapq.heappush(self._heap, entry)
+                continue
+            del self._queue[ticket.call]
+            self._grant(ticket)
+            ticket.decision.set_result(None)
+
+    def _undecided(self) -> list[WaitingCall]:
+        """Return the waiting calls, without those whose wait was just cancelled."""
+        return [call for call, ticket in self._queue.items() if not ticket.decision.done()]
 
     def _can_run(self, ticket: Ticket) -> bool:
         if ticket.is_on_trial and self.trials_in_flight:
@@ -155,53 +166,39 @@
         return self.in_flight < self.limit.limit
 
     def _queue_timeout_refusal(self, ticket: Ticket) -> NotRun:
-        if self._is_past_deadline(ticket):
-            return NotRun(Reason.DEADLINE, "the deadline passed while the call waited at the gate")
+        if hopeless_calls([ticket.call], self.now()):
+            return self._too_late_refusal()
         return NotRun(Reason.FULL, "no slot became free within the queue timeout")
 
-    def _is_past_deadline(self, ticket: Ticket) -> bool:
-        return self.now() >= ticket.deadline
+    def _too_late_refusal(self) -> NotRun:
+        return NotRun(Reason.DEADLINE, "no time is left to run the call")
 
     def _grant(self, ticket: Ticket) -> None:
         self.in_flight += 1
+        self._starts.record(ticket.call.standing.organisation, self.now())
         self.rate_limiter.record_start()
         self.trials_in_flight += ticket.is_on_trial
         ticket.level = self.in_flight
         ticket.was_at_limit = self.in_flight >= self.limit.limit
 
-    def _enqueue(self, ticket: Ticket) -> None:
-        self._enqueued_count += 1
-        heapq.heappush(self._heap, (ticket.priority, ticket.deadline, self._enqueued_count, ticket))
-        self._waiting_by_class[ticket.class_name] += 1
-
     def _shed(self) -> None:
         per_slot = MAX_WAITING_PER_ADAPTIVE_SLOT if self.limit.is_adaptive else MAX_WAITING_PER_SLOT
         if self.waiting <= max(1.0, per_slot * self.limit.limit):
             return
-        waiting = [entry[-1] for entry in self._heap if not entry[-1].decision.done()]
-        least_urgent = max(
-            waiting,
-            key=lambda ticket: (
-                ticket.priority,
-                self._waiting_by_class[ticket.class_name],
-                ticket.deadline,
-            ),
-        )
+        refused = call_to_refuse(self._undecided(), self._starts, self.now())
         self._refuse(
-            least_urgent,
+            self._queue[refused],
             NotRun(Reason.FULL, "all slots of the server are in use and its queue is full"),
         )
 
     def _refuse(self, ticket: Ticket, refusal: NotRun) -> None:
-        self._waiting_by_class[ticket.class_name] -= 1
+        del self._queue[ticket.call]
         ticket.decision.set_result(refusal)
 
     def _abandon(self, ticket: Ticket) -> None:
         # The call was refused, cancelled or timed out.  If it was not decided on, it leaves the
         # queue; a grant that arrived meanwhile is released.
-        if not ticket.decision.done() or ticket.decision.cancelled():
-            if not ticket.decision.done():
-                ticket.decision.cancel()
-            self._waiting_by_class[ticket.class_name] -= 1
-        elif ticket.decision.result() is None:
+        if self._queue.pop(ticket.call, None) is not None:
+            ticket.decision.cancel()
+        elif not ticket.decision.cancelled() and ticket.decision.result() is None:
             self.release(ticket)
--- a/kingcuppond/gate/deadline_check.py
+++ b/kingcuppond/gate/deadline_check.py
@@ -14,6 +14,7 @@
 
 from kingcuppond.gate.admission import MAX_WAITING_PER_ADAPTIVE_SLOT, Admission
 from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.queueing import Standing
 from kingcuppond.outcomes import NotRun, Reason
 from kingcuppond.routing.call import Call
 from kingcuppond.typical_latency import TypicalLatencies
@@ -104,6 +105,15 @@
             return math.inf
         return max(MIN_QUEUE_TIMEOUT_SECONDS, QUEUE_TIMEOUT_RATIO * self._typical_seconds(call))
 
+    def standing(self, call: Call) -> Standing:
+        """Return what the call's place in the queue depends on."""
+        return Standing(
+            call.organisation,
+            call.depth > 1,
+            call.target_at,
+            self.typical_latencies.seconds_by_class.get(call.class_name, 0.0),
+        )
+
     def _typical_seconds(self, call: Call) -> float:
         known = self.typical_latencies.seconds_by_class.get(call.class_name)
         if known is not None:
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -260,6 +260,7 @@
             is_on_trial,
             call.priority,
             self.deadline_check.queue_timeout_seconds(call),
+            self.deadline_check.standing(call),
         )
         if admitted.is_error():
             return Error(self._record_refusal(call, admitted.error))
--- a/tests/gate/test_admission.py
+++ b/tests/gate/test_admission.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 from expression import Result
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.gate.concurrency_limit import ConcurrencyLimit
+from kingcuppond.gate.queueing import Standing
 from kingcuppond.outcomes import NotRun, Reason
 
 
@@ -143,3 +145,36 @@
     refusal.reason = NotRun(Reason.LEAVING, "leaving")
     admission.process_queue()
     assert (await waiting).error.reason is Reason.LEAVING
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+async def test_a_slot_that_becomes_free_as_a_wait_is_cancelled_goes_to_the_next(
+    is_leaving: bool,
+) -> None:
+    """Guards against a decision on a call that was cancelled and has not yet left the queue."""
+    refusal = Refusal()
+    admission = make_admission(1, refusal)
+    end = asyncio.get_running_loop().time() + 60
+    first = await admission.acquire("a", end, False)
+    cancelled, waiting = [asyncio.create_task(admission.acquire("a", end, False)) for _ in range(2)]
+    await asyncio.sleep(0)
+    cancelled.cancel()
+    if is_leaving:
+        refusal.reason = NotRun(Reason.LEAVING, "leaving")
+    admission.release(first.ok)
+    await asyncio.wait({cancelled, waiting})
+    assert cancelled.cancelled()
+    assert (await waiting).is_error() == is_leaving
+    assert (admission.in_flight, admission.waiting) == (int(not is_leaving), 0)
+
+
+async def test_a_call_is_refused_as_soon_as_it_cannot_meet_its_deadline() -> None:
+    """Guards against a refusal at the deadline, which leaves the caller no time to try again."""
+    admission = make_admission(1)
+    loop = asyncio.get_running_loop()
+    end = loop.time() + 60
+    await admission.acquire("a", end, False)
+    refused = await admission.acquire("a", end, False, standing=Standing(run_seconds=59.98))
+    assert refused.error.reason is Reason.DEADLINE
+    assert loop.time() < end - 59
+    assert admission.waiting == 0
