A last resort that would wait for a slot only to be late is refused

In an overload all slots stayed busy with calls that could only be late, since a last resort was queued whenever its deadline allowed it, and deadlines are five to ten times the targets. A full gate now queues a last resort only if it can still meet its target; a free slot still gives a late answer. Gates with an adaptive limit queue as before.

--- a/kingcuppond/gate/deadline_check.py
+++ b/kingcuppond/gate/deadline_check.py
@@ -56,22 +56,26 @@
 
         A call is refused if it would miss its target or its deadline, or if all slots are in use
         and the limit is not adaptive, since another server may serve it sooner.  A last resort is
-        refused only if it would miss its deadline.
+        refused only if it would miss its deadline, or if it would wait for a slot and then miss its
+        target: a late answer is worth a free slot, but not one that a call in time would get.
         """
         is_full = self.admission.in_flight >= self.admission.limit.limit
         # An adaptive limit starts at one call; a queue keeps such a server in use.
-        if is_full and not call.is_last_resort and not self.admission.limit.is_adaptive:
+        is_slot_needed = is_full and not self.admission.limit.is_adaptive
+        if is_slot_needed and not call.is_last_resort:
             return NotRun(Reason.FULL, f"all slots of the server on {self.vm} are in use")
         if self.observer.load is None:
             return None
         expected_seconds = self._typical_seconds(call) * self.observer.slowdown
         if is_full:
             expected_seconds *= 1 + (self.admission.waiting + 1) / self.admission.limit.limit
-        due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
+        due = min(call.target_at, call.deadline)
+        if call.is_last_resort and not is_slot_needed:
+            due = call.deadline
         if self.admission.now() + expected_seconds <= due:
             return None
         detail = f"an answer would take {expected_seconds * 1000:.0f} ms on {self.vm}"
-        return NotRun(Reason.SERVER_SLOW, detail)
+        return NotRun(Reason.FULL if is_slot_needed else Reason.SERVER_SLOW, detail)
 
     async def wait_for_speed(self, call: Call) -> NotRun | None:
         """Delay a call that no other server takes until the machine is fast enough.
