Calls with less time left to the target go before the organisation with fewer recent starts

The count of an organisation's recent starts is never equal to another's, so that as the earlier criterion it decided alone: the kind with the tightest target lost its place in the queue, and the refused call was chosen by starts and not by its class. The time left now comes first, in steps of 0.1 s, and the class with the most waiting calls before the recent starts.

--- a/kingcuppond/gate/queueing.py
+++ b/kingcuppond/gate/queueing.py
@@ -7,13 +7,13 @@
 2. calls of servers before new requests: their request already holds a slot elsewhere, and its work
    is lost if they are refused;
 3. calls that can still meet their target before those that can only be late;
-4. the organisation of which the fewest calls have started lately;
-5. the least time left until an answer can still meet its target.
+4. the least time left until it must start to meet its target, in steps of 0.1 s;
+5. the organisation of which the fewest calls have started lately.
 
 A call without an organisation is not held against others: where there are organisations, it is one
-of a public route, such as the calls that servers make themselves.  The call that is refused when
-too many wait is found in the opposite way, but first among the organisation, and then the class,
-with the most waiting calls, so that a burst displaces its own calls and not those of others.
+of a public route, such as the calls that servers make themselves.  When too
+many wait, the refused call is one of the least urgent priority, of the organisation and then of the
+class with the most waiting calls there, so that a burst displaces its own calls and not others.
 
 A scan of the queue is enough, as it holds few calls for each slot.
 """
@@ -29,6 +29,10 @@
 """Time in which the weight of a start falls to about a third; as long as the platform's window for
 retries, so that an organisation's burst counts for as long as its repeats do."""
 
+URGENCY_STEP_SECONDS: Final = 0.1
+"""Calls whose times left differ by less than this are equally urgent: about as long as a call waits
+in a full queue."""
+
 MAX_ORGANISATIONS: Final = 1024
 MAX_EXPONENT: Final = 50.0
 """Weights grow with time instead of all being reduced; beyond this exponent they are scaled."""
@@ -106,12 +110,13 @@
     """Return the waiting call that goes next, of at least one."""
 
     def key(call: WaitingCall) -> tuple[int, bool, bool, float, float, float, int]:
+        seconds_left = call.standing.target_at - call.standing.run_seconds - now
         return (
             call.priority,
             not call.standing.is_nested,
             call.is_late(now),
+            seconds_left // URGENCY_STEP_SECONDS,
             starts.weight(call.standing.organisation),
-            call.standing.target_at - call.standing.run_seconds,
             call.deadline,
             call.arrival,
         )
@@ -130,13 +135,13 @@
     )
     by_class = Counter(call.class_name for call in considered)
 
-    def key(call: WaitingCall) -> tuple[bool, int, float, int, float, int]:
+    def key(call: WaitingCall) -> tuple[int, int, bool, float, float, int]:
         organisation = call.standing.organisation
         return (
-            call.is_late(now),
             by_organisation[organisation],
-            starts.weight(organisation),
             by_class[call.class_name],
+            call.is_late(now),
+            starts.weight(organisation),
             call.deadline,
             call.arrival,
         )
