Targets may count from the first request of a caller that returns after a refusal

With the setting counts_targets_from_first_request, off by default, the age of a request is the longest time left that was stated for its class in the last 10 to 20 s, less its own.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -16,6 +16,7 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.counts import CallCounts
+from kingcuppond.ingress.first_requests import FirstRequests
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
@@ -220,4 +221,7 @@
         daemon.requests,
         relayed,
         daemon.organisations,
+        first_requests=(
+            FirstRequests() if daemon.settings.counts_targets_from_first_request else None
+        ),
     )
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -158,6 +158,14 @@
     revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
     """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
 
+    counts_targets_from_first_request: bool = False
+    """Whether the target of a request that returns after a refusal counts from when it was first
+    sent.
+
+    Only for callers that start each request of a class with the same deadline, and state what is
+    left of it when they return.
+    """
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
