Without organisations the gate's queue keeps its order by deadline

Without organisations, calls wait by priority, calls of servers first, then by deadline, and a last resort that must wait is refused only if it would be late at the fastest server too.

tests/gate, tests/ingress, tests/routing/test_router.py, tests/settings, tests/test_decisions.py: 322 passed.

--- a/kingcuppond/gate/queueing.py
+++ b/kingcuppond/gate/queueing.py
@@ -10,10 +10,12 @@
 4. the least time left until it must start to meet its target, in steps of 0.1 s;
 5. the organisation of which the fewest calls have started lately.
 
-A call without an organisation is not held against others: where there are organisations, it is one
-of a public route, such as the calls that servers make themselves.  When too
-many wait, the refused call is one of the least urgent priority, of the organisation and then of the
-class with the most waiting calls there, so that a burst displaces its own calls and not others.
+If no waiting call has an organisation, the order after the second rule is by deadline: with the
+other rules the replay showed no gain there.  A call without an organisation is not held against
+others: where there are organisations, it is one of a public route, such as the calls that servers
+make themselves.  When too many wait, the refused call is one of the least urgent priority, of the
+organisation and then of the class with the most waiting calls there, so that a burst displaces its
+own calls and not others.
 
 A scan of the queue is enough, as it holds few calls for each slot.
 """
@@ -108,8 +110,19 @@
 
 def next_call(waiting: Sequence[WaitingCall], starts: RecentStarts, now: float) -> WaitingCall:
     """Return the waiting call that goes next, of at least one."""
+    has_organisations = any(call.standing.organisation for call in waiting)
 
     def key(call: WaitingCall) -> tuple[int, bool, bool, float, float, float, int]:
+        if not has_organisations:
+            return (
+                call.priority,
+                not call.standing.is_nested,
+                False,
+                0.0,
+                0.0,
+                call.deadline,
+                call.arrival,
+            )
         seconds_left = call.standing.target_at - call.standing.run_seconds - now
         return (
             call.priority,
@@ -140,7 +153,7 @@
         return (
             by_organisation[organisation],
             by_class[call.class_name],
-            call.is_late(now),
+            bool(by_organisation) and call.is_late(now),
             starts.weight(organisation),
             call.deadline,
             call.arrival,
--- a/tests/gate/test_deadline_check.py
+++ b/tests/gate/test_deadline_check.py
@@ -91,23 +91,31 @@
 
 
 @pytest.mark.parametrize(
-    ("slowdown", "is_full", "target", "expected"),
+    ("slowdown", "is_full", "target", "organisation", "expected"),
     [
-        (1.0, True, 0.3, None),
-        (1.0, True, 0.14, Reason.FULL),
-        (2.5, True, 0.3, Reason.FULL),
-        (3.5, False, 0.3, None),
-        (1.0, False, -1.0, None),
-        (1.0, True, -1.0, Reason.FULL),
+        (1.0, True, 0.3, "o", None),
+        (1.0, True, 0.14, "o", Reason.FULL),
+        (2.5, True, 0.3, "o", Reason.FULL),
+        (2.5, True, 0.3, "", None),
+        (3.5, False, 0.3, "o", None),
+        (1.0, False, -1.0, "o", None),
+        (1.0, True, -1.0, "o", Reason.FULL),
+        (1.0, True, -1.0, "", Reason.FULL),
     ],
 )
 def test_a_last_resort_gets_a_late_answer_only_from_a_free_slot(
-    fake_time: FakeTime, slowdown: float, is_full: bool, target: float, expected: Reason | None
+    fake_time: FakeTime,
+    slowdown: float,
+    is_full: bool,
+    target: float,
+    organisation: str,
+    expected: Reason | None,
 ) -> None:
     """Guards against an overload in which calls that can only be late keep all slots in use."""
     deadline_check = make_deadline_check(fake_time, slowdown)
     deadline_check.admission.in_flight = SLOTS if is_full else SLOTS - 1
     call = make_call(fake_time, target=target, deadline=3.0, is_last_resort=True)
+    call = attrs.evolve(call, organisation=organisation)
     refusal = deadline_check.refuse_late(call)
     assert (refusal and refusal.reason) == expected
 
--- a/tests/gate/test_queueing.py
+++ b/tests/gate/test_queueing.py
@@ -61,6 +61,10 @@
         make_call(target=0.59, deadline=3.0),
         make_call("busy", target=0.51, deadline=2.0),
     ),
+    "without organisations the earlier deadline, also of a call that is late": (
+        make_call(target=0.1, deadline=2.0),
+        make_call(target=0.5, deadline=3.0),
+    ),
     "less time left to the target, also of a busy organisation and with a later deadline": (
         make_call("busy", target=0.35, deadline=5.0),
         make_call("idle", target=0.55, deadline=3.0),
