--- a/kingcuppond/gate/deadline_check.py
+++ b/kingcuppond/gate/deadline_check.py
@@ -57,8 +57,7 @@
         A call is refused if it would miss its target or its deadline, or if all slots are in use
         and the limit is not adaptive, since another server may serve it sooner.  A last resort is
         refused only if it would miss its deadline, or if it would wait for a slot and can only be
-        late: a late answer is worth a free slot, but not one that a call in time would get.  Where
-        there are organisations, the wait and the machine's speed count for that too.
+        late: a late answer is worth a free slot, but not one that a call in time would get.
         """
         is_full = self.admission.in_flight >= self.admission.limit.limit
         # An adaptive limit starts at one call; a queue keeps such a server in use.
@@ -71,7 +70,7 @@
         if is_full:
             expected_seconds *= 1 + (self.admission.waiting + 1) / self.admission.limit.limit
         due = min(call.target_at, call.deadline)
-        if call.is_last_resort and not (is_slot_needed and self._is_in_question(call)):
+        if call.is_last_resort and not (is_slot_needed and self._can_only_be_late(call)):
             due = call.deadline
         if self.admission.now() + expected_seconds <= due:
             return None
@@ -110,10 +109,9 @@
             return math.inf
         return max(MIN_QUEUE_TIMEOUT_SECONDS, QUEUE_TIMEOUT_RATIO * self._typical_seconds(call))
 
-    def _is_in_question(self, call: Call) -> bool:
-        """Return whether a call that must wait for a slot is refused if it would be late here."""
-        fastest_answer_at = self.admission.now() + self._typical_seconds(call)
-        return bool(call.organisation) or fastest_answer_at > call.target_at
+    def _can_only_be_late(self, call: Call) -> bool:
+        """Return whether the target can't be met even by a server that is free and not slow."""
+        return self.admission.now() + self._typical_seconds(call) > call.target_at
 
     def standing(self, call: Call) -> Standing:
         """Return what the call's place in the queue depends on."""
