--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +24,7 @@
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.announcements import Announcement
 from kingcuppond.gate.call_ids import RecentCallIds
+from kingcuppond.gate.call_outcomes import CallOutcomes
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.gate.concurrency_limit import ConcurrencyLimit
 from kingcuppond.gate.deadline_check import DeadlineCheck
@@ -37,7 +37,6 @@
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
-from kingcuppond.routing.exchange import is_not_listening
 from kingcuppond.routing.view import GateReport
 from kingcuppond.typical_latency import TypicalLatencies
 
@@ -73,8 +72,6 @@
     is_departure_checked: bool = True
     address: str = ""
     last_heard_at: float = 0.0
-    answered: int = 0
-    refused: int = 0
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     incarnations: IncarnationTracker = attrs.field(factory=IncarnationTracker)
     typical_latencies: TypicalLatencies = attrs.field(factory=TypicalLatencies)
@@ -82,6 +79,7 @@
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
     deadline_check: DeadlineCheck = attrs.field(init=False)
+    outcomes: CallOutcomes = attrs.field(init=False)
     _was_out_of_service: bool = False
     _call_ids: RecentCallIds = attrs.field(init=False)
     _client: ServerClient = attrs.field(init=False)
@@ -118,12 +116,34 @@
         self.deadline_check = DeadlineCheck(
             self.directory.me.vm, self.admission, self.observer, self.typical_latencies
         )
+        self.outcomes = CallOutcomes(
+            self.admission,
+            self.observer,
+            self.typical_latencies,
+            self.suspects,
+            self.configuration,
+            self.clock,
+            self.journal,
+            lambda: self.address,
+            lambda: self.suspect_delay_seconds,
+            self._mark_server_gone,
+        )
 
     @property
     def in_flight(self) -> int:
         """Number of calls that the server is running."""
         return self.admission.in_flight
 
+    @property
+    def answered(self) -> int:
+        """Number of calls that the server answered."""
+        return self.outcomes.answered
+
+    @property
+    def refused(self) -> int:
+        """Number of calls that the gate refused."""
+        return self.outcomes.refused
+
     def report(self, begun_slowdown: float = 1.0) -> GateReport:
         """Return the load report for other daemons.
 
@@ -252,7 +272,7 @@
                 call
             ) or self.deadline_check.refuse_late(call)
         if refusal is not None:
-            return Error(self._record_refusal(call, refusal))
+            return Error(self.outcomes.record_refusal(call, refusal))
         is_on_trial = call.is_on_trial or level is QuarantineLevel.SUSPECTED
         admitted = await self.admission.acquire(
             call.class_name,
@@ -262,7 +282,7 @@
             self.deadline_check.queue_timeout_seconds(call),
         )
         if admitted.is_error():
-            return Error(self._record_refusal(call, admitted.error))
+            return Error(self.outcomes.record_refusal(call, admitted.error))
         return await self._run_admitted(call, admitted.ok)
 
     async def _run_admitted(self, call: Call, ticket: Ticket) -> Result[Answer, Failure]:
@@ -274,83 +294,23 @@
             self.admission.release(ticket)
             raise
         if result.is_error():
-            await self._record_failure(call, ticket, result.error)
+            await self.outcomes.record_failure(call, ticket, result.error)
             return result
         answer = attrs.evolve(result.ok, begun_slowdown=slowdown)
         if answer.chunks is None:
-            self._record_answer(call, ticket, answer, started)
+            self.outcomes.record_answer(call, ticket, answer, started)
             self.admission.release(ticket)
             return Ok(answer)
         # The call stays in flight until its streamed answer has ended.
         return Ok(
             track_stream(
                 answer,
-                on_end=lambda: self._record_answer(call, ticket, answer, started),
-                on_lost=lambda failure: self._record_failure(call, ticket, failure),
+                on_end=lambda: self.outcomes.record_answer(call, ticket, answer, started),
+                on_lost=lambda failure: self.outcomes.record_failure(call, ticket, failure),
                 on_close=lambda: self.admission.release(ticket),
             )
         )
 
-    def _record_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
-        self.answered += 1
-        self.journal.record(
-            catalogue.CALL_COMPLETED,
-            call=call.id,
-            request=call.request_id,
-            status=answer.status,
-            ms=round((self.clock.monotonic() - started) * 1000),
-            begun_slowdown=answer.begun_slowdown,
-            **self._decision_inputs(),
-        )
-        self.suspects.record_answer(call.fingerprint)
-        if answer.status >= 500:
-            self._record_limit_lowered(self.limit.record_failure(), "it answers with errors")
-            return
-        now = self.clock.monotonic()
-        seconds = now - started
-        self._record_level(call, ticket, answer, seconds, now)
-        self.typical_latencies.update(call.class_name, seconds, answer.begun_slowdown)
-        is_lowered = self.limit.record_answer(call.class_name, seconds, ticket.was_at_limit)
-        self._record_limit_lowered(is_lowered, "its answers became slow")
-
-    def _record_level(
-        self, call: Call, ticket: Ticket, answer: Answer, seconds: float, now: float
-    ) -> None:
-        typical_seconds = self.typical_latencies.seconds_by_class.get(call.class_name)
-        if typical_seconds is not None:
-            ratio = seconds / (typical_seconds * max(1.0, answer.begun_slowdown))
-            self.limit.record_level(ticket.level, ratio, now)
-
-    async def _record_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
-        no_trial_in_flight = not self.admission.trials_in_flight
-        if failure.reason is not Reason.SHED_BY_SERVER:
-            self._record_limit_lowered(self.limit.record_failure(), failure.reason.value)
-        self.admission.release(ticket)
-        if failure.reason is Reason.UNREACHABLE:
-            self._run_in_background(self._check_server_gone())
-        # While a call on trial is in flight, the calls beside it are not to blame for the loss.
-        if failure.reason is not Reason.CONNECTION_LOST or not (
-            ticket.is_on_trial or no_trial_in_flight
-        ):
-            return
-        suspecting = asyncio.ensure_future(self._suspect_if_server_gone(call, ticket))
-        self._run_in_background(suspecting)
-        if self.suspect_delay_seconds:
-            await asyncio.shield(suspecting)
-
-    async def _suspect_if_server_gone(self, call: Call, ticket: Ticket) -> None:
-        if await is_not_listening(self.address):
-            self.suspects.record_server_loss(call.fingerprint, ticket.is_on_trial)
-            # The caller may retry at once; by then all daemons must know of the suspect.
-            await asyncio.sleep(self.suspect_delay_seconds)
-
-    async def _check_server_gone(self) -> None:
-        if (
-            await is_not_listening(self.address)
-            and self.directory.me.state is not ServerState.ABSENT
-        ):
-            self._mark_server_absent()
-
     def _apply_announced_capacity(self, announcement: Announcement, is_reset_needed: bool) -> None:
         self.limit.is_adaptive = announcement.cold_ms is None
         if announcement.load.slots > 0:
@@ -390,33 +350,9 @@
         self.directory.publish_own_change(state=state, instance=current.id, born_ms=current.born_ms)
         self.admission.process_queue()
 
-    def _record_limit_lowered(self, is_lowered: bool, why: str) -> None:
-        if is_lowered:
-            self.journal.record(catalogue.SERVER_COLD, address=self.address, why=why)
-
-    def _record_refusal(self, call: Call, refusal: NotRun) -> NotRun:
-        self.refused += 1
-        self.journal.record(
-            catalogue.GATE_REFUSED,
-            call=call.id,
-            request=call.request_id,
-            reason=refusal.reason.value,
-            detail=refusal.detail,
-            **self._decision_inputs(),
-        )
-        return refusal
-
-    def _decision_inputs(self) -> dict[str, int | float | str | None]:
-        """Return the values that admission depends on, and the age of the server's report."""
-        age = self.observer.age
-        return {
-            "in_flight": self.in_flight,
-            "waiting": self.admission.waiting,
-            "limit": self.limit.limit,
-            "slowdown": self.observer.slowdown,
-            "word_age_ms": round(age * 1000) if age < math.inf else None,
-            "configuration": self.configuration.version_text,
-        }
+    def _mark_server_gone(self) -> None:
+        if self.directory.me.state is not ServerState.ABSENT:
+            self._mark_server_absent()
 
     def _mark_server_absent(self) -> None:
         self.journal.record(catalogue.SERVER_SILENT, address=self.address)
