Roll-outs: the traffic of a service moves to a new version, or back if it is bad

Operators order a roll-out with rollouts/SERVICE; nothing moved traffic by version, judged a version or wrote the Status. With the setting has_rollouts (from Bounds.CanaryShare of the deployment) the kind is watched, the version of a server is part of its member's description, the router draws by the share in force, the gates of the new version admit only what they are granted, and the daemon that ranks first by the hash of the service's name judges the reports of the gates and writes Status. All other deployments are unchanged.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -25,6 +25,7 @@
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
 from kingcuppond.quarantine.holds import HoldStore
+from kingcuppond.rollouts.factory import make_rollouts
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
 from kingcuppond.routing.router import Router
@@ -149,6 +150,7 @@
         is_hedging=is_hedging,
         has_full_budgets=daemon.settings.is_first_start,
     )
+    daemon.rollouts = make_rollouts(daemon)
 
 
 def assemble_ingress(daemon: "Daemon", fleet_key: bytes) -> None:
--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -191,8 +191,15 @@
     organisations: OrganisationTable | None = None
 
 
+@attrs.frozen
+class KeptObject:
+    """An object that the configuration only keeps and spreads; another part reads it."""
+
+    name: str
+
+
 ConfigurationObject = ClassOfWork | DataCentreState | MeasurementBudget
-ConfigurationChange = ConfigurationObject | ClassRemoved | AllClasses
+ConfigurationChange = ConfigurationObject | ClassRemoved | AllClasses | KeptObject
 
 
 @attrs.frozen
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -34,13 +34,13 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.events.log import make_log_writer
 from kingcuppond.gate.announcements import ConfiguredServer
-from kingcuppond.gate.departure_check import make_departure_check
 from kingcuppond.gate.departures import DepartureStore
 from kingcuppond.gate.gate import Gate
 from kingcuppond.gate.incarnation import Incarnation
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
+from kingcuppond.loops import make_loops
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import Member, ServerState
@@ -52,9 +52,10 @@
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.planned_stop import begin_grace_period, leave_fleet
 from kingcuppond.platform.store import PlatformStore
-from kingcuppond.protocol import PROTOCOLS_BY_NAME
+from kingcuppond.protocol import PROTOCOLS_BY_NAME, format_of
 from kingcuppond.quarantine.holds import HoldStore
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.rollouts.factory import Rollouts
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.exchange import open_session
 from kingcuppond.routing.router import Router
@@ -64,8 +65,6 @@
 from kingcuppond.settings.daemon import DaemonSettings
 from kingcuppond.store.era import EraTracker
 
-SILENCE_CHECK_INTERVAL_SECONDS: Final = 0.5
-
 LONE_START_SECONDS: Final = 6.0
 """Longer than others take to register again after a restore, and this daemon to find them."""
 
@@ -87,6 +86,7 @@
     server_port: ServerPort
     sender: Sender
     router: Router
+    rollouts: Rollouts | None
     claim_coordinator: ClaimCoordinator
     claim_peers: ClaimPeers
     claim_renewal: ClaimRenewal
@@ -115,7 +115,9 @@
         self.log_writer = make_log_writer(self.clock.monotonic, self._record_dropped_lines)
         self.journal.log = self.log_writer.log
         self.registry = CollectorRegistry()
-        self.configuration = Configuration(self.journal, self.protocol.format)
+        self.configuration = Configuration(
+            self.journal, format_of(self.protocol, settings.has_rollouts)
+        )
         self.suspects = SuspectTable(settings.vm, self.clock, self.journal)
         self.directory = Directory(self._make_member(), self.clock, self.journal)
         self.eras = EraTracker()
@@ -153,26 +155,7 @@
 
     async def on_start(self) -> None:
         """Start all background loops; the addresses must be bound."""
-        loops = {
-            "registration": self.registration.run,
-            "departure after a restore": self.departures.run,
-            "holds": self.holds.run,
-            "silence": self._check_silence,
-            "pause": self.pause_guard.run,
-            "observer": self.gate.observer.run,
-            "log": self.log_writer.run,
-            "claims": self.claim_renewal.run,
-            **self.watcher.loops(),
-        }
-        loops.update({loop.__name__: loop for loop in self.gossip.loops()})
-        if self.gate.is_unconfirmed:
-            loops["departures"] = make_departure_check(
-                self.gate,
-                self.departures,
-                self.clock,
-                lambda: self.registration.has_contacted_members,
-            )
-        for name, loop in loops.items():
+        for name, loop in make_loops(self).items():
             await self.add_runtime_dependency(LoopService(name, loop, self.journal))
         self.journal.record(
             catalogue.DAEMON_STARTED,
@@ -199,6 +182,8 @@
         await self.listeners.close()
         self.claim_coordinator.stop()
         self.gossip.stop()
+        if self.rollouts is not None:
+            self.rollouts.decider.stop()
         await self.transport.close()
         await self.session.close()
         await self.fresh_session.close()
@@ -217,6 +202,8 @@
         self.server_port.configured_server = self.configured_server()
         self.port.service = settings.service
         self.organisations.policy = self.key_policy()
+        if self.rollouts is not None:
+            self.rollouts.apply_settings(settings)
         if settings.service != self.directory.me.service:
             self.directory.publish_own_change(service=settings.service)
 
@@ -293,8 +280,3 @@
             leaving = Incarnation(member.instance, member.born_ms)
             self.gate.mark_leaving(leaving)
             self.departures.remember(leaving)
-
-    async def _check_silence(self) -> None:
-        while True:
-            await asyncio.sleep(SILENCE_CHECK_INTERVAL_SECONDS)
-            self.gate.expire_silent_server()
--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -171,6 +171,7 @@
         Reason.ISOLATED,
         Reason.SHED_BY_SERVER,
         Reason.UNREACHABLE,
+        Reason.VERSION_SHARE,
     }
 )
 """Refusals that are likely to be temporary, so that a caller may retry later."""
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -2,7 +2,7 @@
 
 Each event has a number whose meaning never changes, a level and a template.  docs/EVENTS.md
 lists them, and a test keeps the two equal.  Numbers are grouped: 1xx process, 2xx membership, 3xx
-configuration, 4xx gate, 5xx calls, 6xx claims, 7xx store, 8xx peers.
+configuration, 4xx gate, 5xx calls, 6xx claims, 7xx store, 8xx peers, 9xx roll-outs.
 """
 
 from typing import Final
@@ -141,5 +141,22 @@
 STORE_LISTED: Final = Event(705, "info", "listed {count} objects of {kind} at version {version}")
 STORE_ERA: Final = Event(706, "info", "the store is in era {era}, as far as known")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
+ROLLOUT_BEGUN: Final = Event(
+    901, "info", "roll-out of {service} to {version} begins, to be completed within {seconds} s"
+)
+ROLLOUT_STEP: Final = Event(
+    902, "info", "roll-out of {service} to {version}: {phase}, share {share}"
+)
+ROLLOUT_JUDGED_BAD: Final = Event(
+    903,
+    "error",
+    "{version} of {service} is bad: {bad} of {count} answers of {where} show it ({what})",
+)
+ROLLOUT_STATUS_WRITTEN: Final = Event(
+    904, "info", "the store has the roll-out of {service} to {version} as {status}"
+)
+ROLLOUT_STATUS_NOT_WRITTEN: Final = Event(
+    905, "warning", "the status {status} of the roll-out of {service} is not written: {error}"
+)
 
 ALL: Final = {event.number: event for event in list(globals().values()) if isinstance(event, Event)}
--- a/kingcuppond/gate/announcements.py
+++ b/kingcuppond/gate/announcements.py
@@ -55,6 +55,9 @@
     cold_ms: MessageInt | None = None
     """Remaining milliseconds of warm-up, ``None`` if the server does not report them."""
 
+    version: str = ""
+    """Version of the server's program, empty if it states none."""
+
 
 @attrs.frozen
 class Withdrawal:
--- a/kingcuppond/gate/call_outcomes.py
+++ b/kingcuppond/gate/call_outcomes.py
@@ -17,6 +17,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.version_share import UnlimitedShare, VersionShare
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
@@ -32,6 +33,7 @@
     :param suspect_delay_seconds: returns how long the failure of a call that may have taken the
         server down is delayed
     :param mark_server_gone: called when nothing listens at the address any more
+    :param share: bounds and counts calls during a roll-out
     """
 
     admission: Admission
@@ -44,6 +46,7 @@
     address: Callable[[], str]
     suspect_delay_seconds: Callable[[], float]
     mark_server_gone: Callable[[], None]
+    share: VersionShare = attrs.field(factory=UnlimitedShare)
     answered: int = 0
     refused: int = 0
     _background_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
@@ -61,6 +64,12 @@
             **self._decision_inputs(),
         )
         self.suspects.record_answer(call.fingerprint)
+        self.share.record_answer(
+            call.class_name,
+            self.clock.monotonic() - started,
+            answer.status >= 500,
+            answer.begun_slowdown,
+        )
         if answer.status >= 500:
             self._record_limit_lowered(
                 self.admission.limit.record_failure(), "it answers with errors"
@@ -83,8 +92,11 @@
             ratio = seconds / (typical_seconds * max(1.0, answer.begun_slowdown))
             self.admission.limit.record_level(ticket.level, ratio, now)
 
-    async def record_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
+    async def record_failure(
+        self, call: Call, ticket: Ticket, failure: Failure, started: float
+    ) -> None:
         """Record a call without an answer, and release its ticket."""
+        self.share.record_failure(call.class_name, self.clock.monotonic() - started, failure)
         no_trial_in_flight = not self.admission.trials_in_flight
         if failure.reason is not Reason.SHED_BY_SERVER:
             self._record_limit_lowered(self.admission.limit.record_failure(), failure.reason.value)
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -55,6 +55,7 @@
         gets no calls until it has announced itself and given a healthy answer
     :param is_departure_checked: whether this process has looked up in the store if an earlier one
         recorded a departure
+    :param states_version: whether other daemons need to know the version of the server
     """
 
     directory: Directory
@@ -70,6 +71,7 @@
     is_isolated: Callable[[], bool]
     is_unconfirmed: bool = False
     is_departure_checked: bool = True
+    states_version: bool = False
     address: str = ""
     last_heard_at: float = 0.0
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
@@ -80,6 +82,7 @@
     observer: ServerObserver = attrs.field(init=False)
     deadline_check: DeadlineCheck = attrs.field(init=False)
     outcomes: CallOutcomes = attrs.field(init=False)
+    _version: str = ""
     _was_out_of_service: bool = False
     _call_ids: RecentCallIds = attrs.field(init=False)
     _client: ServerClient = attrs.field(init=False)
@@ -189,7 +192,9 @@
             announcement.address != self.address
             or self.incarnations.current != before
             or old is ServerState.ABSENT
+            or self._version_of(announcement) != self.directory.me.server_version
         )
+        self._version = self._version_of(announcement)
         self.address = self.observer.address = announcement.address
         new = ServerState(announcement.state)
         if new is ServerState.DRAINING:
@@ -206,6 +211,9 @@
         if new is not old or is_new:
             self._set_state(new)
 
+    def _version_of(self, announcement: Announcement) -> str:
+        return announcement.version if self.states_version else ""
+
     def handle_withdrawal(self, instance: str) -> Incarnation:
         """Mark an incarnation of the server as leaving, and return it."""
         leaving = self.incarnations.resolve(instance)
@@ -273,6 +281,15 @@
             ) or self.deadline_check.refuse_late(call)
         if refusal is not None:
             return Error(self.outcomes.record_refusal(call, refusal))
+        refusal = self.outcomes.share.take()
+        if refusal is not None:
+            return Error(self.outcomes.record_refusal(call, refusal))
+        result = await self._admit(call, level)
+        if result.is_error() and isinstance(result.error, NotRun):
+            self.outcomes.share.give_back()
+        return result
+
+    async def _admit(self, call: Call, level: QuarantineLevel) -> Result[Answer, Failure]:
         is_on_trial = call.is_on_trial or level is QuarantineLevel.SUSPECTED
         admitted = await self.admission.acquire(
             call.class_name,
@@ -294,7 +311,7 @@
             self.admission.release(ticket)
             raise
         if result.is_error():
-            await self.outcomes.record_failure(call, ticket, result.error)
+            await self.outcomes.record_failure(call, ticket, result.error, started)
             return result
         answer = attrs.evolve(result.ok, begun_slowdown=slowdown)
         if answer.chunks is None:
@@ -306,7 +323,9 @@
             track_stream(
                 answer,
                 on_end=lambda: self.outcomes.record_answer(call, ticket, answer, started),
-                on_lost=lambda failure: self.outcomes.record_failure(call, ticket, failure),
+                on_lost=lambda failure: self.outcomes.record_failure(
+                    call, ticket, failure, started
+                ),
                 on_close=lambda: self.admission.release(ticket),
             )
         )
@@ -347,7 +366,12 @@
             event = catalogue.SERVER_DRAINING
         self.journal.record(event, address=self.address, state=state.value)
         current = self.incarnations.current
-        self.directory.publish_own_change(state=state, instance=current.id, born_ms=current.born_ms)
+        self.directory.publish_own_change(
+            state=state,
+            instance=current.id,
+            born_ms=current.born_ms,
+            server_version=self._version,
+        )
         self.admission.process_queue()
 
     def _mark_server_gone(self) -> None:
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -27,6 +27,8 @@
     :param is_leaving: the daemon accepts no new work and is about to stop
     :param instance: id of the running server process, empty if servers do not report one
     :param born_ms: start time of the server in Unix milliseconds, 0 if unknown
+    :param server_version: version of the server's program, empty if it states none or the
+        deployment has no roll-outs
     :param store_era: newest era of the store in whose log all claims of the daemon are known to be
     """
 
@@ -43,6 +45,7 @@
     instance: str = ""
     born_ms: int = 0
     store_era: int = 0
+    server_version: str = ""
 
     @property
     def version(self) -> tuple[int, int]:
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -1,5 +1,6 @@
 """A daemon's status page and gauges."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from prometheus_client import Gauge
@@ -7,6 +8,7 @@
 from kingcuppond.membership.messages import Member
 from kingcuppond.operators.http_handler import cpu_seconds, resident_bytes
 from kingcuppond.operators.messages import DaemonStatus, MemberStatus
+from kingcuppond.rollouts.factory import Rollouts
 
 if TYPE_CHECKING:
     from kingcuppond.daemon import Daemon
@@ -46,7 +48,7 @@
 
 def register_gauges(daemon: "Daemon") -> None:
     """Register a daemon's gauges."""
-    readings = {
+    readings: dict[str, tuple[str, Callable[[], float]]] = {
         "gate_in_flight": ("Calls that the server runs now", lambda: daemon.gate.in_flight),
         "gate_limit": ("Calls that may run at once", lambda: daemon.gate.limit.limit),
         "gate_answered": ("Calls that the server answered", lambda: daemon.gate.answered),
@@ -96,11 +98,28 @@
             lambda: daemon.configuration.version,
         ),
     }
+    if daemon.rollouts is not None:
+        readings |= _rollout_readings(daemon.rollouts)
     for name, (text, reading) in readings.items():
         gauge = Gauge(f"kingcuppond_{name}", text, registry=daemon.registry)
         gauge.set_function(reading)
 
 
+def _rollout_readings(rollouts: Rollouts) -> dict[str, tuple[str, Callable[[], float]]]:
+    return {
+        "rollouts_running": ("Roll-outs without an end", rollouts.running),
+        "rollout_share": (
+            "Share of the new version in the roll-out of this service",
+            rollouts.own_share,
+        ),
+        "rollout_refused": (
+            "Calls that the gate refused for the share of its version",
+            lambda: rollouts.share.refused,
+        ),
+        "rollout_reports": ("Reports about roll-outs", lambda: rollouts.reporter.reports),
+    }
+
+
 def _condition(daemon: "Daemon", member: Member) -> str:
     if daemon.directory.is_dead(member.vm):
         return "dead"
--- a/kingcuppond/outcomes.py
+++ b/kingcuppond/outcomes.py
@@ -48,6 +48,7 @@
     KEY_REUSED = "key-with-other-content"
     KEY_RUNNING = "key-running"
     KEY_RAN = "key-ran"
+    VERSION_SHARE = "version-share"
     HARMFUL = "held-as-harmful"
     CONNECTION_LOST = "connection-lost"
     CANCELLED = "cancelled"
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -26,6 +26,7 @@
     StateReply,
     StateRequest,
 )
+from kingcuppond.rollouts.messages import RolloutReply, RolloutReport
 
 TYPES_BY_TAG: Final[dict[str, type]] = {
     "ping": Ping,
@@ -44,4 +45,6 @@
     "claim-renewal-reply": RenewalReply,
     "recall-ask": AttemptQuery,
     "recall-reply": AttemptReply,
+    "rollout-report": RolloutReport,
+    "rollout-reply": RolloutReply,
 }
--- a/kingcuppond/platform/heartbeats.py
+++ b/kingcuppond/platform/heartbeats.py
@@ -22,6 +22,10 @@
 from kingcuppond.outcomes import NotRun, Reason
 
 PATH: Final = "/instances/"
+
+MAX_VERSION_CHARACTERS: Final = 256
+"""The version is part of the description that each daemon sends to all others."""
+
 STATE_BY_PLATFORM_STATE: Final = {"ready": "warm", "draining": "draining"}
 
 
@@ -34,6 +38,7 @@
     cold_remaining: str = msgspec.field(name="ColdRemaining")
     sequence: MessageInt = msgspec.field(name="Sequence")
     born_ms: MessageInt = msgspec.field(name="born")
+    version: object = msgspec.field(name="Version", default="")
 
 
 def decode_heartbeat(
@@ -80,9 +85,17 @@
             born_ms=heartbeat.born_ms,
             sequence=heartbeat.sequence,
             cold_ms=cold_ms,
+            version=_version_of(heartbeat.version),
         )
     )
 
 
+def _version_of(value: object) -> str:
+    """Return the version of a server; one that is no usable text counts as not stated."""
+    if not isinstance(value, str) or len(value) > MAX_VERSION_CHARACTERS:
+        return ""
+    return value
+
+
 def _reject(detail: str) -> Result[ServerMessage, NotRun]:
     return Error(NotRun(Reason.BAD_REQUEST, detail))
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -28,12 +28,18 @@
 
 from kingcuppond.decoding import decode_json
 from kingcuppond.http_connections import track_connections
+from kingcuppond.platform.stored_objects import (
+    WireEvents,
+    WireObject,
+    WirePage,
+    body_of,
+    to_change,
+)
 from kingcuppond.store.era import EraTracker, era_of, make_version, revision_of
 from kingcuppond.store.interface import (
     ABSENT_VERSION,
     ListedObject,
     Listing,
-    ObjectChange,
     StoredObject,
     StoreError,
     WatchResult,
@@ -70,32 +76,6 @@
 T = TypeVar("T")
 
 
-class _WireMetadata(msgspec.Struct):
-    name: str = msgspec.field(name="Name")
-    revision: int = msgspec.field(name="Rev", default=0)
-
-
-class _WireObject(msgspec.Struct):
-    metadata: _WireMetadata = msgspec.field(name="Metadata")
-    spec: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(b"null"))
-
-
-class _WirePage(msgspec.Struct):
-    revision: int = msgspec.field(name="StoreRevision")
-    items: list[_WireObject] = msgspec.field(name="items", default_factory=list)
-    has_more: bool = msgspec.field(name="HasMore", default=False)
-
-
-class _WireEvent(msgspec.Struct):
-    object_: _WireObject = msgspec.field(name="Object")
-    is_deleted: bool = msgspec.field(name="Deleted", default=False)
-
-
-class _WireEvents(msgspec.Struct):
-    revision: int = msgspec.field(name="StoreRevision")
-    events: list[_WireEvent] = msgspec.field(name="events", default_factory=list)
-
-
 @attrs.frozen
 class _Response:
     status: int
@@ -132,9 +112,9 @@
         if result.ok.status == 404:
             return Ok(None)
         era = result.ok.era
-        found = _decode(result.ok, _WireObject)
+        found = _decode(result.ok, WireObject)
         return found.map(
-            lambda it: StoredObject(make_version(era, it.metadata.revision), bytes(it.spec))
+            lambda it: StoredObject(make_version(era, it.metadata.revision), body_of(kind, it))
         )
 
     async def list(self, kind: str) -> Result[Listing, StoreError]:
@@ -147,7 +127,7 @@
         query = ""
         while True:
             result = await self._call("read", "GET", f"/{_quote(kind)}{query}")
-            page = result.bind(lambda response: _decode(response, _WirePage))
+            page = result.bind(lambda response: _decode(response, WirePage))
             if page.is_error():
                 return Error(page.error)
             era = result.ok.era
@@ -156,7 +136,7 @@
                 return Error(StoreError("the store was restored during the listing"))
             items.extend(
                 ListedObject(
-                    it.metadata.name, make_version(era, it.metadata.revision), bytes(it.spec)
+                    it.metadata.name, make_version(era, it.metadata.revision), body_of(kind, it)
                 )
                 for it in page.ok.items
             )
@@ -180,7 +160,20 @@
             result = await self._change_at("PUT", _path(kind, name), expected, content)
         if result.is_error():
             return Error(result.error)
-        written = _decode(result.ok, _WireObject)
+        written = _decode(result.ok, WireObject)
+        return written.map(lambda it: make_version(result.ok.era, it.metadata.revision))
+
+    async def put_status(
+        self, kind: str, name: str, status: bytes, expected: int
+    ) -> Result[int, StoreError]:
+        """Write the status of an object if the object still has the expected version."""
+        metadata = {"Name": name, "Rev": revision_of(expected)}
+        content = msgspec.json.encode({"Metadata": metadata, "Status": msgspec.Raw(status)})
+        path = f"{_path(kind, name)}/status"
+        result = await self._change_at("PUT", path, expected, content)
+        if result.is_error():
+            return Error(result.error)
+        written = _decode(result.ok, WireObject)
         return written.map(lambda it: make_version(result.ok.era, it.metadata.revision))
 
     async def delete(self, kind: str, name: str, expected: int) -> Result[int, StoreError]:
@@ -207,10 +200,10 @@
         if era != era_of(after):
             # The revision was reached a second time, so changes may have been left out.
             return Error(_history_is_gone())
-        decoded = _decode(result.ok, _WireEvents)
+        decoded = _decode(result.ok, WireEvents)
         return decoded.map(
             lambda page: WatchResult(
-                [_to_change(event, era) for event in page.events],
+                [to_change(kind, event, era) for event in page.events],
                 make_version(era, page.revision),
             )
         )
@@ -367,13 +360,6 @@
     )
 
 
-def _to_change(event: _WireEvent, era: int) -> ObjectChange:
-    # A deletion event carries the revision of the deletion.
-    body = None if event.is_deleted else bytes(event.object_.spec)
-    metadata = event.object_.metadata
-    return ObjectChange(metadata.name, make_version(era, metadata.revision), body)
-
-
 def _quote(text: str) -> str:
     return quote(text, safe="")
 
--- a/kingcuppond/protocol.py
+++ b/kingcuppond/protocol.py
@@ -14,6 +14,7 @@
 from kingcuppond.platform.calls import PLATFORM_DIALECT
 from kingcuppond.platform.configuration import PLATFORM_FORMAT
 from kingcuppond.platform.heartbeats import decode_heartbeat
+from kingcuppond.platform.rollouts import with_rollouts
 
 
 @attrs.frozen
@@ -30,6 +31,11 @@
     decode_message: MessageDecoder
 
 
+def format_of(protocol: Protocol, has_rollouts: bool) -> ConfigurationFormat:
+    """Return the format of the configuration in a deployment."""
+    return with_rollouts(protocol.format) if has_rollouts else protocol.format
+
+
 PROTOCOLS_BY_NAME: Final[dict[Literal["kingcuppond", "platform"], Protocol]] = {
     "kingcuppond": Protocol(NATIVE_DIALECT, NATIVE_FORMAT, decode_announcement),
     "platform": Protocol(PLATFORM_DIALECT, PLATFORM_FORMAT, decode_heartbeat),
--- /dev/null
+++ b/kingcuppond/rollouts/judgement.py
@@ -0,0 +1,197 @@
+"""Whether a new version is bad, judged against the old version beside it.
+
+The load patterns are a version of which a part of the answers fails or is several times slower, at
+once, some seconds after its start, under load only or on one class of work only; beside it, machine
+noise that makes a quarter of all work seven times slower for half a second.
+
+Each class, and all classes together, is compared on failures and on slow answers: those that take
+more than four times the median of the old version.  Noise makes the answers of both versions slow
+in the same proportion, so the question is whether the new version's proportion can be chance.  The
+Chernoff bound answers it without an assumption on the size of the sample: n samples with a
+proportion q, of which p was expected, have a probability of at most exp(-n KL(q, p)).
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from kingcuppond.rollouts.tallies import Tallies, Tally, count_of, median_bin, slower_than
+
+BAD_EVIDENCE: Final = 10.0
+"""A chance of 1 in 20,000 at most for each look.  A roll-out of 12 s is looked at about 50 times,
+but its looks share most of their samples."""
+
+SUSPICIOUS_EVIDENCE: Final = 4.0
+"""Above this, ``completed`` waits for more samples."""
+
+FAILURE_FLOOR: Final = 0.02
+"""Failures that a good version may have beyond those of the old one: a few servers that start."""
+
+SLOW_FLOOR: Final = 0.05
+"""Slow answers that it may have beyond those of the old one: the machines of the new servers may be
+busier by chance."""
+
+MIN_FAILURES: Final = 4
+MIN_SLOW: Final = 6
+MIN_OLD_SAMPLES: Final = 20
+"""Fewer answers of the old version give no median to compare with."""
+
+SLOW_BINS: Final = 4
+"""Four times the median, in bins: below the seven times of noise and the eight times of a fault."""
+
+QUIET_SHARE: Final = 0.05
+"""With fewer slow answers of the old version, the reports of the machines' speed explain noise."""
+
+QUIET_BLOCK: Final = 2.0
+
+ALL_CLASSES: Final = ""
+
+
+@attrs.frozen
+class Evidence:
+    """The strongest sign that a version is bad.
+
+    :param strength: natural logarithm of how unlikely it is for a good version
+    :param class_name: the class that shows it, empty for all together
+    :param what: ``failures`` or ``latency``
+    """
+
+    strength: float = 0.0
+    class_name: str = ALL_CLASSES
+    what: str = ""
+    count: int = 0
+    bad: int = 0
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the version is judged bad."""
+        return self.strength >= BAD_EVIDENCE
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether the version may be bad."""
+        return self.strength >= SUSPICIOUS_EVIDENCE
+
+
+NO_EVIDENCE: Final = Evidence()
+
+
+@attrs.frozen
+class Sample:
+    """Answers of both versions over the same time.
+
+    :param samples_per_block: answers that a new server gives in half a second, on average; noise
+        hits all of them together, so they count as one sample of latency
+    """
+
+    old: Tallies
+    new: Tallies
+    samples_per_block: float = 1.0
+
+
+def strongest(samples: Iterable[Sample]) -> Evidence:
+    """Return the strongest evidence in several samples, such as the whole time and its end."""
+    found = [_evidence_in(sample) for sample in samples]
+    return max(found, key=lambda evidence: evidence.strength, default=NO_EVIDENCE)
+
+
+def _evidence_in(sample: Sample) -> Evidence:
+    best = NO_EVIDENCE
+    for class_name, new in sample.new.items():
+        best = _stronger(best, _failures(class_name, sample.old.get(class_name, Tally()), new))
+    best = _stronger(best, _failures(ALL_CLASSES, _sum(sample.old), _sum(sample.new)))
+    for is_normal in (False, True):
+        best = _stronger(best, _latency_in(sample, is_normal))
+    return best
+
+
+def _latency_in(sample: Sample, is_normal: bool) -> Evidence:
+    """Return the evidence in the latencies, as measured or at the machines' usual speed."""
+    best = NO_EVIDENCE
+    whole = _SlowCounts()
+    total = max(1, count_of(sample.new))
+    for class_name, new in sample.new.items():
+        old = sample.old.get(class_name, Tally())
+        counts = _count_slow(_latencies(old, is_normal), _latencies(new, is_normal))
+        if counts is not None:
+            whole = whole.plus(counts)
+            block = sample.samples_per_block * new.count / total
+            best = _stronger(best, _latency(class_name, counts, block, is_normal))
+    return _stronger(best, _latency(ALL_CLASSES, whole, sample.samples_per_block, is_normal))
+
+
+@attrs.frozen
+class _SlowCounts:
+    """Good answers of both versions, and how many of them are slow."""
+
+    old: int = 0
+    new: int = 0
+    slow_old: int = 0
+    slow_new: int = 0
+
+    def plus(self, other: "_SlowCounts") -> "_SlowCounts":
+        return _SlowCounts(
+            self.old + other.old,
+            self.new + other.new,
+            self.slow_old + other.slow_old,
+            self.slow_new + other.slow_new,
+        )
+
+
+def _count_slow(old: Mapping[int, int], new: Mapping[int, int]) -> _SlowCounts | None:
+    median = median_bin(old)
+    if median is None or sum(old.values()) < MIN_OLD_SAMPLES:
+        return None
+    limit = median + SLOW_BINS
+    return _SlowCounts(
+        sum(old.values()), sum(new.values()), slower_than(old, limit), slower_than(new, limit)
+    )
+
+
+def _latencies(tally: Tally, is_normal: bool) -> Mapping[int, int]:
+    return tally.normal_latencies if is_normal else tally.latencies
+
+
+def _failures(class_name: str, old: Tally, new: Tally) -> Evidence:
+    if new.failures < MIN_FAILURES:
+        return NO_EVIDENCE
+    expected = (old.failures / old.count if old.count else 0.0) + FAILURE_FLOOR
+    strength = new.count * _divergence(new.failures / new.count, expected)
+    return Evidence(strength, class_name, "failures", new.count, new.failures)
+
+
+def _latency(class_name: str, counts: _SlowCounts, block: float, is_normal: bool) -> Evidence:
+    if counts.slow_new < MIN_SLOW or not counts.old:
+        return NO_EVIDENCE
+    slow_old = counts.slow_old / counts.old
+    if is_normal and slow_old < QUIET_SHARE:
+        # The reports of the machines' speed explain the noise; little is left that is common to
+        # the answers of one server.
+        block = min(block, QUIET_BLOCK)
+    # The expectation is itself a sample, which is smaller while most calls go to the new version.
+    weight = counts.new / max(1.0, block) * counts.old / (counts.old + counts.new)
+    strength = weight * _divergence(counts.slow_new / counts.new, slow_old + SLOW_FLOOR)
+    return Evidence(strength, class_name, "latency", counts.new, counts.slow_new)
+
+
+def _divergence(proportion: float, expected: float) -> float:
+    """Return the Kullback-Leibler divergence, 0 unless the proportion exceeds the expected one."""
+    if proportion <= expected or expected >= 1.0:
+        return 0.0
+    result = proportion * math.log(proportion / expected)
+    if proportion < 1.0:
+        result += (1 - proportion) * math.log((1 - proportion) / (1 - expected))
+    return result
+
+
+def _sum(tallies: Mapping[str, Tally]) -> Tally:
+    whole = Tally()
+    for tally in tallies.values():
+        whole.add(tally)
+    return whole
+
+
+def _stronger(first: Evidence, second: Evidence) -> Evidence:
+    return second if second.strength > first.strength else first
--- a/kingcuppond/routing/placement.py
+++ b/kingcuppond/routing/placement.py
@@ -34,6 +34,12 @@
 MAX_NEARBY_LOAD_SHARE: Final = 0.8
 """Servers slow down when they are nearly full; then other data centres are considered too."""
 
+MAX_CACHED: Final = 4096
+"""Lists of servers that are kept; filters change with time during a roll-out."""
+
+MemberFilter = Callable[[Member], bool]
+"""Must be hashable, as the servers that it allows are kept by it."""
+
 WARMUP_SHARE: Final = 0.05
 """Share of the calls with enough time left that may warm up a server."""
 
@@ -62,7 +68,7 @@
     configuration: Configuration
     view_of: Callable[[str], ServerView]
     rng: Random
-    _vms_by_service: dict[str, _ServiceVms] = attrs.field(factory=dict)
+    _vms_by_service: dict[tuple[str, MemberFilter | None], _ServiceVms] = attrs.field(factory=dict)
     _generation: int = -1
 
     def __attrs_post_init__(self) -> None:
@@ -74,7 +80,12 @@
         return bool(vms.nearby or vms.remote)
 
     def draw(
-        self, service: str, tried: set[str], now: float, detour_seconds: float
+        self,
+        service: str,
+        tried: set[str],
+        now: float,
+        detour_seconds: float,
+        allows: MemberFilter | None = None,
     ) -> list[Candidate]:
         """Return some of the servers that may run a call of a service now.
 
@@ -82,8 +93,9 @@
 
         :param tried: VMs that are excluded
         :param detour_seconds: latency penalty of a server in another data centre
+        :param allows: returns whether the server of a member may run the call; ``None`` for all
         """
-        vms = self._find_vms(service)
+        vms = self._find_vms(service, allows)
         own_vm = self.directory.me.vm
         nearby = self._draw_vms(vms.nearby)
         if vms.has_own and own_vm not in nearby:
@@ -107,21 +119,23 @@
     def _draw_vms(self, vms: list[str]) -> list[str]:
         return vms if len(vms) <= MAX_DRAWN else self.rng.sample(vms, MAX_DRAWN)
 
-    def _find_vms(self, service: str) -> _ServiceVms:
+    def _find_vms(self, service: str, allows: MemberFilter | None = None) -> _ServiceVms:
         if self._generation != self.directory.generation:
             self._generation = self.directory.generation
             self._vms_by_service.clear()
-        found = self._vms_by_service.get(service)
+        found = self._vms_by_service.get((service, allows))
         if found is None:
-            found = self._vms_by_service[service] = self._list_vms(service)
+            if len(self._vms_by_service) >= MAX_CACHED:
+                self._vms_by_service.clear()
+            found = self._vms_by_service[service, allows] = self._list_vms(service, allows)
         return found
 
-    def _list_vms(self, service: str) -> _ServiceVms:
+    def _list_vms(self, service: str, allows: MemberFilter | None) -> _ServiceVms:
         me = self.directory.me
         nearby: list[str] = []
         remote: list[str] = []
         for vm, member in self.directory.members_by_service.get(service, {}).items():
-            if self._accepts_calls(member):
+            if self._accepts_calls(member) and (allows is None or allows(member)):
                 (nearby if member.data_centre == me.data_centre else remote).append(vm)
         return _ServiceVms(nearby, remote, me.vm in nearby)
 
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -20,7 +20,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Final
 
@@ -36,7 +36,7 @@
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
-from kingcuppond.routing.placement import ServerIndex, place
+from kingcuppond.routing.placement import MemberFilter, ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, allowance_of_daemon, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
@@ -61,6 +61,7 @@
     Reason.NOT_READY,
     Reason.ISOLATED,
     Reason.UNREACHABLE,
+    Reason.VERSION_SHARE,
 )
 """No server received the call, so that it may go to another one without using the budgets."""
 
@@ -87,6 +88,10 @@
     error_answer: Answer | None = None
 
 
+def _all_servers(_service: str, _rng: Random) -> Iterable[MemberFilter | None]:
+    return (None,)
+
+
 @attrs.define
 class Router:
     """Routes calls and keeps the views and budgets for it.
@@ -97,6 +102,8 @@
     :param fleet_retries: repeats that the whole fleet may spend on a service beyond the share of
         its calls; the capacity of the daemons' budgets adds up to it
     :param has_full_budgets: whether the budgets start full
+    :param filters: returns which servers of a service one choice is limited to, in order of
+        preference; ``None`` stands for all
     :param backlog: number of calls that wait in the backlog
     """
 
@@ -113,6 +120,7 @@
     is_hedging: bool = True
     has_full_budgets: bool = True
     backlog: int = 0
+    filters: Callable[[str, Random], Iterable[MemberFilter | None]] = _all_servers
     repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
     servers: ServerIndex = attrs.field(init=False)
@@ -257,12 +265,19 @@
         now = self.clock.monotonic()
         if now >= call.deadline:
             return None
-        candidates = self.servers.draw(call.service, tried, now, self.detour_seconds)
+        candidates = self._draw(call.service, tried, now)
         if not candidates:
             return None
         context = SelectionContext(now, self.sender.typical_seconds(call.class_name))
         return place(candidates, context, call.target_at, self.policy, self.rng)
 
+    def _draw(self, service: str, tried: set[str], now: float) -> list[Candidate]:
+        for allows in self.filters(service, self.rng):
+            drawn = self.servers.draw(service, tried, now, self.detour_seconds, allows)
+            if drawn:
+                return drawn
+        return []
+
     def _may_retry(self, call: Call, failure: Failure, progress: _CallProgress) -> bool:
         """Return whether a call may be retried, and take it from the budget of repeats."""
         if failure.reason in NOT_RETRYABLE_REASONS or progress.retries_left < 1:
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -158,6 +158,18 @@
     revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
     """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
 
+    has_rollouts: bool = False
+    """Whether operators order roll-outs of new versions of servers through the store."""
+
+    canary_share: float = attrs.field(default=0.1, validator=in_range(0, 1))
+    """Largest share of a service's requests that may go to a version that proves bad."""
+
+    canary_slack: float = attrs.field(default=50.0, validator=in_range(0, 1_000_000))
+    """Requests that may go to such a version beyond that share."""
+
+    rollback_within: str = attrs.field(default="5s", validator=_check_duration)
+    """Time after the fiftieth bad answer within which no more requests may go to a bad version."""
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
@@ -168,6 +180,11 @@
         """The time within which a removed key must be refused."""
         return parse_duration_ms(self.revoke_within) / 1000
 
+    @property
+    def rollback_seconds(self) -> float:
+        """The time within which no more requests may go to a bad version."""
+        return parse_duration_ms(self.rollback_within) / 1000
+
     @property
     def stop_limit_seconds(self) -> float:
         """The time limit of a planned stop, 0 for none."""
--- a/kingcuppond/store/interface.py
+++ b/kingcuppond/store/interface.py
@@ -126,6 +126,21 @@
         """
 
 
+class StatusStore(Protocol):
+    """Operations on objects that have a status beside the content that operators write."""
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject | None, StoreError]:
+        """Read an object; ``None`` if there is none."""
+
+    async def put_status(
+        self, kind: str, name: str, status: bytes, expected: int
+    ) -> Result[int, StoreError]:
+        """Write the status of an object if the object still has the expected version.
+
+        :return: the new version
+        """
+
+
 async def watch_until_error(
     store: Store, kind: str, after: int, wait_ms: int
 ) -> AsyncIterator[Result[WatchResult, StoreError]]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,6 +79,7 @@
     :param linked_servers: names of VMs whose daemon reaches its server through its own ``Link``
     :param is_on_platform: whether daemons and servers use the protocol of the users' platform
     :param first_start: the setting ``is_first_start`` of all daemons, if ``is_on_platform``
+    :param further_settings: further settings of all daemons
     :param kill_after: the setting ``kill_after`` of all daemons, if ``is_on_platform``
     """
 
@@ -91,6 +92,7 @@
     is_on_platform: bool = False
     first_start: bool = True
     kill_after: str = "6s"
+    further_settings: dict[str, object] = attrs.field(factory=dict)
     folder: Path = attrs.field(init=False)
     platform: str = attrs.field(init=False)
     vms_by_name: dict[str, Vm] = attrs.field(factory=dict)
@@ -349,6 +351,7 @@
             }
         else:
             values["fleet_key_file"] = "fleet.key"
+        values |= self.further_settings
         settings.write_text("// one VM of a test fleet\n" + json.dumps(values, indent=2))
         self.vms_by_name[plan.name] = Vm(
             plan, caller, peer, server_port, metrics, server, ready, settings
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,9 @@
 """Fake of the platform's object store, with faults that the real one has.
 
 It implements the platform's protocol on ``/objects/KIND`` and keeps objects in memory.
-Every answer on these paths carries the header ``Store-Era``.  ``GET /counts`` returns the number of
-calls by method and by watch or object.
+``PUT /objects/KIND/NAME/status`` changes only the status of an object.  Every answer on these paths
+carries the header ``Store-Era``.  ``GET /counts`` returns the number of calls by method and by
+watch or object.
 
 ``PUT /copy`` marks the present state.  ``PUT /restore`` returns to the marked state, or with
 ``seconds`` to the state of so many seconds ago: later changes are lost, their revisions are given
@@ -44,6 +45,7 @@
 ERA_HEADER: Final = "Store-Era"
 CONTROL_PATHS: Final = ("/faults", "/counts", "/copy", "/restore")
 RATE_WINDOW_SECONDS: Final = 1.0
+_UNCHANGED: Final = object()
 
 
 @attrs.define
@@ -79,6 +81,7 @@
 
     :param spec: content; of a deletion, the content before it
     :param created_version: store version at which the object was created
+    :param status: what ``PUT .../status`` wrote last
     """
 
     kind: str
@@ -87,6 +90,7 @@
     spec: Any
     created_version: int
     is_deleted: bool = False
+    status: Any = None
 
     def encode(self) -> dict[str, Any]:
         """Return the object in the platform's JSON schema."""
@@ -97,7 +101,7 @@
             "Finalizers": [],
             "Deleting": False,
         }
-        return {"Metadata": metadata, "Spec": self.spec, "Status": None}
+        return {"Metadata": metadata, "Spec": self.spec, "Status": self.status}
 
 
 @attrs.frozen
@@ -151,17 +155,22 @@
     restored: asyncio.Event = attrs.field(factory=asyncio.Event)
     late_writes: set[asyncio.Task[None]] = attrs.field(factory=set)
 
-    def change(self, kind: str, name: str, spec: Any, is_deleted: bool = False) -> Change:
+    def change(
+        self, kind: str, name: str, spec: Any, is_deleted: bool = False, status: Any = _UNCHANGED
+    ) -> Change:
         """Store or delete an object and wake the watches.
 
         A write that leaves the content as it is makes no new version.
         """
         found = self.objects_by_key.get((kind, name))
-        if found is not None and not is_deleted and found.spec == spec:
+        if status is _UNCHANGED:
+            status = None if found is None else found.status
+        is_same = found is not None and (found.spec, found.status) == (spec, status)
+        if found is not None and is_same and not is_deleted:
             return found
         self.version += 1
         created_version = self.version if found is None else found.created_version
-        change = Change(kind, name, self.version, spec, created_version, is_deleted)
+        change = Change(kind, name, self.version, spec, created_version, is_deleted, status)
         if is_deleted:
             del self.objects_by_key[kind, name]
         else:
@@ -283,6 +292,7 @@
     app.router.add_get("/objects/{kind}", partial(_list_or_watch, state))
     app.router.add_post("/objects/{kind}", partial(_create, state))
     app.router.add_get("/objects/{kind}/{name:.+}", partial(_get, state))
+    app.router.add_put("/objects/{kind}/{name:.+}/status", partial(_replace, state))
     app.router.add_put("/objects/{kind}/{name:.+}", partial(_replace, state))
     app.router.add_delete("/objects/{kind}/{name:.+}", partial(_delete, state))
     return app
@@ -380,6 +390,9 @@
         return web.Response(status=404)
     if requested["Metadata"].get("Rev", found.version) != found.version:
         return web.json_response(found.encode(), status=409)
+    if request.path.endswith("/status"):
+        status = requested.get("Status")
+        return web.json_response(state.change(kind, name, found.spec, status=status).encode())
     return _store(state, kind, name, requested)
 
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import os
+import random
 import time
 from collections import Counter
 from typing import Any, Final
@@ -41,6 +42,7 @@
     :param lose_seal: send answers without the seal header
     :param late_id: answer with the id of another request
     :param old_heartbeat: with each heartbeat, send one of an earlier incarnation too
+    :param failing_percent: share of the requests that are answered with 500
     """
 
     state: str = "ready"
@@ -52,6 +54,7 @@
     lose_seal: bool = False
     late_id: bool = False
     old_heartbeat: bool = False
+    failing_percent: int = 0
 
 
 @attrs.frozen
@@ -64,6 +67,8 @@
     data_centre: str
     slots: int = 6
     service_ms: float = 5.0
+    version: str = "v1"
+    failing_percent: int = 0
 
 
 @attrs.define
@@ -73,6 +78,7 @@
     :param born_ms: start time, in milliseconds since the epoch
     :param acknowledged: states of the heartbeats and withdrawals that the daemon accepted
     :param runs_by_id: executions by request id
+    :param runs_by_status: executions that ended, by the status of their answer
     :param callers_by_id: calling service by request id
     :param organisations_by_id: organisation by request id, as far as requests name one
     :param keys: keys of organisations that requests carried, which no server should see
@@ -86,6 +92,7 @@
     in_flight: int = 0
     acknowledged: list[str] = attrs.field(factory=list)
     runs_by_id: Counter[str] = attrs.field(factory=Counter)
+    runs_by_status: Counter[int] = attrs.field(factory=Counter)
     callers_by_id: dict[str, str] = attrs.field(factory=dict)
     organisations_by_id: dict[str, str] = attrs.field(factory=dict)
     keys: list[str] = attrs.field(factory=list)
@@ -129,6 +136,7 @@
         return web.json_response(
             {
                 "runs_by_id": state.runs_by_id,
+                "runs_by_status": state.runs_by_status,
                 "callers_by_id": state.callers_by_id,
                 "organisations_by_id": state.organisations_by_id,
                 "keys": state.keys,
@@ -171,7 +179,11 @@
     }
     if not state.faults.lose_seal:
         headers["X-Kingcuppond-Server-Seal"] = "seal"
-    return web.json_response({"id": request_id, "size": len(body)}, headers=headers)
+    percent = max(state.options.failing_percent, state.faults.failing_percent)
+    status = 500 if random.random() * 100 < percent else 200
+    state.runs_by_status[status] += 1
+    answer = {"id": request_id, "size": len(body)}
+    return web.json_response(answer, status=status, headers=headers)
 
 
 async def _send_heartbeat(state: ServerState, session: aiohttp.ClientSession) -> None:
@@ -195,7 +207,7 @@
         "Service": state.options.service,
         "Address": state.options.address,
         "Zone": state.options.data_centre,
-        "Version": "v1",
+        "Version": state.options.version,
         "Slots": state.options.slots,
         "State": announced_state,
         "ColdRemaining": f"{state.faults.cold_ms}ms",
