Roll-outs: the canary's servers carry their later load, and slow answers in progress count

A version that is bad under load only was found at full share, after 1,100 of 4,700 requests (allowed are 520): with the canary's share spread over 38 servers none had load. The share now goes to so few servers, which take turns, that each has about its later load. A slow version was found 1 to 4 s late, as slow answers count when they end; reports now hold the calls in progress. Latencies are compared at the usual speed of the machines where the servers report it, since the few servers of the canary may be on slow machines for a while. Refusals of this kind may wait in the backlog.

--- a/kingcuppond/gate/call_outcomes.py
+++ b/kingcuppond/gate/call_outcomes.py
@@ -51,6 +51,11 @@
     refused: int = 0
     _background_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
+    def release(self, call: Call, ticket: Ticket) -> None:
+        """Return the ticket of a call that is no longer in progress; more calls do nothing."""
+        self.share.record_end(call.id)
+        self.admission.release(ticket)
+
     def record_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
         """Record a call that the server answered, and what its latency shows."""
         self.answered += 1
@@ -100,7 +105,7 @@
         no_trial_in_flight = not self.admission.trials_in_flight
         if failure.reason is not Reason.SHED_BY_SERVER:
             self._record_limit_lowered(self.admission.limit.record_failure(), failure.reason.value)
-        self.admission.release(ticket)
+        self.release(call, ticket)
         if failure.reason is Reason.UNREACHABLE:
             self._run_in_background(self._check_server_gone())
         # While a call on trial is in flight, the calls beside it are not to blame for the loss.
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -305,10 +305,11 @@
     async def _run_admitted(self, call: Call, ticket: Ticket) -> Result[Answer, Failure]:
         started = self.clock.monotonic()
         slowdown = self.observer.slowdown
+        self.outcomes.share.record_start(call.id, call.class_name, slowdown)
         try:
             result = await self._client.send(call)
         except BaseException:
-            self.admission.release(ticket)
+            self.outcomes.release(call, ticket)
             raise
         if result.is_error():
             await self.outcomes.record_failure(call, ticket, result.error, started)
@@ -316,7 +317,7 @@
         answer = attrs.evolve(result.ok, begun_slowdown=slowdown)
         if answer.chunks is None:
             self.outcomes.record_answer(call, ticket, answer, started)
-            self.admission.release(ticket)
+            self.outcomes.release(call, ticket)
             return Ok(answer)
         # The call stays in flight until its streamed answer has ended.
         return Ok(
@@ -326,7 +327,7 @@
                 on_lost=lambda failure: self.outcomes.record_failure(
                     call, ticket, failure, started
                 ),
-                on_close=lambda: self.admission.release(ticket),
+                on_close=lambda: self.outcomes.release(call, ticket),
             )
         )
 
--- a/kingcuppond/gate/version_share.py
+++ b/kingcuppond/gate/version_share.py
@@ -16,6 +16,15 @@
     def give_back(self) -> None:
         """Take back the count of a call that the server has not run."""
 
+    def record_start(self, call_id: str, class_name: str, slowdown: float) -> None:
+        """Remember a call that starts at the server.
+
+        :param slowdown: of its machine, as reported
+        """
+
+    def record_end(self, call_id: str) -> None:
+        """Forget a call that is no longer in progress."""
+
     def record_answer(
         self, class_name: str, seconds: float, is_failure: bool, slowdown: float
     ) -> None:
@@ -39,6 +48,12 @@
     def give_back(self) -> None:
         """Do nothing."""
 
+    def record_start(self, call_id: str, class_name: str, slowdown: float) -> None:
+        """Do nothing."""
+
+    def record_end(self, call_id: str) -> None:
+        """Do nothing."""
+
     def record_answer(
         self, class_name: str, seconds: float, is_failure: bool, slowdown: float
     ) -> None:
--- a/kingcuppond/rollouts/decider.py
+++ b/kingcuppond/rollouts/decider.py
@@ -42,7 +42,10 @@
 from kingcuppond.store.interface import StatusStore, StoreError
 
 TICK_SECONDS: Final = 0.1
-JUDGE_INTERVAL_SECONDS: Final = 0.25
+JUDGE_INTERVAL_SECONDS: Final = 0.2
+
+STORE_CHECK_AHEAD_SECONDS: Final = 0.6
+"""The store is read before a step is due, so that the step does not wait for it."""
 
 SETTLE_SECONDS: Final = 1.0
 """How long a new deciding daemon waits for reports before it acts without them."""
@@ -182,7 +185,11 @@
         if rollout.phase is not Phase.CANARY:
             return
         uses = session.uses_by_vm()
-        carrying = self.table.canary_vms(rollout.order.service) & uses.keys()
+        service = rollout.order.service
+        soon = (
+            self.table.canary_vms(service, 1) if self.table.is_turn_near(service) else frozenset()
+        )
+        carrying = (self.table.canary_vms(service) | soon) & uses.keys()
         if not carrying:
             return
         calls = session.calls()
@@ -198,8 +205,13 @@
             return
         situation = self._situation(session, rollout, now, evidence)
         step = plan(situation, self.bounds)
-        with_store = plan(attrs.evolve(situation, is_store_up=True), self.bounds)
-        session.is_check_wanted = _is_further(with_store, rollout)
+        soon = attrs.evolve(
+            situation,
+            age=situation.age + STORE_CHECK_AHEAD_SECONDS,
+            step_age=situation.step_age + STORE_CHECK_AHEAD_SECONDS,
+            is_store_up=True,
+        )
+        session.is_check_wanted = _is_further(plan(soon, self.bounds), rollout)
         if evidence.is_bad or step.is_in_doubt:
             self._roll_back(session, rollout, evidence)
             return
@@ -231,6 +243,7 @@
             calls=session.calls(),
             samples=session.new_calls(),
             is_suspicious=evidence.is_suspicious,
+            is_doubtful=evidence.is_doubtful,
             is_store_up=self._is_store_up(session, now),
         )
 
--- a/kingcuppond/rollouts/gate_share.py
+++ b/kingcuppond/rollouts/gate_share.py
@@ -23,6 +23,13 @@
 not bad because a VM was lost."""
 
 
+@attrs.frozen
+class _RunningCall:
+    class_name: str
+    started: float
+    slowdown: float
+
+
 @attrs.define
 class GateShare:
     """The part of one gate in the roll-out of its service.
@@ -42,6 +49,7 @@
     _order: str = ""
     _version: str = ""
     _loss_at: float = float("-inf")
+    _running: dict[str, _RunningCall] = attrs.field(factory=dict)
 
     def take(self) -> NotRun | None:
         """Return why a call may not run here because of a roll-out; if it may, count it."""
@@ -59,6 +67,16 @@
         """Take back the count of a call that the server has not run."""
         self.used = max(0, self.used - 1)
 
+    def record_start(self, call_id: str, class_name: str, slowdown: float) -> None:
+        """Remember a call that starts at the server."""
+        rollout = self._rollout()
+        if rollout is not None and not rollout.is_over:
+            self._running[call_id] = _RunningCall(class_name, self.clock.monotonic(), slowdown)
+
+    def record_end(self, call_id: str) -> None:
+        """Forget a call that is no longer in progress."""
+        self._running.pop(call_id, None)
+
     def record_answer(
         self, class_name: str, seconds: float, is_failure: bool, slowdown: float = 1.0
     ) -> None:
@@ -98,6 +116,7 @@
             granted=self.granted,
             used=self.used,
             tallies=self.tallies,
+            running=self._running_tallies(),
         )
 
     def apply_reply(self, report: RolloutReport, reply: RolloutReply) -> None:
@@ -118,8 +137,17 @@
             self._order, self._version = rollout.order.id, me.server_version
             self.granted = self.used = 0
             self.tallies = {}
+            self._running.clear()
         return rollout
 
+    def _running_tallies(self) -> Tallies:
+        now = self.clock.monotonic()
+        tallies: Tallies = {}
+        for call in self._running.values():
+            seconds = now - call.started
+            tally_for(tallies, call.class_name).record(seconds, False, call.slowdown)
+        return tallies
+
     def _refusal(self, rollout: Rollout) -> NotRun | None:
         me = self.directory.me
         phase = rollout.phase
--- a/kingcuppond/rollouts/messages.py
+++ b/kingcuppond/rollouts/messages.py
@@ -17,6 +17,7 @@
     :param granted: calls that the gate was granted, if its server has the new version
     :param used: calls that it has admitted of these
     :param tallies: answers by class of work
+    :param running: calls in progress, as if they had been answered now
     """
 
     service: str
@@ -27,6 +28,7 @@
     granted: int
     used: int
     tallies: Tallies
+    running: Tallies = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/kingcuppond/rollouts/session.py
+++ b/kingcuppond/rollouts/session.py
@@ -9,11 +9,19 @@
 
 import attrs
 
-from kingcuppond.rollouts.judgement import Sample
+from kingcuppond.rollouts.judgement import SLOW_BINS, Sample
 from kingcuppond.rollouts.messages import RolloutReport
 from kingcuppond.rollouts.order import OrderStatus
 from kingcuppond.rollouts.steps import GateUse
-from kingcuppond.rollouts.tallies import Tallies, count_of, difference, total_of
+from kingcuppond.rollouts.tallies import (
+    Tallies,
+    count_of,
+    difference,
+    median_bin,
+    slow_part,
+    tally_for,
+    total_of,
+)
 
 WINDOWS_SECONDS: Final = (3.0, 1.5)
 """A version that turns bad late shows it in its latest answers before it shows in all of them."""
@@ -122,6 +130,7 @@
         """Return the answers since the order, and the latest ones."""
         self._count_blocks(now)
         old, new = self._total(is_new=False), self._total(is_new=True)
+        self._add_running(old, new)
         totals = _Totals(now, old, new, self._blocks)
         self._totals.append(totals)
         while len(self._totals) > 1 and self._totals[1].at <= now - max(WINDOWS_SECONDS):
@@ -140,6 +149,16 @@
             old = totals.old
         return _sample(old, new, totals.blocks - earlier.blocks)
 
+    def _add_running(self, old: Tallies, new: Tallies) -> None:
+        """Count the calls in progress that are slow already, which may take many seconds yet."""
+        limits = {name: median_bin(tally.normal_latencies) for name, tally in old.items()}
+        for gate in self._gates_by_vm.values():
+            total = new if gate.report.version == self.target_version else old
+            for class_name, tally in gate.report.running.items():
+                limit = limits.get(class_name)
+                if limit is not None:
+                    tally_for(total, class_name).add(slow_part(tally, limit + SLOW_BINS))
+
     def _count_blocks(self, now: float) -> None:
         """Count the half seconds in which each server of the new version has answered."""
         counts = {
--- a/kingcuppond/rollouts/steps.py
+++ b/kingcuppond/rollouts/steps.py
@@ -9,7 +9,6 @@
 deciding daemon has granted them, which is a part of the requests that the gates have reported.
 """
 
-import math
 from collections.abc import Collection, Mapping
 from typing import Final
 
@@ -17,21 +16,21 @@
 
 from kingcuppond.rollouts.order import Phase
 
-CANARY_USE: Final = 0.4
+CANARY_USE: Final = 0.5
 """Part of the allowed share that the canary uses; the ramp needs the rest."""
 
 SLACK_USE: Final = 0.4
 """Part of the slack that the gates are granted.  Two daemons that both decide for a moment grant
 twice of it together."""
 
-CANARY_END: Final = 0.75
-FULL_AT: Final = 0.86
+CANARY_END: Final = 0.74
+FULL_AT: Final = 0.82
 COMPLETE_AT: Final = 0.92
 DEADLINE_DOUBT_AT: Final = 0.97
 """Fractions of the duration: the end of the canary, everything, ``completed``, and the last moment
 at which a version that may be bad is waited for."""
 
-RAMP: Final = ((CANARY_END, 0.15), (0.79, 0.3), (0.83, 0.55), (FULL_AT, 1.0))
+RAMP: Final = ((CANARY_END, 0.2), (0.78, 0.5), (FULL_AT, 1.0))
 """Shares of the ramp by fraction of the duration."""
 
 MAX_CANARY_SHARE: Final = 0.5
@@ -39,13 +38,16 @@
 RATE_KNOWN_AT: Final = 0.15
 """Fraction of the duration after which the rate of calls is known; the first reports lag behind."""
 
+MIN_RAMP_SAMPLES: Final = 8
+"""Answers of the new version before the ramp, whose first step then gives more."""
+
 MIN_SAMPLES: Final = 20
-"""Answers of the new version before its share grows, and before ``completed``."""
+"""Answers of the new version before ``completed``."""
 
-MIN_FULL_SECONDS: Final = 0.5
+MIN_FULL_SECONDS: Final = 0.8
 """How long the new servers carry everything before ``completed``."""
 
-MIN_STEP_SECONDS: Final = 0.4
+MIN_STEP_SECONDS: Final = 0.35
 """Time between two steps of the ramp: a step reaches the fleet sooner."""
 
 GRANT_AHEAD_SECONDS: Final = 1.0
@@ -75,6 +77,7 @@
     :param calls: calls that the gates of the service have run since the order
     :param samples: answers of the new version
     :param is_suspicious: whether the version may be bad
+    :param is_doubtful: whether there is any sign that it may be bad
     :param is_store_up: whether the store has answered lately
     """
 
@@ -86,6 +89,7 @@
     calls: int
     samples: int
     is_suspicious: bool
+    is_doubtful: bool
     is_store_up: bool
 
 
@@ -111,11 +115,15 @@
     if not now.is_store_up:
         return keep
     if now.phase is Phase.CANARY and (
-        now.age < CANARY_END * now.duration or now.samples < MIN_SAMPLES
+        now.age < CANARY_END * now.duration or now.samples < MIN_RAMP_SAMPLES
     ):
         return Plan(Phase.CANARY, max(now.share, canary_share(now, bounds)))
     if now.phase is Phase.RAMP and now.step_age < MIN_STEP_SECONDS:
         return keep
+    if now.is_doubtful:
+        # More answers decide whether it is bad before it gets more traffic.
+        is_late = now.age >= DEADLINE_DOUBT_AT * now.duration
+        return attrs.evolve(keep, is_in_doubt=is_late and now.is_suspicious)
     # One step at a time, also where the samples were late, so that each is judged by itself.
     for start, share in RAMP:
         if share > now.share:
@@ -155,7 +163,7 @@
     They are so few that each has about the load that it will have, since a version may be bad under
     load only.
     """
-    return max(1, math.ceil(share * servers))
+    return max(1, round(share * servers))
 
 
 def allowance(calls: int, bounds: Bounds) -> int:
--- a/kingcuppond/rollouts/table.py
+++ b/kingcuppond/rollouts/table.py
@@ -32,9 +32,12 @@
 )
 from kingcuppond.rollouts.steps import canary_servers
 
-CANARY_TURN_SECONDS: Final = 2.0
+CANARY_TURN_SECONDS: Final = 3.0
 """Longer than the daemons differ in the age of an order."""
 
+TURN_NOTICE_SECONDS: Final = 0.8
+"""Time for the gates of the next turn to report and to be granted calls."""
+
 OrderDecoder = Callable[[VersionedObject], Result[RolloutOrder, ObjectError]]
 
 
@@ -85,12 +88,12 @@
 
     :param new: VMs whose servers of the new version accept calls
     :param has_old_member: whether any member, dead or not, has another version
-    :param canary: turn, share and VMs of the canary, ``None`` if not chosen yet
+    :param canary_by_turn: VMs of the canary by turn and share
     """
 
     new: list[str]
     has_old_member: bool
-    canary: tuple[int, float, frozenset[str]] | None = None
+    canary_by_turn: dict[tuple[int, float], frozenset[str]] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -180,20 +183,27 @@
             new = attrs.evolve(new, vms=self.canary_vms(service))
         return (new, old)
 
-    def canary_vms(self, service: str) -> frozenset[str]:
-        """Return the VMs whose servers carry the canary's share at present.
+    def canary_vms(self, service: str, turns_ahead: int = 0) -> frozenset[str]:
+        """Return the VMs whose servers carry the canary's share, now or some turns later.
 
         They change every few seconds, so that one unusual machine does not decide.
         """
         rollout = self.rollouts_by_service[service]
-        turn = int(self.age(service) / CANARY_TURN_SECONDS)
+        turn = int(self.age(service) / CANARY_TURN_SECONDS) + turns_ahead
         servers = self._servers_of(service)
-        if servers.canary is None or servers.canary[:2] != (turn, rollout.share):
+        found = servers.canary_by_turn.get((turn, rollout.share))
+        if found is None:
             salt = f"canary/{rollout.order.id}/{turn}"
-            ranked = sorted(servers.new, key=lambda vm: rendezvous_hash(salt, vm))
-            chosen = ranked[: canary_servers(rollout.share, len(ranked))]
-            servers.canary = (turn, rollout.share, frozenset(chosen))
-        return servers.canary[2]
+            alive = [vm for vm in servers.new if not self.directory.is_suspected(vm)]
+            ranked = sorted(alive or servers.new, key=lambda vm: rendezvous_hash(salt, vm))
+            found = frozenset(ranked[: canary_servers(rollout.share, len(ranked))])
+            servers.canary_by_turn[turn, rollout.share] = found
+        return found
+
+    def is_turn_near(self, service: str) -> bool:
+        """Return whether the next servers are about to carry the canary's share."""
+        left = CANARY_TURN_SECONDS - self.age(service) % CANARY_TURN_SECONDS
+        return left < TURN_NOTICE_SECONDS
 
     def has_new(self, service: str) -> bool:
         """Return whether a server of the new version accepts calls."""
--- a/kingcuppond/rollouts/tallies.py
+++ b/kingcuppond/rollouts/tallies.py
@@ -73,6 +73,20 @@
     return sum(count for index, count in latencies.items() if index > limit)
 
 
+def slow_part(tally: Tally, limit: int) -> Tally:
+    """Return the answers that are in higher bins than one, at the usual speed of the machines."""
+    normal = {index: count for index, count in tally.normal_latencies.items() if index > limit}
+    count = sum(normal.values())
+    slowest: dict[int, int] = {}
+    left = count
+    for index in sorted(tally.latencies, reverse=True):
+        taken = min(left, tally.latencies[index])
+        if taken:
+            slowest[index] = taken
+        left -= taken
+    return Tally(count, 0, slowest, normal)
+
+
 def median_bin(latencies: Mapping[int, int]) -> int | None:
     """Return the bin of the median, or ``None`` without answers."""
     half = sum(latencies.values()) / 2
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -68,6 +68,10 @@
 LAST_RESORT_REASONS: Final = (Reason.FULL, Reason.SERVER_SLOW)
 """Refusals by a gate that may still accept the call as a last resort."""
 
+BACKLOG_REASONS: Final = (Reason.FULL, Reason.VERSION_SHARE)
+"""Refusals after which a call may wait for a moment: until a slot becomes free, or this daemon has
+heard of the roll-out that the gates know already."""
+
 NOT_RETRYABLE_REASONS: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
 
@@ -142,7 +146,9 @@
         progress = _CallProgress(call.retry_budget)
         while True:
             result = await self._run_round(call, progress)
-            if result.is_ok() or result.error.reason is not Reason.FULL or call.body.is_consumed:
+            if result.is_ok() or call.body.is_consumed:
+                break
+            if result.error.reason not in BACKLOG_REASONS:
                 break
             if (
                 self.backlog >= MAX_BACKLOG
