--- a/kingcuppond/rollouts/table.py
+++ b/kingcuppond/rollouts/table.py
@@ -101,7 +101,6 @@
     """The roll-outs by service.
 
     :param publish: merges objects into the configuration and spreads those that are newer
-    :param on_change: called after an order or a state has changed
     """
 
     configuration: Configuration
@@ -110,7 +109,6 @@
     publish: Callable[[list[VersionedObject]], None]
     clock: Clock
     rollouts_by_service: dict[str, Rollout] = attrs.field(factory=dict)
-    on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _heard_at_by_order: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _orders_by_object: dict[VersionedObject, RolloutOrder | None] = attrs.field(factory=dict)
     _servers_by_service: dict[str, _Servers] = attrs.field(factory=dict)
@@ -126,16 +124,16 @@
         found = {
             service: self._combine(order, known.get(service)) for service, order in orders.items()
         }
-        if found == known:
-            return
+        if found != known:
+            self._replace(found)
+        self._publish_further()
+
+    def _replace(self, found: dict[str, Rollout]) -> None:
         now = self.clock.monotonic()
-        keys = {(service, order.id) for service, order in orders.items()}
+        keys = {(service, rollout.order.id) for service, rollout in found.items()}
         heard = {key: self._heard_at_by_order.get(key, now) for key in keys}
         self.rollouts_by_service, self._heard_at_by_order = found, heard
         self._servers_by_service.clear()
-        for callback in self.on_change:
-            callback()
-        self._publish_further()
 
     def age(self, service: str) -> float:
         """Return how many seconds ago the fleet has heard of the order, as far as known."""
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -93,3 +93,20 @@
 @pytest.mark.parametrize("path", ["/instances/", "/instances/a/b", "/other/i-1"])
 def test_rejects_other_path(path: str) -> None:
     assert decode_heartbeat("DELETE", path, b"", SERVER).is_error()
+
+
+@pytest.mark.parametrize("version", ["v1", "2.0 (büro)", ""])
+def test_the_version_of_a_server_is_taken_as_it_is(version: str) -> None:
+    assert read(Version=version).ok.version == version
+
+
+@pytest.mark.parametrize("version", [None, 7, ["v1"], "v" * 257])
+def test_a_version_that_is_no_usable_text_does_not_spoil_a_heartbeat(version: Any) -> None:
+    """Guards against a server that counts as absent for a field that few deployments need."""
+    assert read(Version=version).ok.version == ""
+
+
+def test_a_heartbeat_may_name_no_version() -> None:
+    heartbeat = {name: value for name, value in HEARTBEAT.items() if name != "Version"}
+    body = msgspec.json.encode(heartbeat)
+    assert decode_heartbeat("PUT", "/instances/i-1", body, SERVER).ok.version == ""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,11 +5,12 @@
 
 import aiohttp
 import attrs
+import msgspec
 import pytest
 from aiohttp import web
 
 from kingcuppond.platform.store import MAX_LISTED_OBJECTS, MAX_RESPONSE_BYTES, PlatformStore
-from kingcuppond.store.era import era_of, revision_of
+from kingcuppond.store.era import era_of, make_version, revision_of
 from kingcuppond.store.interface import ABSENT_VERSION
 from standins.fleet import free_ports
 from standins.platform import make_app
@@ -266,3 +267,49 @@
         assert (await asyncio.wait_for(store.list("kind"), 20.0)).is_error()
         await store.close()
     assert pages <= MAX_LISTED_OBJECTS / 5000 + 1
+
+
+ROLLOUT = b'{"Service":"shop","TargetVersion":"v2","Duration":"12s"}'
+STATUS = b'{"State":"running","TargetVersion":"v2"}'
+
+
+async def test_the_status_of_an_order_is_written_on_condition_of_its_version(
+    running: RunningStore,
+) -> None:
+    version = (await running.store.put("rollouts", "shop", ROLLOUT, ABSENT_VERSION)).ok
+    written = await running.store.put_status("rollouts", "shop", STATUS, version)
+    assert written.ok > version
+    again = await running.store.put_status("rollouts", "shop", STATUS, version)
+    assert again.error.is_conflict
+    found = (await running.store.get("rollouts", "shop")).ok
+    assert found is not None
+    content = msgspec.json.decode(found.body)
+    assert content["Status"] == msgspec.json.decode(STATUS)
+    assert content["Spec"] == msgspec.json.decode(ROLLOUT)
+    assert make_version(running.store.eras.era, content["Created"]) == version
+
+
+async def test_a_listing_and_a_watch_show_the_status(running: RunningStore) -> None:
+    version = (await running.store.put("rollouts", "shop", ROLLOUT, ABSENT_VERSION)).ok
+    await running.store.put_status("rollouts", "shop", STATUS, version)
+    listed = (await running.store.list("rollouts")).ok.items[0]
+    watched = (await running.store.watch("rollouts", version, 1000)).ok.changes[0]
+    for body in (listed.body, watched.body):
+        assert body is not None
+        assert msgspec.json.decode(body)["Status"]["State"] == "running"
+
+
+async def test_a_lost_answer_to_a_status_is_an_unknown_outcome(running: RunningStore) -> None:
+    version = (await running.store.put("rollouts", "shop", ROLLOUT, ABSENT_VERSION)).ok
+    await running.set_faults(lose_answers=1)
+    written = await running.store.put_status("rollouts", "shop", STATUS, version)
+    assert written.error.is_outcome_unknown
+    again = await running.store.put_status("rollouts", "shop", STATUS, version)
+    assert again.error.is_conflict
+
+
+async def test_the_status_of_an_object_that_is_gone_is_a_conflict(running: RunningStore) -> None:
+    version = (await running.store.put("rollouts", "shop", ROLLOUT, ABSENT_VERSION)).ok
+    await running.store.delete("rollouts", "shop", version)
+    written = await running.store.put_status("rollouts", "shop", STATUS, version)
+    assert written.error.is_conflict
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -3,6 +3,7 @@
 import time
 from random import Random
 
+import attrs
 import pytest
 
 from kingcuppond.clock import Clock
@@ -12,7 +13,7 @@
 from kingcuppond.membership.directory import DEAD_AFTER_SECONDS, Directory
 from kingcuppond.membership.messages import Member, ServerState, Suspicion
 from kingcuppond.routing.choice import SelectionContext, least_expected
-from kingcuppond.routing.placement import MAX_DRAWN, ServerIndex, place
+from kingcuppond.routing.placement import MAX_CACHED, MAX_DRAWN, ServerIndex, place
 from kingcuppond.routing.view import ServerView
 from tests.conftest import FakeTime
 
@@ -99,3 +100,32 @@
             rounds.append(time.process_time() - started)
         seconds.append(min(rounds))
     assert seconds[1] <= 3 * seconds[0]
+
+
+@attrs.frozen
+class OnVms:
+    """Allows the servers on some VMs."""
+
+    vms: frozenset[str]
+
+    def __call__(self, member: Member) -> bool:
+        return member.vm in self.vms
+
+
+def test_only_servers_that_the_filter_allows_are_drawn(directory: Directory, clock: Clock) -> None:
+    """Guards against a draw that leaves none of the few allowed servers of a large service."""
+    for i in range(100):
+        directory.merge(make_member(f"vm-{i}"))
+    index = make_index(directory, clock)
+    allowed = frozenset({"vm-7", "vm-70"})
+    for _ in range(20):
+        drawn = index.draw("shop", set(), 0.0, 0.025, OnVms(allowed))
+        assert {candidate.vm for candidate in drawn} == allowed
+    assert "me" in drawn_vms(index)
+
+
+def test_filters_that_change_take_no_memory(directory: Directory, clock: Clock) -> None:
+    index = make_index(directory, clock)
+    for i in range(3 * MAX_CACHED):
+        index.draw("shop", set(), 0.0, 0.025, OnVms(frozenset({f"vm-{i}"})))
+    assert len(index._vms_by_service) <= MAX_CACHED
--- a/tests/settings/test_template.py
+++ b/tests/settings/test_template.py
@@ -82,3 +82,16 @@
     fields = {"Bounds.Revoke": "5000ms", "Bounds.FailClosed": is_closed}
     settings = parse_text(render(**fields), "daemon.json", DaemonSettings).ok
     assert (settings.fail_closed, settings.revoke_seconds) == (is_closed, 5.0)
+
+
+def test_a_deployment_without_a_bound_for_canaries_has_no_roll_outs() -> None:
+    """Otherwise it would watch one more kind, and each member's description would be larger."""
+    assert not parse_text(render(), "daemon.json", DaemonSettings).ok.has_rollouts
+
+
+def test_the_bounds_of_a_roll_out() -> None:
+    fields = {"Bounds.CanaryShare": 0.2, "Bounds.CanarySlack": 30, "Bounds.Rollback": "3s"}
+    settings = parse_text(render(**fields), "daemon.json", DaemonSettings).ok
+    assert settings.has_rollouts
+    assert (settings.canary_share, settings.canary_slack) == (0.2, 30.0)
+    assert settings.rollback_seconds == 3.0
