--- a/kingcuppond/rollouts/decider.py
+++ b/kingcuppond/rollouts/decider.py
@@ -65,6 +65,8 @@
     """Decides on the roll-outs for which this daemon ranks first.
 
     :param encode_status: encodes the status of an order for the store
+    :param is_ready: returns whether this daemon knows the whole configuration; one that has not
+        joined the fleet yet would rank first among the few members that it knows
     """
 
     table: RolloutTable
@@ -75,6 +77,7 @@
     journal: Journal
     rng: Random
     encode_status: Callable[[RolloutOrder, OrderStatus], bytes]
+    is_ready: Callable[[], bool] = lambda: True
     _sessions_by_service: dict[str, Session] = attrs.field(factory=dict)
     _judged_at_by_service: dict[str, float] = attrs.field(factory=dict)
     _store_tasks_by_service: dict[str, "asyncio.Task[None]"] = attrs.field(factory=dict)
@@ -125,6 +128,8 @@
 
     def tick(self) -> None:
         """Take the steps that are due now."""
+        if not self.is_ready():
+            return
         for service in list(self._sessions_by_service):
             rollout = self.table.rollouts_by_service.get(service)
             if rollout is None or rollout.is_over:
--- a/kingcuppond/rollouts/factory.py
+++ b/kingcuppond/rollouts/factory.py
@@ -73,6 +73,7 @@
         daemon.journal,
         daemon.rng,
         encode_status,
+        lambda: daemon.configuration.is_ready,
     )
     daemon.transport.handlers_by_type[RolloutReport] = decider.on_report
     share = GateShare(table, daemon.directory, daemon.clock)
--- a/kingcuppond/rollouts/judgement.py
+++ b/kingcuppond/rollouts/judgement.py
@@ -49,6 +49,9 @@
 
 QUIET_BLOCK: Final = 1.3
 
+MEASURED_BLOCKS: Final = 1.5
+"""Half seconds of noise that count as one, where the reports of the machines' speed explain it."""
+
 ALL_CLASSES: Final = ""
 
 
@@ -110,9 +113,25 @@
     for class_name, new in sample.new.items():
         best = _stronger(best, _failures(class_name, sample.old.get(class_name, Tally()), new))
     best = _stronger(best, _failures(ALL_CLASSES, _sum(sample.old), _sum(sample.new)))
-    # Latencies as measured count only where the reports of the machines' speed don't explain noise:
-    # the few servers of the canary may all be on a slow machine for a while.
-    return _stronger(best, _latency_in(sample, _explains_noise(sample)))
+    is_explained = _explains_noise(sample)
+    best = _stronger(best, _latency_in(sample, is_explained))
+    if is_explained:
+        # A version may slow down what its servers report too.  The few servers of the canary may
+        # all be on slow machines for a while, so such answers count for less.
+        measured = attrs.evolve(
+            sample, samples_per_block=MEASURED_BLOCKS * sample.samples_per_block
+        )
+        best = _stronger(best, _latency_of_all(measured))
+    return best
+
+
+def _latency_of_all(sample: Sample) -> Evidence:
+    whole = _SlowCounts()
+    for class_name, new in sample.new.items():
+        old = sample.old.get(class_name, Tally())
+        counts = _count_slow(old.latencies, new.latencies)
+        whole = whole if counts is None else whole.plus(counts)
+    return _latency(ALL_CLASSES, whole, max(1.0, sample.samples_per_block), is_normal=False)
 
 
 def _explains_noise(sample: Sample) -> bool:
--- a/kingcuppond/routing/sender.py
+++ b/kingcuppond/routing/sender.py
@@ -38,6 +38,9 @@
 """Longer bodies are sent only after the gate admitted the call: a refused body would cost more than
 the round trip."""
 
+SOON_OVER_REASONS: Final = (Reason.FULL, Reason.VERSION_SHARE)
+"""Refusals by a gate that soon accepts calls again, so that it is soon asked again."""
+
 
 @attrs.define
 class Sender:
@@ -81,7 +84,7 @@
             if result.error.reason is Reason.SERVER_SLOW:
                 view.started_by_call.pop(call.id, None)
             else:
-                view.record_refusal(call.id, now, result.error.reason is Reason.FULL)
+                view.record_refusal(call.id, now, result.error.reason in SOON_OVER_REASONS)
             return result
         is_good = result.is_ok() and result.ok.status < 500
         slowdown = result.ok.begun_slowdown if result.is_ok() else 1.0
--- a/tests/rollouts/simulation.py
+++ b/tests/rollouts/simulation.py
@@ -60,6 +60,7 @@
     :param is_slow: bad answers are slow and not failures
     :param after_seconds: since the order, when it turns bad
     :param min_in_flight: calls that a server must run at once before it is bad
+    :param is_reported: servers report slow answers as if their machine was slow
     :param kind: the only kind of request that is bad, all if empty
     """
 
@@ -68,6 +69,7 @@
     after_seconds: float = 0.0
     min_in_flight: int = 0
     kind: str = ""
+    is_reported: bool = False
 
 
 @attrs.define
@@ -197,6 +199,7 @@
             self.outcome.exposed += 1
         if is_bad and self.fault.is_slow:
             seconds *= FAULT_FACTOR
+            reported *= FAULT_FACTOR if self.fault.is_reported else 1.0
         is_failure = is_bad and not self.fault.is_slow
         number = next(self._count)
         gate.running[number] = (kind.name, self.now, reported)
