--- a/kingcuppond/rollouts/decider.py
+++ b/kingcuppond/rollouts/decider.py
@@ -24,7 +24,7 @@
 from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import ServerState
-from kingcuppond.rollouts.judgement import Evidence, strongest
+from kingcuppond.rollouts.judgement import Evidence, explains_noise, strongest
 from kingcuppond.rollouts.messages import RolloutReply, RolloutReport
 from kingcuppond.rollouts.order import ROLLOUTS_KIND, OrderStatus, Phase, RolloutOrder
 from kingcuppond.rollouts.session import Session
@@ -36,6 +36,7 @@
     Situation,
     allowance,
     divide,
+    needs_wide_canary,
     plan,
 )
 from kingcuppond.rollouts.table import Rollout, RolloutTable
@@ -205,10 +206,14 @@
 
     def _judge(self, session: Session, rollout: Rollout, now: float) -> None:
         service = rollout.order.service
-        evidence = strongest(session.samples(now))
+        samples = session.samples(now)
+        evidence = strongest(samples)
         if session.is_judged_bad:
             return
         situation = self._situation(session, rollout, now, evidence)
+        if needs_wide_canary(situation, explains_noise(samples[0])):
+            self.table.advance(service, rollout.phase, rollout.share, is_wide=True)
+            return
         step = plan(situation, self.bounds)
         soon = attrs.evolve(
             situation,
@@ -247,6 +252,7 @@
             share=rollout.share,
             calls=session.calls(),
             samples=session.new_calls(),
+            is_wide=rollout.state is not None and rollout.state.is_wide,
             is_suspicious=evidence.is_suspicious,
             is_doubtful=evidence.is_doubtful,
             is_store_up=self._is_store_up(session, now),
--- a/kingcuppond/rollouts/order.py
+++ b/kingcuppond/rollouts/order.py
@@ -24,7 +24,7 @@
 """Resolution of a share in the release of a state."""
 
 PHASE_BITS: Final = 4
-STEP_BITS: Final = 10
+STEP_BITS: Final = 11
 
 
 class OrderStatus(StrEnum):
@@ -89,23 +89,26 @@
     :param order: id of the order
     :param began_ms: the fleet's time at which the state began; orders the roll-outs of a service
     :param share: of the service's requests that may go to the new version
+    :param is_wide: whether all new servers carry the canary's share, and not a few in turn
     """
 
     order: str
     began_ms: int
     phase: Phase
     share: float = 0.0
+    is_wide: bool = False
 
     @property
     def release(self) -> int:
         """Orders the states of a service; the larger one is newer."""
         step = min(STEPS, round(self.share * STEPS))
+        step = step << 1 | self.is_wide
         return (self.began_ms << PHASE_BITS | self.phase) << STEP_BITS | step
 
     @property
-    def progress(self) -> tuple[Phase, float]:
+    def progress(self) -> tuple[Phase, float, bool]:
         """Orders the states of one order."""
-        return self.phase, self.share
+        return self.phase, self.share, self.is_wide
 
 
 def encode_state(service: str, state: RolloutState, version: int) -> VersionedObject:
--- a/kingcuppond/rollouts/steps.py
+++ b/kingcuppond/rollouts/steps.py
@@ -76,6 +76,7 @@
     :param share: in force
     :param calls: calls that the gates of the service have run since the order
     :param samples: answers of the new version
+    :param is_wide: whether all new servers carry the canary's share
     :param is_suspicious: whether the version may be bad
     :param is_doubtful: whether there is any sign that it may be bad
     :param is_store_up: whether the store has answered lately
@@ -88,6 +89,7 @@
     share: float
     calls: int
     samples: int
+    is_wide: bool
     is_suspicious: bool
     is_doubtful: bool
     is_store_up: bool
@@ -157,6 +159,16 @@
     return min(share, MAX_CANARY_SHARE)
 
 
+def needs_wide_canary(now: Situation, is_noise_explained: bool) -> bool:
+    """Return whether all new servers should carry the canary's share from now on.
+
+    Noise that the servers don't report hits all answers of a server together.  From a few servers
+    there would then be too few answers that are independent.
+    """
+    is_known = now.age >= RATE_KNOWN_AT * now.duration
+    return now.phase is Phase.CANARY and not now.is_wide and is_known and not is_noise_explained
+
+
 def canary_servers(share: float, servers: int) -> int:
     """Return how many servers of the new version carry the canary's share.
 
--- a/kingcuppond/rollouts/table.py
+++ b/kingcuppond/rollouts/table.py
@@ -147,11 +147,12 @@
             now = self.clock.monotonic()
             self._heard_at_by_order[service, order] = min(heard_at, now - seconds)
 
-    def advance(self, service: str, phase: Phase, share: float) -> None:
-        """Publish a further phase or a larger share of a roll-out."""
+    def advance(self, service: str, phase: Phase, share: float, is_wide: bool = False) -> None:
+        """Publish a further phase or a larger share of a roll-out, or that its canary is wide."""
         rollout = self.rollouts_by_service[service]
         began_ms = rollout.state.began_ms if rollout.state else self.clock.fleet_ms()
-        self.adopt(service, RolloutState(rollout.order.id, began_ms, phase, share))
+        is_wide |= rollout.state is not None and rollout.state.is_wide
+        self.adopt(service, RolloutState(rollout.order.id, began_ms, phase, share, is_wide))
 
     def adopt(self, service: str, state: RolloutState) -> None:
         """Take over a state, and spread it if it is newer than that of this daemon."""
@@ -194,7 +195,9 @@
             salt = f"canary/{rollout.order.id}/{turn}"
             alive = [vm for vm in servers.new if not self.directory.is_suspected(vm)]
             ranked = sorted(alive or servers.new, key=lambda vm: rendezvous_hash(salt, vm))
-            found = frozenset(ranked[: canary_servers(rollout.share, len(ranked))])
+            is_wide = rollout.state is not None and rollout.state.is_wide
+            count = len(ranked) if is_wide else canary_servers(rollout.share, len(ranked))
+            found = frozenset(ranked[:count])
             servers.canary_by_turn[turn, rollout.share] = found
         return found
 
--- a/tests/rollouts/test_steps.py
+++ b/tests/rollouts/test_steps.py
@@ -18,6 +18,7 @@
     canary_servers,
     canary_share,
     divide,
+    needs_wide_canary,
     plan,
 )
 
@@ -30,6 +31,7 @@
     share=0.05,
     calls=1200,
     samples=60,
+    is_wide=False,
     is_suspicious=False,
     is_doubtful=False,
     is_store_up=True,
@@ -100,6 +102,13 @@
     assert [canary_servers(0.05, servers) for servers in (1, 6, 38, 200)] == [1, 1, 2, 10]
 
 
+def test_noise_that_is_not_explained_takes_all_servers_of_the_canary() -> None:
+    assert needs_wide_canary(CANARY, is_noise_explained=False)
+    assert not needs_wide_canary(CANARY, is_noise_explained=True)
+    for change in ({"age": 0.5}, {"is_wide": True}, {"phase": Phase.RAMP}):
+        assert not needs_wide_canary(attrs.evolve(CANARY, **change), is_noise_explained=False)
+
+
 def test_grants_never_exceed_the_allowance_in_random_histories() -> None:
     """The hard bound of the fleet: the sum of what all gates may admit."""
     rng = Random(1)
