Roll-outs: a roll-back at full share takes effect at once unless completed may be in the store

It waited for the store as soon as the new version had everything, so a bad version would have kept everything while the store is down. It waits now only if this or an earlier deciding daemon may have written completed.

--- a/kingcuppond/rollouts/decider.py
+++ b/kingcuppond/rollouts/decider.py
@@ -229,6 +229,7 @@
             session.wanted_status = OrderStatus.COMPLETED
         if _is_further(step, rollout):
             session.step_at = now
+            session.is_finishing = step.phase is Phase.FINISHING
             self._advance(session, rollout, step.phase, step.share)
             self.journal.record(
                 catalogue.ROLLOUT_STEP,
@@ -273,6 +274,7 @@
         self.table.advance(rollout.order.service, phase, share)
 
     def _roll_back(self, session: Session, rollout: Rollout, evidence: Evidence) -> None:
+        is_write_first = rollout.phase is Phase.FINISHING and session.may_be_completed
         session.is_judged_bad = True
         session.wanted_status = OrderStatus.ROLLED_BACK
         self.journal.record(
@@ -286,7 +288,7 @@
             phase=rollout.phase.name.lower(),
             evidence=round(evidence.strength, 1),
         )
-        if rollout.phase is not Phase.FINISHING:
+        if not is_write_first:
             self.table.advance(rollout.order.service, Phase.ROLLED_BACK, 0.0)
 
     def _run_store_task(self, service: str, session: Session, rollout: Rollout) -> None:
--- a/kingcuppond/rollouts/session.py
+++ b/kingcuppond/rollouts/session.py
@@ -62,6 +62,8 @@
     :param store_heard_at: monotonic time at which the store last answered
     :param known_status: the status that the store had then
     :param wanted_status: what the store should have
+    :param is_finishing: whether this daemon itself gave everything to the new version, so that no
+        other one can have written ``completed``
     :param is_check_wanted: whether the share is due to grow, if the store answers
     """
 
@@ -73,6 +75,7 @@
     known_status: OrderStatus = OrderStatus.NONE
     wanted_status: OrderStatus = OrderStatus.NONE
     is_check_wanted: bool = False
+    is_finishing: bool = False
     is_judged_bad: bool = False
     granted_by_vm: dict[str, int] = attrs.field(factory=dict)
     _gates_by_vm: dict[str, _Gate] = attrs.field(factory=dict)
@@ -81,6 +84,11 @@
     _counts_by_vm: dict[str, int] = attrs.field(factory=dict)
     _counted_at: float = float("-inf")
 
+    @property
+    def may_be_completed(self) -> bool:
+        """Whether ``completed`` may be in the store, once everything goes to the version."""
+        return not self.is_finishing or self.wanted_status is OrderStatus.COMPLETED
+
     def add(self, vm: str, report: RolloutReport) -> None:
         """Take over a report."""
         gate = self._gates_by_vm.get(vm)
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from kingcuppond.rollouts import steps
 from kingcuppond.rollouts.order import Phase
 from tests.membership.network import Network, run_simulated, wait_until
 from tests.rollouts.fleet import BOUNDS, SERVICE, RolloutFleet
@@ -157,6 +158,46 @@
     assert max(fleet.new_call_times) < max(fleet.old_call_times) - 4.0
 
 
+def test_a_roll_back_at_full_share_waits_for_the_store_only_if_it_may_be_completed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a bad version that keeps everything until the store answers."""
+    monkeypatch.setattr(steps, "COMPLETE_AT", 9.9)
+
+    async def scenario(fleet: RolloutFleet) -> None:
+        calls = asyncio.create_task(order_and_call(fleet, 15.0))
+        await wait_until(lambda: phases_of(fleet) == {Phase.FINISHING}, 12.0)
+        fleet.store.is_down = True
+        for node in fleet.nodes_by_vm.values():
+            node.failing = 0.5 if node.version == "v2" else 0.0
+        await wait_until(lambda: phases_of(fleet) == {Phase.ROLLED_BACK}, 3.0)
+        await calls
+
+    fleet = run(scenario)
+    assert fleet.state() == "running"
+    assert fleet.refused == 0
+
+
+def test_a_version_that_is_completed_in_the_store_is_not_rolled_back() -> None:
+    """The answer to ``completed`` is lost, and the old servers have stopped."""
+
+    async def scenario(fleet: RolloutFleet) -> None:
+        calls = asyncio.create_task(order_and_call(fleet, 16.0))
+        await wait_until(lambda: phases_of(fleet) == {Phase.FINISHING}, 12.0)
+        fleet.store.lose_answers = 1
+        await wait_until(lambda: fleet.state() == "completed", 3.0)
+        fleet.store.is_down = True
+        for node in fleet.nodes_by_vm.values():
+            node.failing = 0.5 if node.version == "v2" else 0.0
+        await asyncio.sleep(3.0)
+        assert Phase.ROLLED_BACK not in phases_of(fleet)
+        fleet.store.is_down = False
+        await calls
+
+    fleet = run(scenario)
+    assert fleet.store.statuses == ["running", "completed"]
+
+
 def test_the_share_does_not_grow_while_the_store_is_down() -> None:
     async def scenario(fleet: RolloutFleet) -> None:
         calls = asyncio.create_task(order_and_call(fleet, 20.0))
