--- a/kingcuppond/rollouts/judgement.py
+++ b/kingcuppond/rollouts/judgement.py
@@ -21,7 +21,7 @@
 
 BAD_EVIDENCE: Final = 7.0
 """A chance of 1 in 1,000 at most for each look, beside the floors below.  In 240 simulated
-roll-outs of good versions, whose servers reported their machines' speed, no look exceeded 1.6."""
+roll-outs of good versions, whose servers reported their machines' speed, no look exceeded 1.1."""
 
 UNEXPLAINED_WEIGHT: Final = 0.5
 """Weight of latencies whose noise nobody has reported: with 0.7, one of 240 good versions exceeded
--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -144,6 +144,7 @@
 class RolloutFleet:
     """Old and new servers of one service, and callers.
 
+    :param ignores_shares: callers' daemons choose among all servers
     :param calls: that callers made
     :param refused: calls that no server took
     :param new_call_times: when servers of the new version got calls
@@ -153,6 +154,7 @@
     rng: Random = attrs.field(factory=lambda: Random(1))
     nodes_by_vm: dict[str, Node] = attrs.field(factory=dict)
     store: SimulatedStore = attrs.field(init=False)
+    ignores_shares: bool = False
     calls: int = 0
     refused: int = 0
     new_call_times: list[float] = attrs.field(factory=list)
@@ -237,7 +239,8 @@
 
     def _choose(self, ingress: Node, tried: set[str]) -> Node | None:
         members = ingress.daemon.directory.members_by_service.get(SERVICE, {}).values()
-        for allows in ingress.table.filters(SERVICE, self.rng):
+        filters = (None,) if self.ignores_shares else ingress.table.filters(SERVICE, self.rng)
+        for allows in filters:
             found = [
                 self.nodes_by_vm[member.vm]
                 for member in members
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from kingcuppond.rollouts import steps
+from kingcuppond.rollouts.gate_share import GateShare
 from kingcuppond.rollouts.order import Phase
 from tests.membership.network import Network, run_simulated, wait_until
 from tests.rollouts.fleet import BOUNDS, SERVICE, RolloutFleet
@@ -94,6 +95,21 @@
     run(scenario, failing=0.5)
 
 
+@pytest.mark.parametrize("is_enforced", [True, False])
+def test_the_gates_hold_the_bound_whatever_the_routers_do(
+    is_enforced: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against daemons that have not heard of a roll-out and send half of the calls."""
+    if not is_enforced:
+        monkeypatch.setattr(GateShare, "take", lambda share: None)
+
+    async def scenario(fleet: RolloutFleet) -> None:
+        fleet.ignores_shares = True
+        await order_and_call(fleet, 8.0)
+
+    assert is_in_bounds(run(scenario)) is is_enforced
+
+
 def test_a_large_fleet_learns_of_a_roll_back_in_time() -> None:
     """Guards against a roll-back that some daemons hear of more than 5 s after the bad answers."""
     fleet = run(order_and_call, old=38, new=38, failing=0.3)
