Pings and the suspicions that follow have a module of their own

Behaviour is unchanged: tests/membership and tests/routing/test_router.py pass (50). test_gossip.py imports two constants from their new module.

--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -1,12 +1,12 @@
-"""Gossip: failure detection by pings, dissemination of changes, and anti-entropy.
+"""Gossip: dissemination of changes, and anti-entropy.
 
-One task per contact pings it.  A contact that misses two pings in a row is suspected, and the
-suspicion spreads.  Changes (members, configuration, quarantine notes, the era of the store) are
-forwarded to all contacts, each only once by each daemon, and combined for some tens of
-milliseconds, so that they reach the whole fleet in a few hops and few messages.  A ping carries a
-digest of the shared state; if the digests of the two ends differ in several pings in a row, the
-ends exchange the parts that differ, and the suspicions in them.  The daemons therefore converge
-after lost rumours, a restart or a healed partition.
+Pings (see ``kingcuppond.membership.pinging``) detect failures, and suspicions spread.  Changes
+(members, configuration, quarantine notes, the era of the store) are forwarded to all contacts, each
+only once by each daemon, and combined for some tens of milliseconds, so that they reach the whole
+fleet in a few hops and few messages.  A ping carries a digest of the shared state; if the digests
+of the two ends differ in several pings in a row, the ends exchange the parts that differ, and the
+suspicions in them.  The daemons therefore converge after lost rumours, a restart or a healed
+partition.
 
 Few daemons have contacts in other data centres.  The others learn through them, by the ages in
 pings, whether the other data centres are alive.
@@ -21,9 +21,8 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration, ObjectHead, VersionedObject
-from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.contacts import Contacts, choose_contacts
+from kingcuppond.membership.contacts import choose_contacts
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.hearing import Hearing
 from kingcuppond.membership.messages import (
@@ -32,13 +31,11 @@
     Member,
     ObjectsReply,
     ObjectsRequest,
-    Ping,
-    Pong,
     Rumours,
     StateReply,
     StateRequest,
-    Suspicion,
 )
+from kingcuppond.membership.pinging import PING_TIMEOUT_SECONDS, Pinger
 from kingcuppond.membership.rumour_queue import RumourQueue
 from kingcuppond.membership.state import OBJECTS_PART, SharedState
 from kingcuppond.membership.tasks import first_to_succeed, start_once
@@ -49,8 +46,6 @@
 COMBINE_SECONDS: Final = 0.03
 """How long changes wait to be combined; a change crosses the fleet in about ten hops."""
 
-PING_TIMEOUT_SECONDS: Final = 0.5
-SUSPECT_AFTER_MISSED_PINGS: Final = 2
 SYNC_TIMEOUT_SECONDS: Final = 2.0
 JOIN_TIMEOUT_SECONDS: Final = PING_TIMEOUT_SECONDS
 """A daemon that does not answer a join within the timeout of a ping counts as unreachable."""
@@ -59,14 +54,6 @@
 """How long a joining daemon waits for an introduction before it asks the next daemon too."""
 
 MAX_JOINED_NEIGHBOURS: Final = 2
-SYNC_AFTER_DIGEST_MISMATCHES: Final = 3
-VERIFYING_PINGS: Final = 3
-"""Members that are pinged before a whole data centre is suspected."""
-
-REVIVE_INTERVAL_SECONDS: Final = 2.0
-REVIVES_PER_INTERVAL: Final = 16
-"""Dead members that the whole fleet pings in each interval."""
-
 HOUSEKEEPING_INTERVAL_SECONDS: Final = 0.2
 
 PULL_DELAY_SECONDS: Final = 0.1
@@ -96,17 +83,15 @@
         self._state = SharedState(directory, configuration, suspect_requests)
         self._transport = transport
         self._eras = eras
-        self._journal = journal
         self._rng = rng
-        self._contacts = Contacts()
+        self.pinger = Pinger(
+            self.hearing, self._state, eras, transport, journal, rng, self.spread, self._sync
+        )
         self._queue = RumourQueue()
         self._flush_handle: asyncio.TimerHandle | None = None
         self._is_era_due = False
-        self._ping_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
         self._contacts_generation = -1
         self._pull_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
-        self._verification_tasks_by_data_centre: dict[str, asyncio.Task[None]] = {}
-        transport.handlers_by_type[Ping] = self._on_ping
         transport.handlers_by_type[Rumours] = self._on_rumours
         transport.handlers_by_type[StateRequest] = self._on_state_request
         transport.handlers_by_type[IntroductionRequest] = self._on_introduction_request
@@ -117,15 +102,14 @@
 
     def loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the loops that run for the lifetime of the daemon."""
-        return [self._keep_house, self._revive_dead]
+        return [self._keep_house, self.pinger.revive_dead]
 
     def stop(self) -> None:
         """Send what waits to be sent, and cancel all pings and pulls."""
         self._flush()
-        pulls, checks = self._pull_tasks_by_vm, self._verification_tasks_by_data_centre
-        for task in [*self._ping_tasks_by_vm.values(), *pulls.values(), *checks.values()]:
+        self.pinger.stop()
+        for task in list(self._pull_tasks_by_vm.values()):
             task.cancel()
-        self._ping_tasks_by_vm.clear()
 
     def spread(self, news: Rumours, sender: str = "") -> None:
         """Send changes to all contacts soon, except to the daemon that they came from."""
@@ -188,7 +172,7 @@
 
         :return: whether any of them has told, or there is no other member
         """
-        contacts = list(self._contacts.pinged_by_vm.values())
+        contacts = list(self.pinger.contacts.pinged_by_vm.values())
         chosen = self._rng.sample(contacts, min(MAX_JOINED_NEIGHBOURS, len(contacts)))
         told = await asyncio.gather(*(self._ask_for_changes(member) for member in chosen))
         return any(told) or len(self.directory.members_by_vm) == 1
@@ -196,7 +180,7 @@
     async def _ask_for_changes(self, member: Member) -> bool:
         # Connections may have broken during the pause.
         self._transport.disconnect(member.peer_address)
-        pong = await self._ping(member)
+        pong = await self.pinger.ping(member)
         if pong is None:
             return False
         parts = self._state.differing_parts(pong)
@@ -210,19 +194,6 @@
         self._merge_and_spread(Rumours(members=reply.ok.members))
         return True
 
-    async def _on_ping(self, sender: str, ping: Ping) -> Pong:
-        self.hearing.record_message(sender, ping.heard_ms)
-        self._eras.observe(ping.era)
-        suspicion = self.directory.suspicion_of(sender)
-        if suspicion is not None:
-            # The sender is alive; it can only end the suspicion by refuting it.
-            address = self.directory.members_by_vm[sender].peer_address
-            self._transport.tell(address, Rumours(suspicions=(suspicion,)))
-        digest = self._state.digest
-        parts = {} if digest == ping.digest else self._state.digests_by_part()
-        is_complete = self._configuration.is_complete
-        return Pong(digest, self.hearing.ages_ms(), is_complete, parts, self._eras.era)
-
     async def _on_rumours(self, sender: str, rumours: Rumours) -> None:
         self.hearing.record_message(sender)
         self._merge_and_spread(rumours, sender)
@@ -264,7 +235,7 @@
         if self._flush_handle is not None:
             self._flush_handle.cancel()
             self._flush_handle = None
-        contacts = self._contacts.informed_by_vm
+        contacts = self.pinger.contacts.informed_by_vm
         rumours_by_vm = self._queue.take(self.directory.me.data_centre, contacts.values())
         if self._is_era_due:
             self._is_era_due = False
@@ -332,96 +303,7 @@
     def _choose_contacts(self) -> None:
         directory = self.directory
         contacts = choose_contacts(directory.me, directory.living(), directory.suspected())
-        self._contacts = contacts
-        for vm in list(self._ping_tasks_by_vm):
-            if vm not in contacts.pinged_by_vm:
-                self._ping_tasks_by_vm.pop(vm).cancel()
-        for vm, member in contacts.pinged_by_vm.items():
-            if vm not in self._ping_tasks_by_vm:
-                self._ping_tasks_by_vm[vm] = asyncio.create_task(self._ping_contact(vm))
-                # The new contact has not received the earlier announcements of this daemon.
-                news = Rumours(members=(directory.me,), era=self._eras.era)
-                self._transport.tell(member.peer_address, news)
-
-    async def _ping_contact(self, vm: str) -> None:
-        missed = 0
-        mismatches = 0
-        while True:
-            interval_seconds = self._contacts.ping_interval_seconds(vm)
-            await asyncio.sleep(interval_seconds * self._rng.uniform(0.8, 1.2))
-            member = self.directory.members_by_vm.get(vm)
-            if member is None:
-                return
-            pong = await self._ping(member)
-            if pong is None:
-                missed += 1
-                self._handle_missed_ping(member, missed)
-                continue
-            missed = 0
-            self.directory.clear_suspicion(vm)
-            parts = self._state.differing_parts(pong)
-            if OBJECTS_PART not in parts:
-                self._configuration.is_complete |= pong.is_complete
-            mismatches = mismatches + 1 if parts else 0
-            if mismatches >= SYNC_AFTER_DIGEST_MISMATCHES:
-                mismatches = 0
-                await self._sync(member.peer_address, parts=parts)
-
-    async def _ping(self, member: Member) -> Pong | None:
-        ping = Ping(self._state.digest, self.hearing.ages_ms(), self._eras.era)
-        reply = await self._transport.ask(member.peer_address, ping, Pong, PING_TIMEOUT_SECONDS)
-        if reply.is_error():
-            return None
-        self.hearing.record_message(member.vm, reply.ok.heard_ms)
-        self._eras.observe(reply.ok.era)
-        return reply.ok
-
-    def _handle_missed_ping(self, member: Member, missed: int) -> None:
-        if missed < SUSPECT_AFTER_MISSED_PINGS:
-            return
-        # The connection may be broken while the member is alive: the next ping opens a new one.
-        self._transport.disconnect(member.peer_address)
-        self._suspect(member)
-        if member.data_centre != self.directory.me.data_centre:
-            self._verify_data_centre(member.data_centre)
-
-    def _suspect(self, *members: Member) -> None:
-        suspicions = (Suspicion(it.vm, it.incarnation, it.seq) for it in members)
-        recorded = tuple(it for it in suspicions if self.directory.suspect(it))
-        self.spread(Rumours(suspicions=recorded))
-
-    def _verify_data_centre(self, data_centre: str) -> None:
-        """Start to find out whether a whole data centre is unreachable.
-
-        Its other members are not contacts of this daemon, and those that would detect their
-        failure may have failed with them.
-        """
-        tasks = self._verification_tasks_by_data_centre
-        start_once(tasks, data_centre, lambda: self._ping_data_centre(data_centre))
-
-    async def _ping_data_centre(self, data_centre: str) -> None:
-        members = [
-            member
-            for member in self.directory.members_by_vm.values()
-            if member.data_centre == data_centre and not self.directory.is_suspected(member.vm)
-        ]
-        if not members:
-            return
-        sample = self._rng.sample(members, min(VERIFYING_PINGS, len(members)))
-        if not any(await asyncio.gather(*(self._ping(member) for member in sample))):
-            self._journal.record(
-                catalogue.DATA_CENTRE_SUSPECTED, data_centre=data_centre, pinged=len(sample)
-            )
-            self._suspect(*members)
-
-    async def _revive_dead(self) -> None:
-        while True:
-            await asyncio.sleep(REVIVE_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
-            dead = self.directory.dead()
-            share = REVIVES_PER_INTERVAL / self.directory.living_count
-            if not dead or self._rng.random() >= share:
-                continue
-            member = self._rng.choice(dead)
-            if await self._ping(member) is not None:
-                # The sync delivers the suspicion to the member; its refutation revives it.
-                await self._sync(member.peer_address)
+        for member in self.pinger.follow(contacts):
+            # The new contact has not received the earlier announcements of this daemon.
+            news = Rumours(members=(directory.me,), era=self._eras.era)
+            self._transport.tell(member.peer_address, news)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -15,8 +15,9 @@
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
-from kingcuppond.membership.gossip import PING_TIMEOUT_SECONDS, SUSPECT_AFTER_MISSED_PINGS, Gossip
+from kingcuppond.membership.gossip import Gossip
 from kingcuppond.membership.messages import IntroductionReply, Member, Rumours, StateReply
+from kingcuppond.membership.pinging import PING_TIMEOUT_SECONDS, SUSPECT_AFTER_MISSED_PINGS
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.store.era import EraTracker
