Pings carry summaries of the load of each data centre and service

A daemon knew of other data centres only what its own calls there had shown. One daemon of each data centre and service now adds up what the gates there report (slots, load, calls refused as full in the last second), and pings and their replies carry the sums, with relative ages, and the measured round trips. Nothing is sent unless Gossip.carry_load was called. The gate counts its refusals by reason, since only those of a full gate are a lack of room.

--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -74,7 +74,7 @@
     address: str = ""
     last_heard_at: float = 0.0
     answered: int = 0
-    refused: int = 0
+    refused_by_reason: dict[Reason, int] = attrs.field(factory=dict)
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     incarnations: IncarnationTracker = attrs.field(factory=IncarnationTracker)
     typical_latencies: TypicalLatencies = attrs.field(factory=TypicalLatencies)
@@ -395,7 +395,7 @@
             self.journal.record(catalogue.SERVER_COLD, address=self.address, why=why)
 
     def _record_refusal(self, call: Call, refusal: NotRun) -> NotRun:
-        self.refused += 1
+        self.refused_by_reason[refusal.reason] = self.refused_by_reason.get(refusal.reason, 0) + 1
         self.journal.record(
             catalogue.GATE_REFUSED,
             call=call.id,
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -25,6 +25,7 @@
 from kingcuppond.membership.contacts import choose_contacts
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.hearing import Hearing
+from kingcuppond.membership.load_reports import LoadCollector
 from kingcuppond.membership.messages import (
     IntroductionReply,
     IntroductionRequest,
@@ -38,6 +39,7 @@
 from kingcuppond.membership.pinging import PING_TIMEOUT_SECONDS, Pinger
 from kingcuppond.membership.rumour_queue import RumourQueue
 from kingcuppond.membership.state import OBJECTS_PART, SharedState
+from kingcuppond.membership.summaries import SummaryTable
 from kingcuppond.membership.tasks import first_to_succeed, start_once
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -87,6 +89,7 @@
         self.pinger = Pinger(
             self.hearing, self._state, eras, transport, journal, rng, self.spread, self._sync
         )
+        self.load_loops: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self._queue = RumourQueue()
         self._flush_handle: asyncio.TimerHandle | None = None
         self._is_era_due = False
@@ -102,7 +105,12 @@
 
     def loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the loops that run for the lifetime of the daemon."""
-        return [self._keep_house, self.pinger.revive_dead]
+        return [self._keep_house, self.pinger.revive_dead, *self.load_loops]
+
+    def carry_load(self, summaries: SummaryTable, collector: LoadCollector) -> None:
+        """Have pings carry summaries of load, and collect them; call it before the start."""
+        self.pinger.summaries = summaries
+        self.load_loops.append(collector.collect_load)
 
     def stop(self) -> None:
         """Send what waits to be sent, and cancel all pings and pulls."""
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from kingcuppond.configuration.replica import ObjectHead, VersionedObject
+from kingcuppond.membership.summaries import LoadNews
 from kingcuppond.quarantine.messages import QuarantineNote
 
 
@@ -89,11 +90,13 @@
     :param heard_ms: by data centre, milliseconds since the newest sign of life of one of its
         members that the sender has heard, directly or through other daemons
     :param era: the newest era of the store that the sender has heard of
+    :param load: summaries of load, only where the settings ask for them
     """
 
     digest: int
     heard_ms: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
+    load: LoadNews | None = None
 
 
 @attrs.frozen
@@ -104,6 +107,7 @@
     :param digests_by_part: of each part of the state, if the digests of the two ends differ
     :param is_complete: whether the replying daemon has the whole configuration
     :param era: as in the ping
+    :param load: as in the ping
     """
 
     digest: int
@@ -111,6 +115,24 @@
     is_complete: bool = False
     digests_by_part: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
+    load: LoadNews | None = None
+
+
+@attrs.frozen
+class ServerLoad:
+    """The load of the sender's gate, for the daemon that adds up its data centre and service.
+
+    :param slots_tenths: ten times the calls that may run at once
+    :param load: calls that run or wait
+    :param refused: calls refused as full in the last second
+    :param need_age: seconds since some daemon routed a call to the service
+    """
+
+    service: str
+    slots_tenths: int
+    load: int
+    refused: int
+    need_age: int
 
 
 @attrs.frozen
--- a/kingcuppond/membership/pinging.py
+++ b/kingcuppond/membership/pinging.py
@@ -1,7 +1,8 @@
 """Failure detection by pings.
 
 One task per contact pings it.  A contact that misses two pings in a row is suspected.  A ping and
-its reply also carry the digests that reveal lost rumours, and when each data centre was last heard.
+its reply also carry the digests that reveal lost rumours, when each data centre was last heard, and
+summaries of its load.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from kingcuppond.membership.hearing import Hearing
 from kingcuppond.membership.messages import Member, Ping, Pong, Rumours, Suspicion
 from kingcuppond.membership.state import OBJECTS_PART, SharedState
+from kingcuppond.membership.summaries import LoadNews, SummaryTable
 from kingcuppond.membership.tasks import start_once
 from kingcuppond.peers.transport import PeerTransport
 from kingcuppond.store.era import EraTracker
@@ -46,6 +48,7 @@
     :param rng: source of the jitter of timers and of the choice of members to ping
     :param spread: sends changes to all contacts soon
     :param contacts: the current contacts of this daemon
+    :param summaries: summaries of load that pings carry, ``None`` where the settings ask for none
     """
 
     hearing: Hearing
@@ -57,6 +60,7 @@
     spread: Callable[[Rumours], None]
     sync: Sync
     contacts: Contacts = attrs.field(factory=Contacts)
+    summaries: SummaryTable | None = None
     _ping_tasks_by_vm: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     _verification_tasks_by_data_centre: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
 
@@ -85,10 +89,14 @@
 
     async def ping(self, member: Member) -> Pong | None:
         """Ping a member; return its reply, or ``None`` if there was none in time."""
-        ping = Ping(self.state.digest, self.hearing.ages_ms(), self.eras.era)
+        load = self._load_news(member.data_centre)
+        ping = Ping(self.state.digest, self.hearing.ages_ms(), self.eras.era, load)
+        started = self._now()
         reply = await self.transport.ask(member.peer_address, ping, Pong, PING_TIMEOUT_SECONDS)
+        self._record_round_trip(member, started, reply.is_ok())
         if reply.is_error():
             return None
+        self._merge_load(member.vm, reply.ok.load)
         self.hearing.record_message(member.vm, reply.ok.heard_ms)
         self.eras.observe(reply.ok.era)
         return reply.ok
@@ -110,6 +118,7 @@
     async def _on_ping(self, sender: str, ping: Ping) -> Pong:
         directory = self.state.directory
         self.hearing.record_message(sender, ping.heard_ms)
+        self._merge_load(sender, ping.load)
         self.eras.observe(ping.era)
         suspicion = directory.suspicion_of(sender)
         if suspicion is not None:
@@ -119,7 +128,30 @@
         digest = self.state.digest
         parts = {} if digest == ping.digest else self.state.digests_by_part()
         is_complete = self.state.configuration.is_complete
-        return Pong(digest, self.hearing.ages_ms(), is_complete, parts, self.eras.era)
+        member = directory.members_by_vm.get(sender)
+        # A daemon in another data centre gets what this one knows with the pings that go there.
+        is_near = member is not None and member.data_centre == directory.me.data_centre
+        load = self._load_news(directory.me.data_centre) if is_near else None
+        return Pong(digest, self.hearing.ages_ms(), is_complete, parts, self.eras.era, load)
+
+    def _load_news(self, receiver_data_centre: str) -> LoadNews | None:
+        if self.summaries is None:
+            return None
+        return self.summaries.make_news(self._now(), receiver_data_centre)
+
+    def _merge_load(self, sender: str, load: LoadNews | None) -> None:
+        member = self.state.directory.members_by_vm.get(sender)
+        if self.summaries is not None and load is not None and member is not None:
+            self.summaries.merge(load, member.data_centre, self._now())
+
+    def _record_round_trip(self, member: Member, started: float, is_answered: bool) -> None:
+        if self.summaries is not None:
+            now = self._now()
+            seconds = now - started
+            self.summaries.record_round_trip(member.data_centre, seconds, now, is_answered)
+
+    def _now(self) -> float:
+        return self.hearing.clock.monotonic()
 
     async def _ping_contact(self, vm: str) -> None:
         directory, configuration = self.state.directory, self.state.configuration
--- a/kingcuppond/operators/status.py
+++ b/kingcuppond/operators/status.py
@@ -50,7 +50,10 @@
         "gate_in_flight": ("Calls that the server runs now", lambda: daemon.gate.in_flight),
         "gate_limit": ("Calls that may run at once", lambda: daemon.gate.limit.limit),
         "gate_answered": ("Calls that the server answered", lambda: daemon.gate.answered),
-        "gate_refused": ("Calls that the gate refused", lambda: daemon.gate.refused),
+        "gate_refused": (
+            "Calls that the gate refused",
+            lambda: sum(daemon.gate.refused_by_reason.values()),
+        ),
         "attempts": ("Attempts sent to servers", lambda: daemon.sender.attempts),
         "claim_commits": (
             "Writes of claims to the store",
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -23,6 +23,7 @@
     Ping,
     Pong,
     Rumours,
+    ServerLoad,
     StateReply,
     StateRequest,
 )
@@ -37,6 +38,7 @@
     "introduction-reply": IntroductionReply,
     "objects-ask": ObjectsRequest,
     "objects-reply": ObjectsReply,
+    "server-load": ServerLoad,
     "claim-ask": ClaimRequest,
     "claim-reply": ClaimReply,
     "claim-copy": ClaimCopy,
