Which calls leave the data centre follows measured loads, where the settings ask

Before, a call left as soon as none of the servers drawn here had capacity by this daemon's own, old knowledge, whatever the load elsewhere, and however large its body.

With leaves_data_centre "measured", routing/offloading.py decides (pure) which share of a service's calls leaves and where to, from summaries, round trips, body sizes and the time left; routing/leaving.py applies it, ServerIndex.draw takes a scope of data centres, and calls that gates here refused may go to a data centre that is not short. Without summaries, and with "penalty" (the default), the rule is unchanged.

--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -20,13 +20,17 @@
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.membership.gossip import Gossip
+from kingcuppond.membership.load_reports import GateLoad, LoadCollector
 from kingcuppond.membership.registration import Registration
+from kingcuppond.membership.summaries import SummaryTable
 from kingcuppond.organisations.guard import make_organisation_guard
+from kingcuppond.outcomes import Reason
 from kingcuppond.peers.registry import TYPES_BY_TAG
 from kingcuppond.peers.transport import PeerTransport, derive_keys
 from kingcuppond.quarantine.holds import HoldStore
 from kingcuppond.routing.budgets import WindowBudget
 from kingcuppond.routing.choice import POLICY_FACTORIES_BY_NAME
+from kingcuppond.routing.leaving import LeavingMetrics, LeavingPlanner
 from kingcuppond.routing.router import Router
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.split import TrafficSplitter
@@ -135,6 +139,9 @@
         daemon.clock,
         daemon.journal,
     )
+    leaving = None
+    if daemon.settings.leaves_data_centre == "measured":
+        leaving = make_leaving_planner(daemon)
     daemon.router = Router(
         daemon.directory,
         daemon.configuration,
@@ -148,9 +155,35 @@
         policy=POLICY_FACTORIES_BY_NAME[policy](),
         is_hedging=is_hedging,
         has_full_budgets=daemon.settings.is_first_start,
+        leaving=leaving,
     )
 
 
+def make_leaving_planner(daemon: "Daemon") -> LeavingPlanner:
+    """Create what decides on calls that leave, and have pings carry what it needs."""
+    table = SummaryTable(daemon.settings.data_centre, daemon.rng)
+    collector = LoadCollector(
+        daemon.directory, daemon.transport, table, daemon.clock, lambda: read_gate_load(daemon.gate)
+    )
+    daemon.gossip.carry_load(table, collector)
+    return LeavingPlanner(
+        table,
+        daemon.configuration.is_out,
+        daemon.journal,
+        daemon.rng,
+        LeavingMetrics(daemon.registry),
+    )
+
+
+def read_gate_load(gate: Gate) -> GateLoad:
+    """Read the load of a gate for the summary of its data centre."""
+    report = gate.report()
+    # A slow server refuses calls that it would answer late, so that its free slots count for less.
+    usable = max(report.limit / max(1.0, report.slowdown), min(report.limit, report.load))
+    slots = 0.0 if gate.refusal() is not None else usable
+    return GateLoad(slots, report.load, gate.refused_by_reason.get(Reason.FULL, 0))
+
+
 def assemble_ingress(daemon: "Daemon", fleet_key: bytes) -> None:
     """Create the port for calls and the guard of their idempotency keys."""
     eras = daemon.eras
--- a/kingcuppond/program/reload.py
+++ b/kingcuppond/program/reload.py
@@ -24,7 +24,7 @@
     {
         *("vm", "data_centre", "protocol", "caller_address", "relay_address", "peer_address"),
         *("server_address", "ready_address", "metrics_address", "platform_address"),
-        "fleet_key_file",
+        *("fleet_key_file", "leaves_data_centre"),
     }
 )
 """Keys that take effect only at a start; a change of one is logged, but not applied."""
--- a/kingcuppond/routing/placement.py
+++ b/kingcuppond/routing/placement.py
@@ -8,9 +8,9 @@
 charged.  A new or cold server gets a small share of the calls that have enough time left.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
-from typing import Final
+from typing import Final, TypeVar
 
 import attrs
 
@@ -25,9 +25,14 @@
 )
 from kingcuppond.routing.view import ServerView
 
+T = TypeVar("T")
+
 MAX_DRAWN: Final = 8
 """Servers that are drawn in this data centre, and as many in all others."""
 
+MAX_DRAWN_DATA_CENTRES: Final = 4
+"""Other data centres of which servers are drawn, if several have spare capacity."""
+
 MAX_NEARBY_REPORT_AGE_SECONDS: Final = 0.03
 """As long as a gate itself treats the load report of its server as fresh."""
 
@@ -38,16 +43,35 @@
 """Share of the calls with enough time left that may warm up a server."""
 
 
+@attrs.frozen
+class Scope:
+    """The data centres that an attempt may go to.
+
+    :param others: data centres beside this one
+    :param overflow: further ones, if no server of those is available
+    :param has_nearby: whether this data centre is included
+    :param asks_all: whether servers in backoff go before the overflow
+    """
+
+    others: tuple[str, ...] = ()
+    overflow: tuple[str, ...] = ()
+    has_nearby: bool = True
+    asks_all: bool = False
+
+
 @attrs.frozen
 class _ServiceVms:
     """The VMs whose servers accept calls of one service.
 
     :param nearby: those in this data centre
+    :param remote: those in all others
+    :param remote_by_data_centre: the same, by data centre
     :param has_own: whether this VM is one of them
     """
 
     nearby: list[str]
     remote: list[str]
+    remote_by_data_centre: Mapping[str, list[str]]
     has_own: bool
 
 
@@ -74,7 +98,12 @@
         return bool(vms.nearby or vms.remote)
 
     def draw(
-        self, service: str, tried: set[str], now: float, detour_seconds: float
+        self,
+        service: str,
+        tried: set[str],
+        now: float,
+        detour_seconds: float,
+        scope: Scope | None = None,
     ) -> list[Candidate]:
         """Return some of the servers that may run a call of a service now.
 
@@ -82,16 +111,52 @@
 
         :param tried: VMs that are excluded
         :param detour_seconds: latency penalty of a server in another data centre
+        :param scope: data centres that are considered; ``None`` for all, as where this one has
+            no server
         """
         vms = self._find_vms(service)
-        own_vm = self.directory.me.vm
-        nearby = self._draw_vms(vms.nearby)
-        if vms.has_own and own_vm not in nearby:
-            nearby.append(own_vm)
-        drawn = [
+        if scope is None or not vms.nearby:
+            drawn = self._draw_from(vms, vms.remote, detour_seconds, has_nearby=True)
+            preferred, eligible = self._select(drawn, tried, now)
+            return preferred or eligible
+        remote = self._remote_vms(vms, scope.others)
+        drawn = self._draw_from(vms, remote, detour_seconds, scope.has_nearby)
+        preferred, eligible = self._select(drawn, tried, now)
+        if scope.asks_all and not preferred:
+            preferred = [it for it in eligible if not self.directory.is_suspected(it.vm)]
+        if preferred:
+            return preferred
+        remote = self._remote_vms(vms, scope.overflow)
+        drawn = self._draw_from(vms, remote, detour_seconds, has_nearby=not scope.has_nearby)
+        fallback_preferred, fallback_eligible = self._select(drawn, tried, now)
+        return fallback_preferred or eligible or fallback_eligible
+
+    def _draw_from(
+        self, vms: _ServiceVms, remote: list[str], detour_seconds: float, has_nearby: bool
+    ) -> list[tuple[str, float]]:
+        """Draw VMs, with the latency penalty of each."""
+        nearby: list[str] = []
+        if has_nearby:
+            own_vm = self.directory.me.vm
+            nearby = self._draw_vms(vms.nearby)
+            if vms.has_own and own_vm not in nearby:
+                nearby.append(own_vm)
+        return [
             *((vm, 0.0) for vm in nearby),
-            *((vm, detour_seconds) for vm in self._draw_vms(vms.remote)),
+            *((vm, detour_seconds) for vm in self._draw_vms(remote)),
         ]
+
+    def _remote_vms(self, vms: _ServiceVms, data_centres: tuple[str, ...]) -> list[str]:
+        """Draw VMs of some data centres, about as many of each."""
+        lists = [vms.remote_by_data_centre.get(name, []) for name in data_centres]
+        lists = self._draw([it for it in lists if it], MAX_DRAWN_DATA_CENTRES)
+        return [vm for some in lists for vm in self._draw(some, MAX_DRAWN // len(lists))]
+
+    def _select(
+        self, drawn: list[tuple[str, float]], tried: set[str], now: float
+    ) -> tuple[list[Candidate], list[Candidate]]:
+        """Return the candidates without those that are suspected or in backoff, and all."""
+        own_vm = self.directory.me.vm
         eligible = [
             Candidate(vm, self.view_of(vm), vm == own_vm, detour)
             for vm, detour in drawn
@@ -102,10 +167,13 @@
             for candidate in eligible
             if candidate.view.backoff_until <= now and not self.directory.is_suspected(candidate.vm)
         ]
-        return preferred or eligible
+        return preferred, eligible
 
     def _draw_vms(self, vms: list[str]) -> list[str]:
-        return vms if len(vms) <= MAX_DRAWN else self.rng.sample(vms, MAX_DRAWN)
+        return self._draw(vms, MAX_DRAWN)
+
+    def _draw(self, items: list[T], count: int) -> list[T]:
+        return items if len(items) <= count else self.rng.sample(items, count)
 
     def _find_vms(self, service: str) -> _ServiceVms:
         if self._generation != self.directory.generation:
@@ -119,11 +187,15 @@
     def _list_vms(self, service: str) -> _ServiceVms:
         me = self.directory.me
         nearby: list[str] = []
-        remote: list[str] = []
+        by_name: dict[str, list[str]] = {}
         for vm, member in self.directory.members_by_service.get(service, {}).items():
             if self._accepts_calls(member):
-                (nearby if member.data_centre == me.data_centre else remote).append(vm)
-        return _ServiceVms(nearby, remote, me.vm in nearby)
+                if member.data_centre == me.data_centre:
+                    nearby.append(vm)
+                else:
+                    by_name.setdefault(member.data_centre, []).append(vm)
+        remote = [vm for vms in by_name.values() for vm in vms]
+        return _ServiceVms(nearby, remote, by_name, me.vm in nearby)
 
     def _accepts_calls(self, member: Member) -> bool:
         if member.is_leaving or member.state in (ServerState.ABSENT, ServerState.DRAINING):
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -36,6 +36,7 @@
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
+from kingcuppond.routing.leaving import LeavingPlanner
 from kingcuppond.routing.placement import ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, allowance_of_daemon, make_repeat_budget
 from kingcuppond.routing.sender import Sender
@@ -97,6 +98,7 @@
     :param fleet_retries: repeats that the whole fleet may spend on a service beyond the share of
         its calls; the capacity of the daemons' budgets adds up to it
     :param has_full_budgets: whether the budgets start full
+    :param leaving: decides which calls leave this data centre; ``None`` to decide by the penalty
     :param backlog: number of calls that wait in the backlog
     """
 
@@ -112,6 +114,7 @@
     policy: Policy = least_expected
     is_hedging: bool = True
     has_full_budgets: bool = True
+    leaving: LeavingPlanner | None = None
     backlog: int = 0
     repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
@@ -257,10 +260,14 @@
         now = self.clock.monotonic()
         if now >= call.deadline:
             return None
-        candidates = self.servers.draw(call.service, tried, now, self.detour_seconds)
+        typical_seconds = self.sender.typical_seconds(call.class_name)
+        scope = None
+        if self.leaving is not None:
+            scope = self.leaving.scope(call, len(tried), now, typical_seconds)
+        candidates = self.servers.draw(call.service, tried, now, self.detour_seconds, scope)
         if not candidates:
             return None
-        context = SelectionContext(now, self.sender.typical_seconds(call.class_name))
+        context = SelectionContext(now, typical_seconds)
         return place(candidates, context, call.target_at, self.policy, self.rng)
 
     def _may_retry(self, call: Call, failure: Failure, progress: _CallProgress) -> bool:
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -143,6 +143,9 @@
     detour_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
     """How much longer an answer may take in this data centre before another one is preferred."""
 
+    leaves_data_centre: Literal["penalty", "measured"] = "penalty"
+    """What decides which calls leave this data centre: ``detour_ms``, or the measured loads."""
+
     fleet_retries: float = attrs.field(
         default=DEFAULT_FLEET_RETRIES, validator=in_range(0, 1_000_000)
     )
--- a/tests/membership/test_summaries.py
+++ b/tests/membership/test_summaries.py
@@ -176,7 +176,19 @@
     (second,) = await step_all(collectors)
     found = collectors[second][0].table.find("a", "shop", clock.monotonic())
     assert found is not None
-    assert found.slots == 32, "the report of the lost one no longer counts"
+    assert found.slots == 32
+
+
+async def test_the_report_of_a_lost_server_expires(clock: Clock, fake_time: FakeTime) -> None:
+    """Its slots would count as spare capacity for good."""
+    collectors = make_collectors(clock, 5)
+    (adding,) = await step_all(collectors)
+    del collectors[next(vm for vm in collectors if vm != adding)]
+    fake_time.advance(2.0)
+    await step_all(collectors)
+    found = collectors[adding][0].table.find("a", "shop", clock.monotonic())
+    assert found is not None
+    assert found.slots == 32
 
 
 async def test_nothing_is_reported_for_a_service_that_nobody_calls(
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -12,7 +12,7 @@
 from kingcuppond.membership.directory import DEAD_AFTER_SECONDS, Directory
 from kingcuppond.membership.messages import Member, ServerState, Suspicion
 from kingcuppond.routing.choice import SelectionContext, least_expected
-from kingcuppond.routing.placement import MAX_DRAWN, ServerIndex, place
+from kingcuppond.routing.placement import MAX_DRAWN, Scope, ServerIndex, place
 from kingcuppond.routing.view import ServerView
 from tests.conftest import FakeTime
 
@@ -99,3 +99,58 @@
             rounds.append(time.process_time() - started)
         seconds.append(min(rounds))
     assert seconds[1] <= 3 * seconds[0]
+
+
+def scoped_vms(index: ServerIndex, scope: Scope, tried: set[str] | None = None) -> set[str]:
+    return {candidate.vm for candidate in index.draw("shop", tried or set(), 0.0, 0.025, scope)}
+
+
+def test_a_scope_names_the_data_centres(directory: Directory, clock: Clock) -> None:
+    for vm, data_centre in (("near", "a"), ("b-1", "b"), ("c-1", "c")):
+        directory.merge(make_member(vm, data_centre))
+    index = make_index(directory, clock)
+    assert scoped_vms(index, Scope()) == {"me", "near"}
+    assert scoped_vms(index, Scope(("b",))) == {"me", "near", "b-1"}
+    assert scoped_vms(index, Scope(("c",), has_nearby=False)) == {"c-1"}
+    assert scoped_vms(index, Scope((), ("b",)), {"me", "near"}) == {"b-1"}
+    assert scoped_vms(index, Scope(), {"me", "near"}) == set(), "the others are short"
+
+
+def test_servers_in_backoff_go_after_the_overflow_unless_all_are_asked(
+    directory: Directory, clock: Clock
+) -> None:
+    directory.merge(make_member("b-1", "b"))
+    index = make_index(directory, clock)
+    index.view_of("me").backoff_until = 1.0
+    assert scoped_vms(index, Scope((), ("b",))) == {"b-1"}
+    assert scoped_vms(index, Scope((), ("b",), asks_all=True)) == {"me"}
+    assert scoped_vms(index, Scope()) == {"me"}
+
+
+def test_suspected_servers_are_not_asked_before_the_overflow(
+    directory: Directory, clock: Clock
+) -> None:
+    """A call waits for the timeout of a server that is gone; a full gate refuses at once."""
+    directory.merge(make_member("near"))
+    directory.merge(make_member("b-1", "b"))
+    directory.suspect(Suspicion("near", 1, 0))
+    index = make_index(directory, clock)
+    assert scoped_vms(index, Scope((), ("b",), asks_all=True), {"me"}) == {"b-1"}
+
+
+def test_a_data_centre_without_servers_sends_anywhere(clock: Clock, journal: Journal) -> None:
+    """Its calls were refused until its summary had expired."""
+    directory = Directory(make_member("me", state=ServerState.DRAINING), clock, journal)
+    directory.merge(make_member("b-1", "b"))
+    assert scoped_vms(make_index(directory, clock), Scope()) == {"b-1"}
+
+
+def test_a_scope_of_many_data_centres_draws_no_more_servers(
+    directory: Directory, clock: Clock
+) -> None:
+    for i in range(170):
+        directory.merge(make_member(f"vm-{i}", f"dc-{i % 17}"))
+    index = make_index(directory, clock)
+    scope = Scope(tuple(f"dc-{i}" for i in range(17)))
+    drawn = [len(index.draw("shop", set(), 0.0, 0.025, scope)) for _ in range(20)]
+    assert MAX_DRAWN <= min(drawn) <= max(drawn) <= MAX_DRAWN + 1
--- a/tests/settings/test_template.py
+++ b/tests/settings/test_template.py
@@ -72,6 +72,15 @@
     assert settings.stop_limit_seconds == 5.5
 
 
+def test_the_latency_penalty_decides_unless_the_deployment_asks_for_more() -> None:
+    text = render()
+    settings = parse_text(text, "daemon.json", DaemonSettings).ok
+    assert (settings.leaves_data_centre, settings.detour_ms) == ("penalty", 25)
+    for value, is_valid in (("measured", True), ("other", False)):
+        named = text.replace('"detour_ms"', f'"leaves_data_centre": "{value}", "detour_ms"')
+        assert parse_text(named, "daemon.json", DaemonSettings).is_ok() == is_valid
+
+
 def test_a_deployment_without_keys_has_no_bound_for_their_removal() -> None:
     settings = parse_text(render(), "daemon.json", DaemonSettings).ok
     assert (settings.fail_closed, settings.revoke_seconds) == (False, 0.0)
