Connections of clients are bounded in number, in time and in bytes

What clients could do: with 200 connections or fewer, end a daemon by its memory (201 to 738 MB when the tests stopped, of 200 MB allowed), or use up its descriptors so that no caller was accepted.

Cause, measured with tracemalloc for one connection: the HTTP library bounds each field of a head and their number, but not the head (3.9 MB of a head or of trailers are kept), parses 32 requests ahead whatever their size (124 MB), goes on feeding the parser after an error and keeps an error with its text for each read (16 MB after 17 reads), and frees such an error with the garbage collector only. Nothing ended a connection that sent empty lines or extensions of chunks, and connections were bounded by the descriptors alone.

Change: the ports read through a protocol of the product, which counts what leads to no request and to no content, closes slow heads, reads 4 requests ahead, and reads nothing after an error. A guard for all ports of a daemon bounds connections and buffered bytes. Time is counted in ticks, so that a daemon that was paused closes nothing for it. Connections that carried an authenticated call of a daemon are neither counted nor closed. Settings: max_connections, max_head_bytes, max_head_ms, max_buffered_bytes. New: E520 and three metrics. The start of a body is kept as one piece.

--- a/kingcuppond/addresses.py
+++ b/kingcuppond/addresses.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from kingcuppond.ingress.connection_guard import ConnectionGuard, make_connection_guard
+from kingcuppond.ingress.connection_limits import ConnectionLimits
 from kingcuppond.ingress.http_server import has_unsent_bytes, listen, make_server, stop_accepting
 from kingcuppond.ingress.ready import make_ready_handler
 from kingcuppond.operators.http_handler import make_handler
@@ -36,13 +38,17 @@
 
 @attrs.define
 class Listeners:
-    """The HTTP servers of a daemon, by the keys of their addresses in the settings."""
+    """The HTTP servers of a daemon, by the keys of their addresses in the settings.
 
+    :param guard: the connections of all of them
+    """
+
+    guard: ConnectionGuard
     _runners_by_key: dict[str, web.ServerRunner] = attrs.field(factory=dict)
 
     async def bind(self, key: str, address: str, handler: Handler) -> Result[None, BindError]:
         """Start to accept connections at an address."""
-        listening = await listen(make_server(handler), address)
+        listening = await listen(make_server(handler, self.guard, key), address)
         if listening.is_error():
             return Error(BindError(key, address, listening.error.strerror or "in use"))
         self._runners_by_key[key] = listening.ok
@@ -64,6 +70,18 @@
         await asyncio.gather(*(runner.cleanup() for runner in self._runners_by_key.values()))
 
 
+def make_listeners(daemon: "Daemon") -> Listeners:
+    """Make the listeners of a daemon, with the limits of its settings."""
+    settings = daemon.settings
+    limits = ConnectionLimits(
+        settings.max_connections,
+        settings.max_head_bytes,
+        settings.max_head_ms,
+        settings.max_buffered_bytes,
+    )
+    return Listeners(make_connection_guard(limits, daemon.journal, daemon.registry))
+
+
 def make_handlers(daemon: "Daemon") -> dict[str, Handler]:
     """Return the handler of each address, by its key in the settings."""
     settings = daemon.settings
--- a/kingcuppond/daemon.py
+++ b/kingcuppond/daemon.py
@@ -16,7 +16,7 @@
 from mode import Service
 from prometheus_client import CollectorRegistry
 
-from kingcuppond.addresses import BindError, Listeners, make_handlers
+from kingcuppond.addresses import BindError, make_handlers, make_listeners
 from kingcuppond.assembly import (
     assemble_gate,
     assemble_ingress,
@@ -130,7 +130,7 @@
         assemble_ingress(self, fleet_key)
         self.stop_requested = asyncio.Event()
         self._last_id = 0
-        self.listeners = Listeners()
+        self.listeners = make_listeners(self)
         register_gauges(self)
 
     def next_id(self) -> str:
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -116,6 +116,9 @@
 HOLD_NOT_RECORDED: Final = Event(
     515, "warning", "the hold of request {fingerprint} is not up to date in the store: {error}"
 )
+CONNECTIONS_CLOSED: Final = Event(
+    520, "warning", "{count} connections at {port} were closed or refused: {reason}"
+)
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server behind every listening port of a daemon.
 
-It is aiohttp's low-level server with three changes.  A request that can't be parsed is answered
+It is aiohttp's low-level server with four changes.  What clients send and leave unread is bounded
+(see :mod:`kingcuppond.ingress.connection`).  A request that can't be parsed is answered
 with problem details whose outcome is "not run", since it never reached a handler.  If a handler
 fails after the first bytes of a response, the connection is closed, so that a truncated response is
 never taken for a complete one.  If a client closes its connection, the handler is cancelled even if
@@ -12,10 +13,11 @@
 from typing import Any, Final
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from expression import Error, Ok, Result
 
 from kingcuppond.dialect import NATIVE_DIALECT, Dialect
+from kingcuppond.ingress.connection import BoundedConnection, BoundedHandler
+from kingcuppond.ingress.connection_guard import ConnectionGuard
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown, problem_body
 from kingcuppond.settings.checks import split_address
 
@@ -46,7 +48,7 @@
 """Longer than callers keep an idle connection, so that no request races with its close."""
 
 
-class ProblemHandler(RequestHandler):
+class ProblemHandler(BoundedHandler):
     """Answers requests that can't be parsed with problem details, and notices each close.
 
     While the buffer of a body is full, the event loop doesn't read from the connection, so it
@@ -70,8 +72,9 @@
             self._schedule_close_check()
 
     def _resume_transport_reading(self) -> None:
-        self._end_close_checks()
-        super()._resume_transport_reading()
+        if not self.is_input_closed:
+            self._end_close_checks()
+            super()._resume_transport_reading()
 
     def _schedule_close_check(self) -> None:
         self._close_check = self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_close)
@@ -123,13 +126,18 @@
     """Makes a :class:`ProblemHandler` for each connection.
 
     :ivar accepted: number of connections accepted so far
+    :ivar guard: the connections of all servers of a daemon
+    :ivar port: key of the address in the settings
     """
 
     accepted: int = 0
+    guard: ConnectionGuard
+    port: str
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> Any:
         self.accepted += 1
-        return ProblemHandler(self, loop=self._loop, **self._kwargs)
+        handler = ProblemHandler(self, loop=self._loop, **self._kwargs)
+        return BoundedConnection(handler, self.guard, self.port)
 
 
 def _is_closed_by_client(transport: asyncio.Transport) -> bool:
@@ -143,9 +151,15 @@
     return bool(poll.poll(0))
 
 
-def make_server(handler: Any) -> ProblemServer:
-    """Make a server that passes each request to a handler."""
-    return ProblemServer(
+def make_server(
+    handler: Any, guard: ConnectionGuard | None = None, port: str = ""
+) -> ProblemServer:
+    """Make a server that passes each request to a handler.
+
+    :param guard: the connections that the limits are for; those of this server by default
+    :param port: key of the address in the settings
+    """
+    server = ProblemServer(
         handler,
         handler_cancellation=True,
         access_log=None,
@@ -157,6 +171,16 @@
         lingering_time=LINGER_SECONDS,
         keepalive_timeout=KEEP_ALIVE_SECONDS,
     )
+    server.guard = guard or ConnectionGuard()
+    server.port = port
+    return server
+
+
+def trust_connection(request: web.BaseRequest) -> None:
+    """Never close the connection of a request because there are many: it is another daemon's."""
+    protocol = request.protocol
+    if isinstance(protocol, ProblemHandler) and protocol.connection is not None:
+        protocol.connection.trust()
 
 
 def has_next_request(request: web.BaseRequest) -> bool:
--- a/kingcuppond/ingress/relayed_calls.py
+++ b/kingcuppond/ingress/relayed_calls.py
@@ -14,6 +14,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.dialect import NATIVE_DIALECT
 from kingcuppond.gate.gate import Gate
+from kingcuppond.ingress.http_server import trust_connection
 from kingcuppond.ingress.in_progress import RequestsInProgress, stopped_during
 from kingcuppond.ingress.requests import read_relayed_body
 from kingcuppond.ingress.responses import refuse, send_answer
@@ -75,6 +76,7 @@
             # Without the id of the call, its sender trusts the answer only on a new connection.
             response.force_close()
             return response
+        trust_connection(request)
         self.clock.observe(verified.ok.stamp)
         call = _make_call(request, verified.ok, started, self.clock.monotonic)
         result = await self.requests.until_close(
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -244,19 +244,18 @@
     if not request.body_exists:
         return Ok(Body(length=0))
     stream = _stream(request, deadline, now)
-    chunks: list[bytes] = []
-    size = 0
+    # Pieces may be as short as a byte, so they aren't kept apart.
+    start = bytearray()
     try:
         async for chunk in stream:
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > BODY_MEMORY_BYTES:
-                return Ok(_split_body(b"".join(chunks), stream, request.content_length))
+            start += chunk
+            if len(start) > BODY_MEMORY_BYTES:
+                return Ok(_split_body(bytes(start), stream, request.content_length))
     except TimeoutError:
         return Error(NotRun(Reason.DEADLINE, "the request body did not arrive before the deadline"))
     except (web.RequestPayloadError, OSError) as exc:
         return Error(NotRun(Reason.BAD_REQUEST, f"the request body could not be read: {exc}"))
-    return Ok(Body(b"".join(chunks), None, size))
+    return Ok(Body(bytes(start), None, len(start)))
 
 
 def _split_body(start: bytes, rest: AsyncIterator[bytes], length: int | None) -> Body:
--- a/kingcuppond/program/reload.py
+++ b/kingcuppond/program/reload.py
@@ -24,7 +24,8 @@
     {
         *("vm", "data_centre", "protocol", "caller_address", "relay_address", "peer_address"),
         *("server_address", "ready_address", "metrics_address", "platform_address"),
-        "fleet_key_file",
+        *("fleet_key_file", "max_connections", "max_head_bytes", "max_head_ms"),
+        "max_buffered_bytes",
     }
 )
 """Keys that take effect only at a start; a change of one is logged, but not applied."""
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -12,6 +12,12 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.durations import parse_duration_ms
+from kingcuppond.ingress.connection_limits import (
+    DEFAULT_MAX_BUFFERED_BYTES,
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MAX_HEAD_BYTES,
+    DEFAULT_MAX_HEAD_MS,
+)
 from kingcuppond.settings.checks import check_address, check_name, in_range, one_of
 from kingcuppond.settings.jsonc import FileError, read_file
 
@@ -158,6 +164,24 @@
     revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
     """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
 
+    max_connections: int = attrs.field(
+        default=DEFAULT_MAX_CONNECTIONS, validator=in_range(50, 100_000)
+    )
+    """Most connections that clients and other daemons may have open, on all ports together."""
+
+    max_head_bytes: int = attrs.field(
+        default=DEFAULT_MAX_HEAD_BYTES, validator=in_range(20_000, 1_000_000)
+    )
+    """Longest head of a request, with empty lines before it."""
+
+    max_head_ms: int = attrs.field(default=DEFAULT_MAX_HEAD_MS, validator=in_range(4000, MAX_MS))
+    """Longest time from the first byte of a head to its end."""
+
+    max_buffered_bytes: int = attrs.field(
+        default=DEFAULT_MAX_BUFFERED_BYTES, validator=in_range(1_000_000, 100_000_000_000)
+    )
+    """Most bytes of requests and answers that the buffers of all connections may hold."""
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
