--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
+# Its crowds of clients and its bounds of memory must meet no other load.
+ALONE := tests/failures/test_hostile_clients.py
+
 .PHONY: demo test lint check binary install clean
 
 install: $(VENV)/installed
@@ -20,7 +23,8 @@
 	$(BIN)/python -m standins.demo
 
 test: install /usr/bin/spin
-	$(BIN)/python -m pytest -n 4
+	$(BIN)/python -m pytest -n 4 --ignore=$(ALONE)
+	$(BIN)/python -m pytest $(ALONE)
 
 lint: install
 	$(BIN)/black --check --quiet .
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -2,7 +2,7 @@
 
 Each event has a number whose meaning never changes, a level and a template.  docs/EVENTS.md
 lists them, and a test keeps the two equal.  Numbers are grouped: 1xx process, 2xx membership, 3xx
-configuration, 4xx gate, 5xx calls, 6xx claims, 7xx store, 8xx peers.
+configuration, 4xx gate, 5xx calls, 6xx claims, 7xx store, 8xx peers, 9xx roll-outs.
 """
 
 from typing import Final
@@ -116,6 +116,20 @@
 HOLD_NOT_RECORDED: Final = Event(
     515, "warning", "the hold of request {fingerprint} is not up to date in the store: {error}"
 )
+CONNECTIONS_CLOSED: Final = Event(
+    520, "warning", "{count} connections at {port} were closed or refused: {reason}"
+)
+LEAVING_SHARE_CHANGED: Final = Event(
+    516, "info", "share {share} of the calls of {service} leaves {data_centre}"
+)
+ORGANISATION_LIMITED: Final = Event(
+    530,
+    "info",
+    "organisation {organisation} is over its quota: {percent} % of its requests are admitted",
+)
+ORGANISATION_UNLIMITED: Final = Event(
+    531, "info", "organisation {organisation} is within its quota again"
+)
 CLAIM_GRANTED: Final = Event(601, "debug", "claim {key} granted to attempt {attempt}")
 CLAIM_REFUSED: Final = Event(602, "info", "claim {key} is held by attempt {attempt}")
 CLAIM_RELEASED: Final = Event(603, "info", "claim {key} released: attempt {attempt} was not run")
@@ -141,5 +155,22 @@
 STORE_LISTED: Final = Event(705, "info", "listed {count} objects of {kind} at version {version}")
 STORE_ERA: Final = Event(706, "info", "the store is in era {era}, as far as known")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
+ROLLOUT_BEGUN: Final = Event(
+    901, "info", "roll-out of {service} to {version} begins, to be completed within {seconds} s"
+)
+ROLLOUT_STEP: Final = Event(
+    902, "info", "roll-out of {service} to {version}: {phase}, share {share}"
+)
+ROLLOUT_JUDGED_BAD: Final = Event(
+    903,
+    "error",
+    "{version} of {service} is bad: {bad} of {count} answers of {where} show it ({what})",
+)
+ROLLOUT_STATUS_WRITTEN: Final = Event(
+    904, "info", "the store has the roll-out of {service} to {version} as {status}"
+)
+ROLLOUT_STATUS_NOT_WRITTEN: Final = Event(
+    905, "warning", "the status {status} of the roll-out of {service} is not written: {error}"
+)
 
 ALL: Final = {event.number: event for event in list(globals().values()) if isinstance(event, Event)}
--- a/kingcuppond/gate/deadline_check.py
+++ b/kingcuppond/gate/deadline_check.py
@@ -14,6 +14,7 @@
 
 from kingcuppond.gate.admission import MAX_WAITING_PER_ADAPTIVE_SLOT, Admission
 from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.queueing import Standing
 from kingcuppond.outcomes import NotRun, Reason
 from kingcuppond.routing.call import Call
 from kingcuppond.typical_latency import TypicalLatencies
@@ -55,22 +56,26 @@
 
         A call is refused if it would miss its target or its deadline, or if all slots are in use
         and the limit is not adaptive, since another server may serve it sooner.  A last resort is
-        refused only if it would miss its deadline.
+        refused only if it would miss its deadline, or if it would wait for a slot and can only be
+        late: a late answer is worth a free slot, but not one that a call in time would get.
         """
         is_full = self.admission.in_flight >= self.admission.limit.limit
         # An adaptive limit starts at one call; a queue keeps such a server in use.
-        if is_full and not call.is_last_resort and not self.admission.limit.is_adaptive:
+        is_slot_needed = is_full and not self.admission.limit.is_adaptive
+        if is_slot_needed and not call.is_last_resort:
             return NotRun(Reason.FULL, f"all slots of the server on {self.vm} are in use")
         if self.observer.load is None:
             return None
         expected_seconds = self._typical_seconds(call) * self.observer.slowdown
         if is_full:
             expected_seconds *= 1 + (self.admission.waiting + 1) / self.admission.limit.limit
-        due = call.deadline if call.is_last_resort else min(call.target_at, call.deadline)
+        due = min(call.target_at, call.deadline)
+        if call.is_last_resort and not (is_slot_needed and self._can_only_be_late(call)):
+            due = call.deadline
         if self.admission.now() + expected_seconds <= due:
             return None
         detail = f"an answer would take {expected_seconds * 1000:.0f} ms on {self.vm}"
-        return NotRun(Reason.SERVER_SLOW, detail)
+        return NotRun(Reason.FULL if is_slot_needed else Reason.SERVER_SLOW, detail)
 
     async def wait_for_speed(self, call: Call) -> NotRun | None:
         """Delay a call that no other server takes until the machine is fast enough.
@@ -104,6 +109,19 @@
             return math.inf
         return max(MIN_QUEUE_TIMEOUT_SECONDS, QUEUE_TIMEOUT_RATIO * self._typical_seconds(call))
 
+    def _can_only_be_late(self, call: Call) -> bool:
+        """Return whether the target can't be met even by a server that is free and not slow."""
+        return self.admission.now() + self._typical_seconds(call) > call.target_at
+
+    def standing(self, call: Call) -> Standing:
+        """Return what the call's place in the queue depends on."""
+        return Standing(
+            call.organisation,
+            call.depth > 1,
+            call.target_at,
+            self.typical_latencies.seconds_by_class.get(call.class_name, 0.0),
+        )
+
     def _typical_seconds(self, call: Call) -> float:
         known = self.typical_latencies.seconds_by_class.get(call.class_name)
         if known is not None:
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +24,7 @@
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.announcements import Announcement
 from kingcuppond.gate.call_ids import RecentCallIds
+from kingcuppond.gate.call_outcomes import CallOutcomes
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
 from kingcuppond.gate.concurrency_limit import ConcurrencyLimit
 from kingcuppond.gate.deadline_check import DeadlineCheck
@@ -37,7 +37,6 @@
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
-from kingcuppond.routing.exchange import is_not_listening
 from kingcuppond.routing.view import GateReport
 from kingcuppond.typical_latency import TypicalLatencies
 
@@ -56,6 +55,7 @@
         gets no calls until it has announced itself and given a healthy answer
     :param is_departure_checked: whether this process has looked up in the store if an earlier one
         recorded a departure
+    :param states_version: whether other daemons need to know the version of the server
     """
 
     directory: Directory
@@ -71,10 +71,9 @@
     is_isolated: Callable[[], bool]
     is_unconfirmed: bool = False
     is_departure_checked: bool = True
+    states_version: bool = False
     address: str = ""
     last_heard_at: float = 0.0
-    answered: int = 0
-    refused: int = 0
     limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     incarnations: IncarnationTracker = attrs.field(factory=IncarnationTracker)
     typical_latencies: TypicalLatencies = attrs.field(factory=TypicalLatencies)
@@ -82,6 +81,8 @@
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
     deadline_check: DeadlineCheck = attrs.field(init=False)
+    outcomes: CallOutcomes = attrs.field(init=False)
+    _version: str = ""
     _was_out_of_service: bool = False
     _call_ids: RecentCallIds = attrs.field(init=False)
     _client: ServerClient = attrs.field(init=False)
@@ -118,12 +119,34 @@
         self.deadline_check = DeadlineCheck(
             self.directory.me.vm, self.admission, self.observer, self.typical_latencies
         )
+        self.outcomes = CallOutcomes(
+            self.admission,
+            self.observer,
+            self.typical_latencies,
+            self.suspects,
+            self.configuration,
+            self.clock,
+            self.journal,
+            lambda: self.address,
+            lambda: self.suspect_delay_seconds,
+            self._mark_server_gone,
+        )
 
     @property
     def in_flight(self) -> int:
         """Number of calls that the server is running."""
         return self.admission.in_flight
 
+    @property
+    def answered(self) -> int:
+        """Number of calls that the server answered."""
+        return self.outcomes.answered
+
+    @property
+    def refused_by_reason(self) -> dict[Reason, int]:
+        """Number of calls that the gate refused, by reason."""
+        return self.outcomes.refused_by_reason
+
     def report(self, begun_slowdown: float = 1.0) -> GateReport:
         """Return the load report for other daemons.
 
@@ -169,7 +192,9 @@
             announcement.address != self.address
             or self.incarnations.current != before
             or old is ServerState.ABSENT
+            or self._version_of(announcement) != self.directory.me.server_version
         )
+        self._version = self._version_of(announcement)
         self.address = self.observer.address = announcement.address
         new = ServerState(announcement.state)
         if new is ServerState.DRAINING:
@@ -186,6 +211,9 @@
         if new is not old or is_new:
             self._set_state(new)
 
+    def _version_of(self, announcement: Announcement) -> str:
+        return announcement.version if self.states_version else ""
+
     def handle_withdrawal(self, instance: str) -> Incarnation:
         """Mark an incarnation of the server as leaving, and return it."""
         leaving = self.incarnations.resolve(instance)
@@ -252,7 +280,16 @@
                 call
             ) or self.deadline_check.refuse_late(call)
         if refusal is not None:
-            return Error(self._record_refusal(call, refusal))
+            return Error(self.outcomes.record_refusal(call, refusal))
+        refusal = self.outcomes.share.take()
+        if refusal is not None:
+            return Error(self.outcomes.record_refusal(call, refusal))
+        result = await self._admit(call, level)
+        if result.is_error() and isinstance(result.error, NotRun):
+            self.outcomes.share.give_back()
+        return result
+
+    async def _admit(self, call: Call, level: QuarantineLevel) -> Result[Answer, Failure]:
         is_on_trial = call.is_on_trial or level is QuarantineLevel.SUSPECTED
         admitted = await self.admission.acquire(
             call.class_name,
@@ -260,97 +297,41 @@
             is_on_trial,
             call.priority,
             self.deadline_check.queue_timeout_seconds(call),
+            self.deadline_check.standing(call),
         )
         if admitted.is_error():
-            return Error(self._record_refusal(call, admitted.error))
+            return Error(self.outcomes.record_refusal(call, admitted.error))
         return await self._run_admitted(call, admitted.ok)
 
     async def _run_admitted(self, call: Call, ticket: Ticket) -> Result[Answer, Failure]:
         started = self.clock.monotonic()
         slowdown = self.observer.slowdown
+        self.outcomes.share.record_start(call.id, call.class_name, slowdown)
         try:
             result = await self._client.send(call)
         except BaseException:
-            self.admission.release(ticket)
+            self.outcomes.release(call, ticket)
             raise
         if result.is_error():
-            await self._record_failure(call, ticket, result.error)
+            await self.outcomes.record_failure(call, ticket, result.error, started)
             return result
         answer = attrs.evolve(result.ok, begun_slowdown=slowdown)
         if answer.chunks is None:
-            self._record_answer(call, ticket, answer, started)
-            self.admission.release(ticket)
+            self.outcomes.record_answer(call, ticket, answer, started)
+            self.outcomes.release(call, ticket)
             return Ok(answer)
         # The call stays in flight until its streamed answer has ended.
         return Ok(
             track_stream(
                 answer,
-                on_end=lambda: self._record_answer(call, ticket, answer, started),
-                on_lost=lambda failure: self._record_failure(call, ticket, failure),
-                on_close=lambda: self.admission.release(ticket),
+                on_end=lambda: self.outcomes.record_answer(call, ticket, answer, started),
+                on_lost=lambda failure: self.outcomes.record_failure(
+                    call, ticket, failure, started
+                ),
+                on_close=lambda: self.outcomes.release(call, ticket),
             )
         )
 
-    def _record_answer(self, call: Call, ticket: Ticket, answer: Answer, started: float) -> None:
-        self.answered += 1
-        self.journal.record(
-            catalogue.CALL_COMPLETED,
-            call=call.id,
-            request=call.request_id,
-            status=answer.status,
-            ms=round((self.clock.monotonic() - started) * 1000),
-            begun_slowdown=answer.begun_slowdown,
-            **self._decision_inputs(),
-        )
-        self.suspects.record_answer(call.fingerprint)
-        if answer.status >= 500:
-            self._record_limit_lowered(self.limit.record_failure(), "it answers with errors")
-            return
-        now = self.clock.monotonic()
-        seconds = now - started
-        self._record_level(call, ticket, answer, seconds, now)
-        self.typical_latencies.update(call.class_name, seconds, answer.begun_slowdown)
-        is_lowered = self.limit.record_answer(call.class_name, seconds, ticket.was_at_limit)
-        self._record_limit_lowered(is_lowered, "its answers became slow")
-
-    def _record_level(
-        self, call: Call, ticket: Ticket, answer: Answer, seconds: float, now: float
-    ) -> None:
-        typical_seconds = self.typical_latencies.seconds_by_class.get(call.class_name)
-        if typical_seconds is not None:
-            ratio = seconds / (typical_seconds * max(1.0, answer.begun_slowdown))
-            self.limit.record_level(ticket.level, ratio, now)
-
-    async def _record_failure(self, call: Call, ticket: Ticket, failure: Failure) -> None:
-        no_trial_in_flight = not self.admission.trials_in_flight
-        if failure.reason is not Reason.SHED_BY_SERVER:
-            self._record_limit_lowered(self.limit.record_failure(), failure.reason.value)
-        self.admission.release(ticket)
-        if failure.reason is Reason.UNREACHABLE:
-            self._run_in_background(self._check_server_gone())
-        # While a call on trial is in flight, the calls beside it are not to blame for the loss.
-        if failure.reason is not Reason.CONNECTION_LOST or not (
-            ticket.is_on_trial or no_trial_in_flight
-        ):
-            return
-        suspecting = asyncio.ensure_future(self._suspect_if_server_gone(call, ticket))
-        self._run_in_background(suspecting)
-        if self.suspect_delay_seconds:
-            await asyncio.shield(suspecting)
-
-    async def _suspect_if_server_gone(self, call: Call, ticket: Ticket) -> None:
-        if await is_not_listening(self.address):
-            self.suspects.record_server_loss(call.fingerprint, ticket.is_on_trial)
-            # The caller may retry at once; by then all daemons must know of the suspect.
-            await asyncio.sleep(self.suspect_delay_seconds)
-
-    async def _check_server_gone(self) -> None:
-        if (
-            await is_not_listening(self.address)
-            and self.directory.me.state is not ServerState.ABSENT
-        ):
-            self._mark_server_absent()
-
     def _apply_announced_capacity(self, announcement: Announcement, is_reset_needed: bool) -> None:
         self.limit.is_adaptive = announcement.cold_ms is None
         if announcement.load.slots > 0:
@@ -387,36 +368,17 @@
             event = catalogue.SERVER_DRAINING
         self.journal.record(event, address=self.address, state=state.value)
         current = self.incarnations.current
-        self.directory.publish_own_change(state=state, instance=current.id, born_ms=current.born_ms)
+        self.directory.publish_own_change(
+            state=state,
+            instance=current.id,
+            born_ms=current.born_ms,
+            server_version=self._version,
+        )
         self.admission.process_queue()
 
-    def _record_limit_lowered(self, is_lowered: bool, why: str) -> None:
-        if is_lowered:
-            self.journal.record(catalogue.SERVER_COLD, address=self.address, why=why)
-
-    def _record_refusal(self, call: Call, refusal: NotRun) -> NotRun:
-        self.refused += 1
-        self.journal.record(
-            catalogue.GATE_REFUSED,
-            call=call.id,
-            request=call.request_id,
-            reason=refusal.reason.value,
-            detail=refusal.detail,
-            **self._decision_inputs(),
-        )
-        return refusal
-
-    def _decision_inputs(self) -> dict[str, int | float | str | None]:
-        """Return the values that admission depends on, and the age of the server's report."""
-        age = self.observer.age
-        return {
-            "in_flight": self.in_flight,
-            "waiting": self.admission.waiting,
-            "limit": self.limit.limit,
-            "slowdown": self.observer.slowdown,
-            "word_age_ms": round(age * 1000) if age < math.inf else None,
-            "configuration": self.configuration.version_text,
-        }
+    def _mark_server_gone(self) -> None:
+        if self.directory.me.state is not ServerState.ABSENT:
+            self._mark_server_absent()
 
     def _mark_server_absent(self) -> None:
         self.journal.record(catalogue.SERVER_SILENT, address=self.address)
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -22,6 +22,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
+from kingcuppond.ingress.first_requests import FirstRequests
 from kingcuppond.ingress.in_progress import RequestsInProgress, stopped_during
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.ingress.requests import CallerRequest, read_request
@@ -32,6 +33,7 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
+from kingcuppond.quotas.guard import QuotaGuard
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
 from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.routing.router import Router
@@ -43,10 +45,13 @@
 
     :param relayed: serves the calls that other daemons relay
     :param organisations: identifies the organisations of requests
+    :param quotas: admits the requests of organisations within their quotas
     :param choose_service: chooses the service for a request of a class
     :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
     :param grace: the grace period, once this daemon is leaving
+    :param first_requests: finds requests that return after a refusal, or ``None`` if targets count
+        from each request's own arrival
     """
 
     vm: str
@@ -65,8 +70,10 @@
     requests: RequestsInProgress
     relayed: RelayedCallPort
     organisations: OrganisationGuard
+    quotas: QuotaGuard
     last_request_at: float = float("-inf")
     grace: GracePeriod | None = None
+    first_requests: FirstRequests | None = None
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -115,7 +122,7 @@
                 reason=f"{parsed.error.reason.value}: {parsed.error.detail}",
             )
             return refuse(request, parsed.error, self.dialect, self.directory.me.is_leaving)
-        caller_request = parsed.ok
+        caller_request = self._count_target_from_first(parsed.ok)
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
         result = await self.requests.until_close(
@@ -160,6 +167,18 @@
         )
         return response
 
+    def _count_target_from_first(self, caller_request: CallerRequest) -> CallerRequest:
+        call = caller_request.call
+        # The call's own deadline may be the timeout of its class, which says nothing of its age.
+        left_seconds = caller_request.stated_seconds
+        if self.first_requests is None or left_seconds is None:
+            return caller_request
+        since = self.first_requests.seconds_since(
+            call.class_name, left_seconds, caller_request.started
+        )
+        call = attrs.evolve(call, target_at=call.target_at - since)
+        return attrs.evolve(caller_request, call=call)
+
     def _retry_after(self, call: Call, failure: Failure) -> float:
         return retry_after_seconds(
             failure.reason,
@@ -180,13 +199,18 @@
             return Result.Error(NotRun(Reason.HARMFUL, detail))
         if level is QuarantineLevel.SUSPECTED:
             call = attrs.evolve(call, is_on_trial=True)
+        organisation = caller_request.organisation
         if not (call.at_most_once and caller_request.key):
-            return await self.router.run(call)
+            return await self.quotas.run(organisation, call, self.router.run)
+
+        def run_once(call: Call) -> Awaitable[Result[Answer, Failure]]:
+            return self.guard.run_once(call, caller_request.key)
+
         if not call.body.is_buffered:
-            return await self.guard.run_once(call, caller_request.key)
+            return await self.quotas.run(organisation, call, run_once)
         # A claimed request runs to its end even if its caller disconnects, so that a retry by the
         # caller is given the answer.
-        task = asyncio.create_task(self.guard.run_once(call, caller_request.key))
+        task = asyncio.create_task(self.quotas.run(organisation, call, run_once))
         self._claimed_tasks.add(task)
         task.add_done_callback(self._claimed_tasks.discard)
         try:
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -44,6 +44,7 @@
     :param key: the caller's ``Idempotency-Key``, or empty
     :param started: monotonic time of its arrival, in seconds
     :param organisation: the organisation that it is served for, if there is one
+    :param stated_seconds: time until the deadline that its caller states, ``None`` if there is none
     """
 
     call: Call
@@ -51,6 +52,7 @@
     key: str
     started: float
     organisation: Organisation | None = None
+    stated_seconds: float | None = None
 
 
 async def read_request(
@@ -107,7 +109,11 @@
         priority=_priority(class_of_work, organisation),
         organisation="" if organisation is None else organisation.name,
     )
-    return Ok(CallerRequest(call, class_of_work, options.key, started, organisation))
+    has_deadline = dialect.deadline_header in request.headers
+    stated_seconds = options.deadline_ms / 1000 if has_deadline else None
+    return Ok(
+        CallerRequest(call, class_of_work, options.key, started, organisation, stated_seconds)
+    )
 
 
 def read_relayed_body(request: web.BaseRequest, deadline: float, now: Callable[[], float]) -> Body:
@@ -244,19 +250,18 @@
     if not request.body_exists:
         return Ok(Body(length=0))
     stream = _stream(request, deadline, now)
-    chunks: list[bytes] = []
-    size = 0
+    # Pieces may be as short as a byte, so they aren't kept apart.
+    start = bytearray()
     try:
         async for chunk in stream:
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > BODY_MEMORY_BYTES:
-                return Ok(_split_body(b"".join(chunks), stream, request.content_length))
+            start += chunk
+            if len(start) > BODY_MEMORY_BYTES:
+                return Ok(_split_body(bytes(start), stream, request.content_length))
     except TimeoutError:
         return Error(NotRun(Reason.DEADLINE, "the request body did not arrive before the deadline"))
     except (web.RequestPayloadError, OSError) as exc:
         return Error(NotRun(Reason.BAD_REQUEST, f"the request body could not be read: {exc}"))
-    return Ok(Body(b"".join(chunks), None, size))
+    return Ok(Body(bytes(start), None, len(start)))
 
 
 def _split_body(start: bytes, rest: AsyncIterator[bytes], length: int | None) -> Body:
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from kingcuppond.configuration.replica import ObjectHead, VersionedObject
+from kingcuppond.membership.summaries import LoadNews
 from kingcuppond.quarantine.messages import QuarantineNote
 
 
@@ -27,6 +28,8 @@
     :param is_leaving: the daemon accepts no new work and is about to stop
     :param instance: id of the running server process, empty if servers do not report one
     :param born_ms: start time of the server in Unix milliseconds, 0 if unknown
+    :param server_version: version of the server's program, empty if it states none or the
+        deployment has no roll-outs
     :param store_era: newest era of the store in whose log all claims of the daemon are known to be
     """
 
@@ -43,6 +46,7 @@
     instance: str = ""
     born_ms: int = 0
     store_era: int = 0
+    server_version: str = ""
 
     @property
     def version(self) -> tuple[int, int]:
@@ -89,11 +93,13 @@
     :param heard_ms: by data centre, milliseconds since the newest sign of life of one of its
         members that the sender has heard, directly or through other daemons
     :param era: the newest era of the store that the sender has heard of
+    :param load: summaries of load, only where the settings ask for them
     """
 
     digest: int
     heard_ms: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
+    load: LoadNews | None = None
 
 
 @attrs.frozen
@@ -104,6 +110,7 @@
     :param digests_by_part: of each part of the state, if the digests of the two ends differ
     :param is_complete: whether the replying daemon has the whole configuration
     :param era: as in the ping
+    :param load: as in the ping
     """
 
     digest: int
@@ -111,6 +118,24 @@
     is_complete: bool = False
     digests_by_part: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
+    load: LoadNews | None = None
+
+
+@attrs.frozen
+class ServerLoad:
+    """The load of the sender's gate, for the daemon that adds up its data centre and service.
+
+    :param slots_tenths: ten times the calls that may run at once
+    :param load: calls that run or wait
+    :param refused: calls refused as full in the last second
+    :param need_age: seconds since some daemon routed a call to the service
+    """
+
+    service: str
+    slots_tenths: int
+    load: int
+    refused: int
+    need_age: int
 
 
 @attrs.frozen
--- a/kingcuppond/peers/registry.py
+++ b/kingcuppond/peers/registry.py
@@ -23,9 +23,12 @@
     Ping,
     Pong,
     Rumours,
+    ServerLoad,
     StateReply,
     StateRequest,
 )
+from kingcuppond.quotas.messages import QuotaAck, QuotaReport, QuotaShares
+from kingcuppond.rollouts.messages import RolloutReply, RolloutReport
 
 TYPES_BY_TAG: Final[dict[str, type]] = {
     "ping": Ping,
@@ -37,6 +40,7 @@
     "introduction-reply": IntroductionReply,
     "objects-ask": ObjectsRequest,
     "objects-reply": ObjectsReply,
+    "server-load": ServerLoad,
     "claim-ask": ClaimRequest,
     "claim-reply": ClaimReply,
     "claim-copy": ClaimCopy,
@@ -44,4 +48,9 @@
     "claim-renewal-reply": RenewalReply,
     "recall-ask": AttemptQuery,
     "recall-reply": AttemptReply,
+    "q": QuotaReport,
+    "qa": QuotaAck,
+    "qs": QuotaShares,
+    "rollout-report": RolloutReport,
+    "rollout-reply": RolloutReply,
 }
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -4,7 +4,9 @@
 call.  Every retry takes one from the call's own retry budget, which is sent with the call and
 shared with its nested calls (so a call tree of depth d with budget b makes at most d * (1 + b)
 attempts along any chain).  It also takes one from the daemon's budget of repeats for the service,
-as a hedge does (see ``kingcuppond.routing.repeats``).
+as a hedge does (see ``kingcuppond.routing.repeats``).  A retry starts a new round of gates without
+the servers that already received the call; what it took is given back if no further server receives
+the call.
 
 A refusal by a gate costs no server any work and takes nothing from these budgets.  Refusals are
 bounded by the number of gates that are asked in a round.  If all are full, the call waits in a
@@ -20,7 +22,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Final
 
@@ -36,7 +38,8 @@
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.choice import Candidate, Policy, SelectionContext, least_expected
 from kingcuppond.routing.hedging import cancel_attempts, first_answer
-from kingcuppond.routing.placement import ServerIndex, place
+from kingcuppond.routing.leaving import LeavingPlanner
+from kingcuppond.routing.placement import MemberFilter, Scope, ServerIndex, place
 from kingcuppond.routing.repeats import RepeatBudget, allowance_of_daemon, make_repeat_budget
 from kingcuppond.routing.sender import Sender
 from kingcuppond.routing.view import ServerView
@@ -61,12 +64,17 @@
     Reason.NOT_READY,
     Reason.ISOLATED,
     Reason.UNREACHABLE,
+    Reason.VERSION_SHARE,
 )
 """No server received the call, so that it may go to another one without using the budgets."""
 
 LAST_RESORT_REASONS: Final = (Reason.FULL, Reason.SERVER_SLOW)
 """Refusals by a gate that may still accept the call as a last resort."""
 
+BACKLOG_REASONS: Final = (Reason.FULL, Reason.VERSION_SHARE)
+"""Refusals after which a call may wait for a moment: until a slot becomes free, or this daemon has
+heard of the roll-out that the gates know already."""
+
 NOT_RETRYABLE_REASONS: Final = (Reason.HARMFUL, Reason.BAD_REQUEST, Reason.DEADLINE)
 
 
@@ -75,7 +83,9 @@
     """The retry state of one call.
 
     :param retries_left: further attempts that may reach a server
-    :param tried: VMs that were asked in this round
+    :param tried: VMs that were asked in this round, and those in ``received``
+    :param received: VMs whose server received the call, and which get it no second time in a round
+    :param has_unused_retry: a retry was taken from the budgets, and no server has received it yet
     :param late_candidates: servers that refused the call as full or too late for the target, but
         may accept it as a last resort
     :param error_answer: a 5xx answer, returned if no retry gives a better one
@@ -83,10 +93,16 @@
 
     retries_left: int
     tried: set[str] = attrs.field(factory=set)
+    received: set[str] = attrs.field(factory=set)
+    has_unused_retry: bool = False
     late_candidates: list[Candidate] = attrs.field(factory=list)
     error_answer: Answer | None = None
 
 
+def _all_servers(_service: str, _rng: Random) -> Iterable[MemberFilter | None]:
+    return (None,)
+
+
 @attrs.define
 class Router:
     """Routes calls and keeps the views and budgets for it.
@@ -97,6 +113,9 @@
     :param fleet_retries: repeats that the whole fleet may spend on a service beyond the share of
         its calls; the capacity of the daemons' budgets adds up to it
     :param has_full_budgets: whether the budgets start full
+    :param filters: returns which servers of a service one choice is limited to, in order of
+        preference; ``None`` stands for all
+    :param leaving: decides which calls leave this data centre; ``None`` to decide by the penalty
     :param backlog: number of calls that wait in the backlog
     """
 
@@ -112,7 +131,9 @@
     policy: Policy = least_expected
     is_hedging: bool = True
     has_full_budgets: bool = True
+    leaving: LeavingPlanner | None = None
     backlog: int = 0
+    filters: Callable[[str, Random], Iterable[MemberFilter | None]] = _all_servers
     repeat_budgets_by_service: dict[str, RepeatBudget] = attrs.field(factory=dict)
     views_by_vm: dict[str, ServerView] = attrs.field(factory=dict)
     servers: ServerIndex = attrs.field(init=False)
@@ -134,7 +155,10 @@
         progress = _CallProgress(call.retry_budget)
         while True:
             result = await self._run_round(call, progress)
-            if result.is_ok() or result.error.reason is not Reason.FULL or call.body.is_consumed:
+            if result.is_ok() or call.body.is_consumed:
+                break
+            is_waiting_useful = isinstance(result.error, NotRun) and progress.has_unused_retry
+            if not is_waiting_useful and result.error.reason not in BACKLOG_REASONS:
                 break
             if (
                 self.backlog >= MAX_BACKLOG
@@ -144,7 +168,13 @@
             await self._wait_in_backlog(backoff)
             backoff = min(backoff * 2, MAX_BACKLOG_BACKOFF_SECONDS)
             call = attrs.evolve(call, id=self.next_id())
-            progress = _CallProgress(progress.retries_left, error_answer=progress.error_answer)
+            progress = _CallProgress(
+                progress.retries_left,
+                has_unused_retry=progress.has_unused_retry,
+                error_answer=progress.error_answer,
+            )
+        if progress.has_unused_retry:
+            self._repeat_budget(call.service).give_back()
         if result.is_error() and progress.error_answer is not None:
             return Result.Ok(progress.error_answer)
         return result
@@ -154,7 +184,8 @@
         failure: Failure | None = None
         while True:
             candidate = self._choose(call, progress.tried)
-            is_round_over = len(progress.tried) >= MAX_SERVERS_PER_ROUND or candidate is None
+            asked = len(progress.tried) - len(progress.received)
+            is_round_over = asked >= MAX_SERVERS_PER_ROUND or candidate is None
             if is_round_over and progress.late_candidates and not call.body.is_consumed:
                 candidate = self._take_best_late_candidate(progress)
                 call = attrs.evolve(call, id=self.next_id(), is_last_resort=True)
@@ -162,7 +193,11 @@
                 return Error(failure or self._no_candidate_failure(call))
             progress.tried.add(candidate.vm)
             call = attrs.evolve(call, retry_budget=progress.retries_left)
+            asked_before = progress.tried - {candidate.vm}
             result = await self._run_hedged(call, candidate, progress)
+            if result.is_ok() or not _was_refused_before_server(result.error):
+                progress.has_unused_retry = False
+                progress.received |= progress.tried - asked_before
             if result.is_ok():
                 if not self._may_retry_error_answer(call, result.ok, progress):
                     return result
@@ -173,6 +208,8 @@
                     call, candidate, failure, progress
                 ):
                     return result
+                if progress.has_unused_retry:
+                    call = attrs.evolve(call, is_last_resort=False)
             call = attrs.evolve(call, id=self.next_id())
 
     def _may_try_another(
@@ -182,13 +219,16 @@
 
         If so, a retry is taken from the budgets, unless no server received the call.
         """
-        if failure.reason in REFUSED_BEFORE_SERVER_REASONS and isinstance(failure, NotRun):
+        if _was_refused_before_server(failure):
             if failure.reason in LAST_RESORT_REASONS and not call.is_last_resort:
                 progress.late_candidates.append(candidate)
             return not call.is_last_resort
         if not self._may_retry(call, failure, progress):
             return False
         progress.retries_left -= 1
+        progress.has_unused_retry = True
+        # The round may be over, with a last resort that its server shed: a retry needs a new one.
+        progress.tried = set(progress.received)
         self._record_retry(call, failure.reason.value, progress)
         return True
 
@@ -210,6 +250,7 @@
         if not self._repeat_budget(call.service).take(may_have_run=True, rng=self.rng):
             return False
         progress.retries_left -= 1
+        progress.has_unused_retry = True
         self._record_retry(call, f"status {answer.status}", progress)
         return True
 
@@ -257,11 +298,24 @@
         now = self.clock.monotonic()
         if now >= call.deadline:
             return None
-        candidates = self.servers.draw(call.service, tried, now, self.detour_seconds)
+        typical_seconds = self.sender.typical_seconds(call.class_name)
+        scope = None
+        if self.leaving is not None:
+            scope = self.leaving.scope(call, len(tried), now, typical_seconds)
+        candidates = self._draw(call.service, tried, now, scope)
         if not candidates:
             return None
-        context = SelectionContext(now, self.sender.typical_seconds(call.class_name))
-        return place(candidates, context, call.target_at, self.policy, self.rng)
+        context = SelectionContext(now, typical_seconds)
+        return place(candidates, context, _due(call, context), self.policy, self.rng)
+
+    def _draw(
+        self, service: str, tried: set[str], now: float, scope: Scope | None
+    ) -> list[Candidate]:
+        for allows in self.filters(service, self.rng):
+            drawn = self.servers.draw(service, tried, now, self.detour_seconds, allows, scope)
+            if drawn:
+                return drawn
+        return []
 
     def _may_retry(self, call: Call, failure: Failure, progress: _CallProgress) -> bool:
         """Return whether a call may be retried, and take it from the budget of repeats."""
@@ -269,6 +323,9 @@
             return False
         if isinstance(failure, Unknown) and not call.is_repeatable:
             return False
+        now = self.clock.monotonic()
+        if now + self.sender.typical_seconds(call.class_name) > call.deadline:
+            return False
         may_have_run = isinstance(failure, Unknown)
         return self._repeat_budget(call.service).take(may_have_run, self.rng)
 
@@ -305,3 +362,17 @@
         if call.retry_budget < 1 or call.is_on_trial:
             return None
         return max(HEDGE_MIN_SECONDS, HEDGE_LATENCY_RATIO * typical_seconds)
+
+
+def _was_refused_before_server(failure: Failure) -> bool:
+    return isinstance(failure, NotRun) and failure.reason in REFUSED_BEFORE_SERVER_REASONS
+
+
+def _due(call: Call, context: SelectionContext) -> float:
+    """Return the time by which an answer is due: the target, or the deadline once that is lost.
+
+    Otherwise no server of this data centre would be in time, and late calls would leave it.
+    """
+    if context.now + context.typical_seconds <= call.target_at:
+        return call.target_at
+    return call.deadline
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -12,6 +12,12 @@
 from expression import Error, Ok, Result
 
 from kingcuppond.durations import parse_duration_ms
+from kingcuppond.ingress.connection_limits import (
+    DEFAULT_MAX_BUFFERED_BYTES,
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MAX_HEAD_BYTES,
+    DEFAULT_MAX_HEAD_MS,
+)
 from kingcuppond.settings.checks import check_address, check_name, in_range, one_of
 from kingcuppond.settings.jsonc import FileError, read_file
 
@@ -20,6 +26,9 @@
 DEFAULT_WATCH_WAIT_MS: Final = 1000
 DEFAULT_SUSPECT_HOLD_MS: Final = 250
 DEFAULT_FLEET_RETRIES: Final = 100.0
+DEFAULT_QUOTA_WINDOW: Final = "5s"
+DEFAULT_QUOTA_OVER: Final = 0.1
+DEFAULT_QUOTA_SLACK: Final = 20.0
 MAX_MS: Final = 600_000
 FLEET_KEY_BYTES: Final = 32
 
@@ -56,6 +65,14 @@
         raise ValueError(f"{attribute.name}: {exc}") from exc
 
 
+def _check_positive_duration(
+    instance: object, attribute: "attrs.Attribute[str]", value: str
+) -> None:
+    _check_duration(instance, attribute, value)
+    if not parse_duration_ms(value):
+        raise ValueError(f"{attribute.name}: {value} is not longer than 0")
+
+
 def _check_optional_duration(
     _instance: object, attribute: "attrs.Attribute[str]", value: str
 ) -> None:
@@ -143,6 +160,9 @@
     detour_ms: int = attrs.field(default=0, validator=in_range(0, MAX_MS))
     """How much longer an answer may take in this data centre before another one is preferred."""
 
+    leaves_data_centre: Literal["penalty", "measured"] = "penalty"
+    """What decides which calls leave this data centre: ``detour_ms``, or the measured loads."""
+
     fleet_retries: float = attrs.field(
         default=DEFAULT_FLEET_RETRIES, validator=in_range(0, 1_000_000)
     )
@@ -158,6 +178,55 @@
     revoke_within: str = attrs.field(default="0ms", validator=_check_duration)
     """Time within which a removed key must be refused, such as ``5s``; for ``fail_closed``."""
 
+    quota_window: str = attrs.field(
+        default=DEFAULT_QUOTA_WINDOW, validator=_check_positive_duration
+    )
+    """Any time as long, in which an organisation's requests must stay within the bound."""
+
+    quota_over: float = attrs.field(default=DEFAULT_QUOTA_OVER, validator=in_range(0, 1_000))
+    """Part of an organisation's quota that may run in addition in any window."""
+
+    quota_slack: float = attrs.field(default=DEFAULT_QUOTA_SLACK, validator=in_range(0, 1_000_000))
+    """Requests of an organisation that may run in addition in any window."""
+
+    has_rollouts: bool = False
+    """Whether operators order roll-outs of new versions of servers through the store."""
+
+    canary_share: float = attrs.field(default=0.1, validator=in_range(0, 1))
+    """Largest share of a service's requests that may go to a version that proves bad."""
+
+    canary_slack: float = attrs.field(default=50.0, validator=in_range(0, 1_000_000))
+    """Requests that may go to such a version beyond that share."""
+
+    rollback_within: str = attrs.field(default="5s", validator=_check_duration)
+    """Time after the fiftieth bad answer within which no more requests may go to a bad version."""
+
+    counts_targets_from_first_request: bool = False
+    """Whether the target of a request that returns after a refusal counts from when it was first
+    sent.
+
+    Only for callers that start each request of a class with the same deadline, and state what is
+    left of it when they return.
+    """
+
+    max_connections: int = attrs.field(
+        default=DEFAULT_MAX_CONNECTIONS, validator=in_range(50, 100_000)
+    )
+    """Most connections that clients and other daemons may have open, on all ports together."""
+
+    max_head_bytes: int = attrs.field(
+        default=DEFAULT_MAX_HEAD_BYTES, validator=in_range(20_000, 1_000_000)
+    )
+    """Longest head of a request, with empty lines before it."""
+
+    max_head_ms: int = attrs.field(default=DEFAULT_MAX_HEAD_MS, validator=in_range(4000, MAX_MS))
+    """Longest time from the first byte of a head to its end."""
+
+    max_buffered_bytes: int = attrs.field(
+        default=DEFAULT_MAX_BUFFERED_BYTES, validator=in_range(1_000_000, 100_000_000_000)
+    )
+    """Most bytes of requests and answers that the buffers of all connections may hold."""
+
     log_level: str = attrs.field(
         default=DEFAULT_LOG_LEVEL, validator=one_of("debug", "info", "warning", "error")
     )
@@ -168,6 +237,16 @@
         """The time within which a removed key must be refused."""
         return parse_duration_ms(self.revoke_within) / 1000
 
+    @property
+    def quota_window_seconds(self) -> float:
+        """The window of the quotas."""
+        return parse_duration_ms(self.quota_window) / 1000
+
+    @property
+    def rollback_seconds(self) -> float:
+        """The time within which no more requests may go to a bad version."""
+        return parse_duration_ms(self.rollback_within) / 1000
+
     @property
     def stop_limit_seconds(self) -> float:
         """The time limit of a planned stop, 0 for none."""
