--- a/kingcuppond/assembly.py
+++ b/kingcuppond/assembly.py
@@ -16,7 +16,6 @@
 from kingcuppond.gate.gate import Gate
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.counts import CallCounts
-from kingcuppond.ingress.first_requests import FirstRequests
 from kingcuppond.ingress.in_progress import RequestsInProgress
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
@@ -272,7 +271,4 @@
         relayed,
         daemon.organisations,
         daemon.quotas,
-        first_requests=(
-            FirstRequests() if daemon.settings.counts_targets_from_first_request else None
-        ),
     )
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -22,7 +22,6 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import GracePeriod
-from kingcuppond.ingress.first_requests import FirstRequests
 from kingcuppond.ingress.in_progress import RequestsInProgress, stopped_during
 from kingcuppond.ingress.relayed_calls import RelayedCallPort
 from kingcuppond.ingress.requests import CallerRequest, read_request
@@ -50,8 +49,6 @@
     :param requests: the requests that this daemon is serving
     :param last_request_at: monotonic time of the last caller's request, in seconds
     :param grace: the grace period, once this daemon is leaving
-    :param first_requests: finds requests that return after a refusal, or ``None`` if targets count
-        from each request's own arrival
     """
 
     vm: str
@@ -73,7 +70,6 @@
     quotas: QuotaGuard
     last_request_at: float = float("-inf")
     grace: GracePeriod | None = None
-    first_requests: FirstRequests | None = None
     _claimed_tasks: set["asyncio.Task[Any]"] = attrs.field(factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -122,7 +118,7 @@
                 reason=f"{parsed.error.reason.value}: {parsed.error.detail}",
             )
             return refuse(request, parsed.error, self.dialect, self.directory.me.is_leaving)
-        caller_request = self._count_target_from_first(parsed.ok)
+        caller_request = parsed.ok
         if self.grace is not None:
             self._record_while_leaving(caller_request, self.grace)
         result = await self.requests.until_close(
@@ -167,18 +163,6 @@
         )
         return response
 
-    def _count_target_from_first(self, caller_request: CallerRequest) -> CallerRequest:
-        call = caller_request.call
-        # The call's own deadline may be the timeout of its class, which says nothing of its age.
-        left_seconds = caller_request.stated_seconds
-        if self.first_requests is None or left_seconds is None:
-            return caller_request
-        since = self.first_requests.seconds_since(
-            call.class_name, left_seconds, caller_request.started
-        )
-        call = attrs.evolve(call, target_at=call.target_at - since)
-        return attrs.evolve(caller_request, call=call)
-
     def _retry_after(self, call: Call, failure: Failure) -> float:
         return retry_after_seconds(
             failure.reason,
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -44,7 +44,6 @@
     :param key: the caller's ``Idempotency-Key``, or empty
     :param started: monotonic time of its arrival, in seconds
     :param organisation: the organisation that it is served for, if there is one
-    :param stated_seconds: time until the deadline that its caller states, ``None`` if there is none
     """
 
     call: Call
@@ -52,7 +51,6 @@
     key: str
     started: float
     organisation: Organisation | None = None
-    stated_seconds: float | None = None
 
 
 async def read_request(
@@ -109,11 +107,7 @@
         priority=_priority(class_of_work, organisation),
         organisation="" if organisation is None else organisation.name,
     )
-    has_deadline = dialect.deadline_header in request.headers
-    stated_seconds = options.deadline_ms / 1000 if has_deadline else None
-    return Ok(
-        CallerRequest(call, class_of_work, options.key, started, organisation, stated_seconds)
-    )
+    return Ok(CallerRequest(call, class_of_work, options.key, started, organisation))
 
 
 def read_relayed_body(request: web.BaseRequest, deadline: float, now: Callable[[], float]) -> Body:
--- a/kingcuppond/quotas/guard.py
+++ b/kingcuppond/quotas/guard.py
@@ -23,12 +23,6 @@
 OVER_QUOTA: Final = "the organisation is over its quota"
 UNCONFIRMED: Final = "no daemon confirms that the organisation is within its quota"
 
-LATE_POWER: Final = 3
-"""Power of the share at which late requests are admitted.
-
-Over the quota, each of them would take the place of one that can still be in time.
-"""
-
 SPACING_PART: Final = 0.2
 """Weight of the newest time between two requests in their average."""
 
@@ -76,13 +70,10 @@
         """Whether any organisation has a rate."""
         return bool(self.peers.organisations_by_id)
 
-    def admit(
-        self, organisation: Organisation | None, now: float, is_late: bool = False
-    ) -> Result[QuotaPass, NotRun]:
+    def admit(self, organisation: Organisation | None, now: float) -> Result[QuotaPass, NotRun]:
         """Admit a request, or refuse it with the time after which there will be room.
 
         :param now: monotonic time in seconds
-        :param is_late: whether its target has expired, so that others should go first
         """
         if organisation is None or organisation.rate_per_second <= 0:
             return UNLIMITED
@@ -99,8 +90,7 @@
             wait = self._admit_alone(organisation, count, now)
         elif link.shares_by_id and now < link.shares_until and count.id in link.shares_by_id:
             count.local = None
-            share = link.shares_by_id[count.id]
-            wait = self._admit_share(count, share**LATE_POWER if is_late else share, now)
+            wait = self._admit_share(count, link.shares_by_id[count.id], now)
         else:
             count.local = count.arrived_at = wait = None
         if wait is None:
@@ -125,8 +115,7 @@
         run: Callable[[Call], Awaitable[Result[Answer, Failure]]],
     ) -> Result[Answer, Failure]:
         """Run a call if it is within the quota, and give its admission back if it did not run."""
-        now = self.now()
-        admitted = self.admit(organisation, now, is_late=now > call.target_at)
+        admitted = self.admit(organisation, self.now())
         if admitted.is_error():
             return Error(admitted.error)
         if admitted.ok.count is None:
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -306,7 +306,7 @@
         if not candidates:
             return None
         context = SelectionContext(now, typical_seconds)
-        return place(candidates, context, _due(call, context), self.policy, self.rng)
+        return place(candidates, context, call.target_at, self.policy, self.rng)
 
     def _draw(
         self, service: str, tried: set[str], now: float, scope: Scope | None
@@ -366,13 +366,3 @@
 
 def _was_refused_before_server(failure: Failure) -> bool:
     return isinstance(failure, NotRun) and failure.reason in REFUSED_BEFORE_SERVER_REASONS
-
-
-def _due(call: Call, context: SelectionContext) -> float:
-    """Return the time by which an answer is due: the target, or the deadline once that is lost.
-
-    Otherwise no server of this data centre would be in time, and late calls would leave it.
-    """
-    if context.now + context.typical_seconds <= call.target_at:
-        return call.target_at
-    return call.deadline
--- a/kingcuppond/settings/daemon.py
+++ b/kingcuppond/settings/daemon.py
@@ -201,14 +201,6 @@
     rollback_within: str = attrs.field(default="5s", validator=_check_duration)
     """Time after the fiftieth bad answer within which no more requests may go to a bad version."""
 
-    counts_targets_from_first_request: bool = False
-    """Whether the target of a request that returns after a refusal counts from when it was first
-    sent.
-
-    Only for callers that start each request of a class with the same deadline, and state what is
-    left of it when they return.
-    """
-
     max_connections: int = attrs.field(
         default=DEFAULT_MAX_CONNECTIONS, validator=in_range(50, 100_000)
     )
