Faults that a review of the parts found

- A quota that is removed and set again was not enforced until each daemon had passed its old counts, since a coordinator takes counts for cumulative: the counts go on.
- A call of which an earlier attempt may have run got 503, which promises that it has not, if a later attempt was refused: it is unknown, and its quota is not given back.
- Old servers that state no version did not count as old, so that the canary had no bound beside them.
- A call that was cancelled while it waited at the gate of a new version kept its part of the share.

--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -290,15 +290,18 @@
         return result
 
     async def _admit(self, call: Call, level: QuarantineLevel) -> Result[Answer, Failure]:
-        is_on_trial = call.is_on_trial or level is QuarantineLevel.SUSPECTED
-        admitted = await self.admission.acquire(
-            call.class_name,
-            call.deadline,
-            is_on_trial,
-            call.priority,
-            self.deadline_check.queue_timeout_seconds(call),
-            self.deadline_check.standing(call),
-        )
+        try:
+            admitted = await self.admission.acquire(
+                call.class_name,
+                call.deadline,
+                call.is_on_trial or level is QuarantineLevel.SUSPECTED,
+                call.priority,
+                self.deadline_check.queue_timeout_seconds(call),
+                self.deadline_check.standing(call),
+            )
+        except BaseException:
+            self.outcomes.share.give_back()
+            raise
         if admitted.is_error():
             return Error(self.outcomes.record_refusal(call, admitted.error))
         return await self._run_admitted(call, admitted.ok)
--- a/kingcuppond/quotas/guard.py
+++ b/kingcuppond/quotas/guard.py
@@ -60,8 +60,9 @@
         for name, organisation in rated.items():
             self.peers.organisations_by_id[organisation_id(name)] = organisation
         for name in self._counts_by_name.keys() - rated.keys():
-            count = self._counts_by_name.pop(name)
-            count.link.forget(count)
+            # The link keeps the counts: a coordinator takes them for cumulative, also if the
+            # organisation has a rate again.
+            del self._counts_by_name[name]
         if rated:
             self.on_active()
 
--- a/kingcuppond/quotas/ledger.py
+++ b/kingcuppond/quotas/ledger.py
@@ -133,11 +133,6 @@
             count = self.counts_by_id[id_] = OrganisationCount(id_, self, rng.random())
         return count
 
-    def forget(self, count: OrganisationCount) -> None:
-        """Drop the counts of an organisation that has no rate any more."""
-        self.counts_by_id.pop(count.id, None)
-        self._dirty.discard(count)
-
     def mark_changed(self, count: OrganisationCount) -> None:
         """Have an organisation's counts reported."""
         count.is_dirty = True
--- a/kingcuppond/rollouts/table.py
+++ b/kingcuppond/rollouts/table.py
@@ -228,7 +228,10 @@
         members = list(self.directory.members_by_service.get(service, {}).values())
         return _Servers(
             new=[it.vm for it in members if rollout.is_new(it) and self._accepts_calls(it)],
-            has_old_member=any(it.server_version and not rollout.is_new(it) for it in members),
+            # Servers of the old version may not state one.
+            has_old_member=any(
+                it.state is not ServerState.ABSENT and not rollout.is_new(it) for it in members
+            ),
         )
 
     def _accepts_calls(self, member: Member) -> bool:
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -177,6 +177,8 @@
             self._repeat_budget(call.service).give_back()
         if result.is_error() and progress.error_answer is not None:
             return Result.Ok(progress.error_answer)
+        if result.is_error() and call.delivery.may_have_run:
+            return Error(_as_unknown(result.error))
         return result
 
     async def _run_round(self, call: Call, progress: _CallProgress) -> Result[Answer, Failure]:
@@ -366,3 +368,10 @@
 
 def _was_refused_before_server(failure: Failure) -> bool:
     return isinstance(failure, NotRun) and failure.reason in REFUSED_BEFORE_SERVER_REASONS
+
+
+def _as_unknown(failure: Failure) -> Unknown:
+    """Return the failure of a call of which an earlier attempt may have run."""
+    if isinstance(failure, Unknown):
+        return failure
+    return Unknown(failure.reason, f"an earlier attempt may have run: {failure.detail}")
--- a/tests/quotas/test_guard.py
+++ b/tests/quotas/test_guard.py
@@ -99,6 +99,19 @@
     assert setup.sent == []
 
 
+def test_counts_go_on_where_a_rate_is_removed_and_set_again(setup: Setup) -> None:
+    """Guards against a quota that a coordinator doesn't enforce, as it takes counts for known."""
+    guard = setup.guard
+    for _ in range(5):
+        assert guard.admit(ALL, 1.0).is_ok()
+    table = guard.configuration.organisations
+    for organisations in (OrganisationTable((Organisation("free"),)), table):
+        guard.configuration.organisations = organisations
+        guard.on_configuration_change()
+    assert guard.admit(ALL, 1.0).is_ok()
+    assert guard.peers.links[shard_of(ID)].counts_by_id[ID].admitted == 6
+
+
 def test_a_configuration_without_rates_starts_nothing(setup: Setup) -> None:
     assert setup.active == [True]
     setup.guard.configuration.organisations = OrganisationTable((Organisation("free"),))
--- a/tests/rollouts/test_table.py
+++ b/tests/rollouts/test_table.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import attrs
 import pytest
 
 from kingcuppond.clock import Clock
@@ -62,6 +63,14 @@
     assert allowed(table, 10)["new"] == 0.0
 
 
+def test_old_servers_that_state_no_version_count_as_old(table: RolloutTable) -> None:
+    """Guards against a canary without a bound beside servers of an earlier release."""
+    table.directory.publish_own_change(server_version="")
+    table.directory.merge(attrs.evolve(make_member("old", ""), seq=9))
+    table.configuration.merge([order_object(10)])
+    assert allowed(table)["new"] == 0
+
+
 def test_a_call_may_go_to_the_old_version_if_no_new_server_is_left(table: RolloutTable) -> None:
     table.configuration.merge([order_object(10, "running")])
     table.advance("shop", Phase.FINISHING, 1.0)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -13,7 +13,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import DEAD_AFTER_SECONDS, Directory
 from kingcuppond.membership.messages import Member, ServerState, Suspicion
-from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, Call
 from kingcuppond.routing.choice import Candidate
 from kingcuppond.routing.router import MAX_SERVERS_PER_ROUND, Router
@@ -172,6 +172,21 @@
     assert setting.spent() == 0
 
 
+async def test_a_refusal_after_an_attempt_that_may_have_run_is_no_promise(
+    make_setting: Callable[[Respond], Setting],
+) -> None:
+    """Guards against "not run" for a call that a server ran before it was lost."""
+
+    def respond(call: Call, attempt: int) -> Failure | None:
+        if attempt > 1:
+            return FULL
+        call.delivery.attempts.add(call.id)
+        return Unknown(Reason.CONNECTION_LOST, "lost")
+
+    setting = make_setting(respond)
+    assert isinstance((await setting.run()).error, Unknown)
+
+
 async def test_a_paid_retry_waits_in_the_backlog_for_room(
     make_setting: Callable[[Respond], Setting],
 ) -> None:
