Connections that ordinary clients use are neither stuck nor closed

test_requests_behind_an_upload_are_all_answered and test_an_idle_connection_is_kept_after_a_body_in_ chunks failed before, and pass with the other 27 tests of the limits.

--- a/kingcuppond/ingress/connection.py
+++ b/kingcuppond/ingress/connection.py
@@ -75,7 +75,9 @@
             max_headers=options["max_headers"],
             payload_exception=RequestPayloadError,
             auto_decompress=options["auto_decompress"],
-            max_msg_queue_size=MAX_READ_AHEAD,
+            # The parser counts a request until its body is complete, the queue until its head is
+            # taken.  With equal limits, the parser could stop where the queue never resumes it.
+            max_msg_queue_size=MAX_READ_AHEAD + 1,
         )
 
     def data_received(self, data: bytes) -> None:
@@ -126,6 +128,8 @@
         self._checked_requests = 0
         self._requests = 0
         self._body_bytes = 0
+        self._was_body_complete = True
+        self._has_head_bytes = False
         self._useless_bytes = 0
         self._unparsed_bytes = 0
         self._unsent_bytes = 0
@@ -200,7 +204,8 @@
         return ConnectionView(
             self._number,
             self.is_trusted,
-            has_request=self._handler.has_request,
+            # An answer may wait to be sent although its handler has ended.
+            has_request=self._handler.has_request or self._write_buffer_bytes() > 0,
             is_complete=self._is_body_complete(),
             is_unread=self._handler.writing_paused,
             requests=self._requests,
@@ -214,7 +219,7 @@
         if not self._is_active:
             return None
         self._has_progress()
-        is_in_head = self._useless_bytes and not self._handler.has_request
+        is_in_head = self._has_head_bytes and not self._handler.has_request
         self._head_ticks = self._head_ticks + 1 if is_in_head else 0
         if self._head_ticks > limits.head_ticks:
             return CloseReason.HEAD_TIME
@@ -238,8 +243,11 @@
             parsed_bytes = self._payload.total_bytes
             parsed_bytes -= body_bytes if self._payload is payload else 0
             self._unparsed_bytes = max(0, self._unparsed_bytes - parsed_bytes)
-        if not self._has_progress():
+        # What waits in the parser may hold requests.
+        if not self._has_progress() and not self._handler.is_reading_paused:
             self._useless_bytes += len(data)
+            # A line end after a body begins no head.
+            self._has_head_bytes = self._has_head_bytes or bool(data.strip(b"\r\n"))
             if self._useless_bytes > self._guard.limits.max_head_bytes:
                 self._refuse()
 
@@ -247,12 +255,17 @@
         """Return whether a request or content has arrived, here or out of the library's buffer."""
         requests = self._handler._request_count
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if (requests, body_bytes) == (self._requests, self._body_bytes):
+        is_complete = self._is_body_complete()
+        # The end of a body in chunks is neither a request nor content.
+        is_ended = is_complete and not self._was_body_complete
+        self._was_body_complete = is_complete
+        if (requests, body_bytes) == (self._requests, self._body_bytes) and not is_ended:
             return False
         if requests != self._requests:
             self._ticks = 0
         self._requests, self._body_bytes = requests, body_bytes
         self._useless_bytes = 0
+        self._has_head_bytes = False
         return True
 
     def _check_requests(self) -> None:
--- a/tests/ingress/test_connection.py
+++ b/tests/ingress/test_connection.py
@@ -213,6 +213,35 @@
         assert await client.ask(HEAD + b"\r\n") == b"HTTP/1.1 200 OK", "it was idle"
 
 
+async def test_requests_behind_an_upload_are_all_answered() -> None:
+    """Guards against pipelined requests that wait in the parser, which nothing resumes."""
+    for size, count in ((10, 6), (300_000, 40)):
+        async with serving() as server:
+            client = await server.connect()
+            head = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+            client.writer.write(head + b"x" * 4)
+            await asyncio.sleep(0.05)
+            rest = b"x" * (size - 4) + (HEAD + b"\r\n") * count
+            assert b"200" in await client.ask(rest)
+            for _ in range(count):
+                assert b"200" in await client.ask(b"")
+
+
+async def test_an_idle_connection_is_kept_after_a_body_in_chunks() -> None:
+    """Guards against a close for a head that never began, as a caller sends its next request."""
+    async with serving() as server:
+        client = await server.connect()
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for piece in (head, b"5\r\nhello\r\n"):
+            client.writer.write(piece)
+            await asyncio.sleep(0.05)
+        assert b"200" in await client.ask(b"0\r\n\r\n")
+        client.writer.write(b"\r\n")
+        await asyncio.sleep(0.05)
+        server.tick(server.guard.limits.head_ticks + 3)
+        assert b"200" in await client.ask(HEAD + b"\r\n")
+
+
 async def test_ordinary_clients_are_served_beside_a_flood_of_connections() -> None:
     """Guards against connections that use up all that there may be."""
     async with serving() as server:
