--- a/kingcuppond/early_listener.py
+++ b/kingcuppond/early_listener.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import signal
 import socket
 from collections.abc import Sequence
 from pathlib import Path
@@ -21,6 +22,8 @@
 ADDRESS_KEY: Final = "caller_address"
 LISTEN_BACKLOG: Final = 1024
 
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 _sockets_by_address: dict[str, socket.socket] = {}
 
 
@@ -34,10 +37,17 @@
     try:
         address = _read_address(Path(arguments[arguments.index(SETTINGS_OPTION) + 1]))
         _sockets_by_address[address] = _listen(address)
+        # Without a handler they end the process, and the requests that have arrived are lost.
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     except (LookupError, OSError, ValueError, TypeError, AttributeError, RecursionError):
         return
 
 
+def accept_signals() -> None:
+    """Deliver the signals that arrived during the imports; their handlers must be installed."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+
+
 def take_socket(address: str) -> socket.socket | None:
     """Return the socket that listens at an address since the start, once."""
     return _sockets_by_address.pop(address, None)
--- a/kingcuppond/program/daemon_command.py
+++ b/kingcuppond/program/daemon_command.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from kingcuppond import STARTED_AT
+from kingcuppond.early_listener import accept_signals
 from kingcuppond.events.log import LEVELS_BY_NAME
 from kingcuppond.program.output import EXIT_USAGE, error_exit
 from kingcuppond.program.reload import reload_forever
@@ -85,6 +86,7 @@
         loop.add_signal_handler(number, service.request_stop)
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    accept_signals()
     await service.start()
     # What exists now lives as long as the daemon; passes over it would only delay calls.
     gc.collect()
--- a/tests/test_early_listener.py
+++ b/tests/test_early_listener.py
@@ -1,13 +1,21 @@
 """Callers can connect while the program is still being imported."""
 
+import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from kingcuppond.early_listener import listen_early, take_socket
+from kingcuppond.early_listener import SIGNALS, listen_early, take_socket
+
+
+@pytest.fixture(autouse=True)
+def restore_signals() -> Iterator[None]:
+    yield
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
 
 
 def write_settings(folder: Path, address: str) -> Path:
