Known red: an ordinary caller beside clients that read no answers

Taken back from, as tried causes that change nothing: the bound on how often connections are chosen, the protection of answers that are being sent, and bytes that wait in the parser not counting as a head.

--- a/kingcuppond/ingress/connection.py
+++ b/kingcuppond/ingress/connection.py
@@ -204,8 +204,7 @@
         return ConnectionView(
             self._number,
             self.is_trusted,
-            # An answer may wait to be sent although its handler has ended.
-            has_request=self._handler.has_request or self._write_buffer_bytes() > 0,
+            has_request=self._handler.has_request,
             is_complete=self._is_body_complete(),
             is_unread=self._handler.writing_paused,
             requests=self._requests,
@@ -243,8 +242,7 @@
             parsed_bytes = self._payload.total_bytes
             parsed_bytes -= body_bytes if self._payload is payload else 0
             self._unparsed_bytes = max(0, self._unparsed_bytes - parsed_bytes)
-        # What waits in the parser may hold requests.
-        if not self._has_progress() and not self._handler.is_reading_paused:
+        if not self._has_progress():
             self._useless_bytes += len(data)
             # A line end after a body begins no head.
             self._has_head_bytes = self._has_head_bytes or bool(data.strip(b"\r\n"))
--- a/kingcuppond/ingress/connection_guard.py
+++ b/kingcuppond/ingress/connection_guard.py
@@ -32,15 +32,9 @@
 """Ticks between two reports of closed connections."""
 
 
-MANY_CONNECTIONS: Final = 200
-"""A choice among fewer costs little."""
-
 CLOSED_PART: Final = 16
 """This part of the allowed connections is closed at once, as the choice looks at each of them."""
 
-CHOICE_INTERVAL_SECONDS: Final = 0.02
-"""Time after a choice that found no silent connection; it looks at all and takes some 10 ms."""
-
 RECHECK_PART: Final = 16
 """All connections are looked at again once this part of the allowed bytes has been added."""
 
@@ -97,7 +91,6 @@
     _count_by_port: Tally[str] = attrs.field(factory=Tally)
     _closing_bytes_by_number: dict[int, int] = attrs.field(factory=dict)
     _bytes_to_check: int = 0
-    _next_choice_at: float = 0.0
     _last_number: int = 0
     _ticks: int = 0
     _timer: asyncio.TimerHandle | None = None
@@ -191,11 +184,6 @@
 
     def _make_room(self, newcomer: GuardedConnection, port: str | None) -> None:
         """Close connections, of one port or of any, and else the new one."""
-        now = asyncio.get_running_loop().time()
-        if now < self._next_choice_at:
-            self.count_closed(newcomer.port, CloseReason.COUNT)
-            newcomer.abort()
-            return
         views = (
             connection.view()
             for connection in self._connections.values()
@@ -204,8 +192,6 @@
         chosen = choose_connections_to_close(views, self.limits.max_connections // CLOSED_PART)
         for view in chosen:
             self.close(view.number, CloseReason.COUNT)
-        if len(chosen) <= 1 and self.count >= MANY_CONNECTIONS:
-            self._next_choice_at = now + CHOICE_INTERVAL_SECONDS
         if not chosen:
             self.count_closed(newcomer.port, CloseReason.COUNT)
             newcomer.abort()
