A daemon that is cut off refuses requests without a key with 503

Reading the change again: a request without a key, or with a malformed one, got 401 also at a daemon that is cut off, though a version that it has missed may have made the route public. It now gets 503 there, as an unknown key does.

--- a/kingcuppond/organisations/identification.py
+++ b/kingcuppond/organisations/identification.py
@@ -18,7 +18,7 @@
 
 NO_VALID_KEY: Final = NotRun(Reason.UNAUTHORIZED, "the request carries no valid key")
 UNKNOWN_WHILE_ISOLATED: Final = NotRun(
-    Reason.ISOLATED, "the key is unknown here, and this daemon may have missed a new one"
+    Reason.ISOLATED, "no key that is known here, and this daemon may have missed a change"
 )
 CLOSED: Final = NotRun(
     Reason.ISOLATED, "this daemon has been cut off for longer than a key may outlast its removal"
@@ -46,8 +46,10 @@
     :param keys: the values of the request's key header
     :param isolated_seconds: for how long this daemon has been isolated, ``None`` if it is not
     """
+    unknown = NO_VALID_KEY if isolated_seconds is None else UNKNOWN_WHILE_ISOLATED
     if len(keys) != 1 or not is_wellformed(keys[0]):
-        return Error(NO_VALID_KEY)
+        # A version that this daemon has missed may have made the route public.
+        return Error(unknown)
     if _is_closed(policy, isolated_seconds):
         return Error(CLOSED)
     organisation = keyring.find(keys[0])
@@ -55,7 +57,7 @@
         return Ok(organisation)
     if keyring.holds(keys[0]):
         return Error(AMBIGUOUS)
-    return Error(NO_VALID_KEY if isolated_seconds is None else UNKNOWN_WHILE_ISOLATED)
+    return Error(unknown)
 
 
 def _is_closed(policy: KeyPolicy, isolated_seconds: float | None) -> bool:
--- a/tests/organisations/test_identification.py
+++ b/tests/organisations/test_identification.py
@@ -25,10 +25,11 @@
     assert identify(keys, KEYRING, OPEN, None).error.reason is Reason.UNAUTHORIZED
 
 
+@pytest.mark.parametrize("keys", [["k9"], []], ids=["unknown key", "no key"])
 @pytest.mark.parametrize("policy", [OPEN, CLOSED], ids=["open", "closed"])
-def test_an_isolated_daemon_never_calls_a_key_invalid(policy: KeyPolicy) -> None:
-    """Guards against 401 for a key that was added while this daemon was cut off."""
-    assert identify(["k9"], KEYRING, policy, 1.0).error.reason is Reason.ISOLATED
+def test_an_isolated_daemon_never_calls_a_key_invalid(policy: KeyPolicy, keys: list[str]) -> None:
+    """Guards against 401 for a key that was added, or a route made public, during a cut."""
+    assert identify(keys, KEYRING, policy, 1.0).error.reason is Reason.ISOLATED
 
 
 def test_fail_closed_refuses_known_keys_once_a_removal_may_be_overdue() -> None:
