--- a/review/rig2/fleet.py
+++ b/review/rig2/fleet.py
@@ -24,7 +24,8 @@
 from review.rig2.server import Run, Server
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
+# Each script has a loopback address of its own, so that scripts which run at once don't clash.
+HOST = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}.1"
 FIRST_PORT, LAST_PORT = 12_000, 30_000
 READY_SECONDS = 40.0
 POLL_SECONDS = 0.05
@@ -101,6 +102,8 @@
 
     :param plans: name, zone and service of each machine
     :param store_address_by_machine: where daemons find the store, if there is a proxy before it
+    :param answer_bytes: least length of the servers' answers
+    :param work_seconds: how long the servers work on a request
     :param record: lines of ``record.txt``
     """
 
@@ -115,6 +118,8 @@
     others: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
     runs: list[Run] = attrs.field(factory=list)
     sent: list[Sent] = attrs.field(factory=list)
+    answer_bytes: int = 0
+    work_seconds: float = 0.01
     record: list[str] = attrs.field(factory=list)
     started: float = attrs.field(factory=time.monotonic)
 
@@ -125,7 +130,8 @@
     async def start(self) -> None:
         """Start everything, and wait until all daemons know each other and the configuration."""
         port = self.store_address.rpartition(":")[2]
-        self.others.append(self._spawn("store", ["standins.platform", "--port", port]))
+        arguments = ["standins.platform", "--host", HOST, "--port", port]
+        self.others.append(self._spawn("store", arguments))
         await self._until_store_answers()
         await self.configure(1, self.routes)
         for name, zone, service in self.plans:
@@ -137,6 +143,8 @@
                 addresses["application_address"],
                 addresses["server_address"],
                 self.runs,
+                self.answer_bytes,
+                self.work_seconds,
             )
             self.machines[name] = Machine(name, zone, service, addresses, server)
             self._write_settings(self.machines[name], is_first_start=True)
--- a/review/rig2/script.py
+++ b/review/rig2/script.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable, Sequence
@@ -23,6 +24,7 @@
 
     :param before: starts what must run before the fleet
     """
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_NOT_RUN))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> list[str]:
--- a/review/rig2/server.py
+++ b/review/rig2/server.py
@@ -4,14 +4,12 @@
 import contextlib
 import json
 import time
-from collections.abc import Awaitable, Callable
 
 import attrs
 
 from review.rig2.http import LIMIT_BYTES, Head, call, read_body, read_head
 
 BEAT_SECONDS = 1.5
-WORK_SECONDS = 0.01
 SLOTS = 6
 
 
@@ -32,8 +30,9 @@
     """A server beside a daemon.
 
     :param control: where its daemon takes heartbeats
-    :param work: what is done for a request before it is answered
     :param runs: all requests that were run, of all servers of the script
+    :param answer_bytes: least length of an answer
+    :param work_seconds: how long it works on a request
     """
 
     name: str
@@ -42,7 +41,8 @@
     address: str
     control: str
     runs: list[Run]
-    work: Callable[[], Awaitable[None]] = lambda: asyncio.sleep(WORK_SECONDS)
+    answer_bytes: int
+    work_seconds: float
     state: str = "ready"
     is_beating: bool = True
     running: int = 0
@@ -127,10 +127,11 @@
         self.runs.append(Run(time.monotonic(), self.name, attempt_id, head.line, head, body))
         self.running += 1
         try:
-            await self.work()
+            await asyncio.sleep(self.work_seconds)
         finally:
             self.running -= 1
         content = json.dumps({"id": attempt_id, "server": self.name, "service": self.service})
+        content = content.ljust(self.answer_bytes)
         seal = f"X-Kingcuppond-Server-Seal: seal-{self.name}\r\n"
         answer = f"HTTP/1.1 200 OK\r\n{echo}{seal}{load}Content-Length: {len(content)}\r\n\r\n"
         writer.write(answer.encode() + content.encode())
