--- a/review/rig2/fleet.py
+++ b/review/rig2/fleet.py
@@ -83,6 +83,7 @@
     path: str
     attempt_id: str
     answer: Answer
+    ended_at: float
 
 
 @attrs.frozen
@@ -218,7 +219,7 @@
         at = time.monotonic()
         address = self.machines[machine].addresses["caller_address"]
         answer = await send(address, f"{head}\r\n".encode() + (body or b""))
-        sent = Sent(at, machine, method, path, attempt_id, answer)
+        sent = Sent(at, machine, method, path, attempt_id, answer, time.monotonic())
         self.sent.append(sent)
         return sent
 
