Store: other members watch while the store rejects the watchers

What callers saw: the store answered 503 to 9 of 27 machines, those that watch it.

Cause: who watches follows from the list of living members. A rejected watcher is a living member, so it kept the role and told nobody, and the others rely on the watchers while they hear most of the fleet.

Change: a watcher whose listings or watches fail for 0.5 s says so in its entry as a member, and withdraws it with the first answer. The watchers of a data centre are the shortest start of the ranking with as many members as are wanted that are neither so marked nor suspected, and at most three more. The rejected ones go on trying with their backoff. Calm costs no further call. Registration still belongs to the first in the ranking alone.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -2,10 +2,13 @@
 
 In each data centre, the few living members that rank first (rendezvous hashing) watch the store;
 the others receive changes as rumours.  The number of watches therefore grows with the number of
-data centres and not with the fleet.  A daemon that has had no complete configuration, or not heard
-from most of the fleet, for some time watches too, for itself.  A starting daemon first waits until
-it knows other members, since all would rank first among those that they know.  After a restart it
-reads the store once as soon as it has joined, unless another daemon has sent it the configuration.
+data centres and not with the fleet.  A watcher that the store does not answer says so in its entry
+as a member, so that the next ones in the ranking watch too (``watch_ranks``); it goes on trying,
+and withdraws the statement once it is answered.  A daemon that has had no complete configuration,
+or not heard from most of the fleet, for some time watches too, for itself.  A starting daemon first
+waits until it knows other members, since all would rank first among those that they know.  After a
+restart it reads the store once as soon as it has joined, unless another daemon has sent it the
+configuration.
 
 A watch that exceeds its time limit is dropped together with its connection, and all objects are
 listed again, as they are after the store was restored from a copy.  After a failure the next
@@ -14,7 +17,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any, Final
@@ -24,20 +26,15 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.listings import ListingReader
 from kingcuppond.configuration.replica import Configuration, VersionedObject
+from kingcuppond.configuration.store_reach import StoreReach
+from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
-from kingcuppond.membership.contacts import rendezvous_hash
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.gossip import Gossip
 from kingcuppond.store.era import era_of, format_version, make_version, revision_of
 from kingcuppond.store.interface import Listing, Store, StoreError, WatchResult, watch_until_error
 
-MAX_WATCHERS_PER_DATA_CENTRE: Final = 3
-"""A change still arrives at once while two watchers of a data centre are down or unreachable."""
-
-FLEET_WATCHERS: Final = 10
-"""With so many in all, each data centre needs fewer: what one hears crosses to the others."""
-
 CHECK_INTERVAL_SECONDS: Final = 0.2
 ROLE_CHECK_INTERVAL_SECONDS: Final = 0.5
 INITIAL_BACKOFF_SECONDS: Final = 0.1
@@ -115,7 +112,9 @@
         self._was_joined = False
         self._informed_at = clock.monotonic()
         self._rank_generation = -1
-        self._has_rank = False
+        self._ranks = WatchRanks()
+        self._reach = StoreReach(clock.monotonic)
+        self._is_store_lost = False
         self._listed_kinds: set[str] = set()
         self._reader = ListingReader(configuration.format.release_of, clock.monotonic)
         self._held_kinds: set[str] = set()
@@ -144,31 +143,24 @@
 
     def should_watch(self) -> bool:
         """Return whether this daemon watches the store, by its rank or for itself."""
-        return self.has_rank() or (
+        return self._directory.me.vm in self._current_ranks().watching or (
             self._clock.monotonic() - self._informed_at > WATCH_ALONE_AFTER_SECONDS
         )
 
     def has_rank(self) -> bool:
         """Return whether this daemon is one of the few that act for their data centre."""
+        return self._directory.me.vm in self._current_ranks().acting
+
+    def _current_ranks(self) -> WatchRanks:
         if self._clock.monotonic() < self._settled_at:
-            return False
-        if self._rank_generation != self._directory.generation:
-            self._rank_generation = self._directory.generation
-            self._has_rank = self._find_rank()
-        return self._has_rank
-
-    def _find_rank(self) -> bool:
-        me = self._directory.me
-        living = self._directory.living()
-        candidates = [
-            member.vm
-            for member in living
-            if member.data_centre == me.data_centre and not member.is_leaving
-        ]
-        ranked = sorted(candidates, key=lambda vm: rendezvous_hash("watch", vm))
-        data_centres = len({member.data_centre for member in living})
-        share = math.ceil(FLEET_WATCHERS / data_centres)
-        return me.vm in ranked[: min(share, MAX_WATCHERS_PER_DATA_CENTRE)]
+            return WatchRanks()
+        directory = self._directory
+        if self._rank_generation != directory.generation:
+            self._rank_generation = directory.generation
+            self._ranks = rank_watchers(
+                directory.me.data_centre, directory.living(), directory.is_suspected
+            )
+        return self._ranks
 
     async def run(self, kind: str) -> None:
         """Watch a kind whenever this daemon is one of the watchers; never returns."""
@@ -176,6 +168,7 @@
         while True:
             if not self.should_watch():
                 self.is_watching = False
+                self._reach.forget_failure(kind)
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
                 continue
             if not self.is_watching:
@@ -183,10 +176,12 @@
                 self._journal.record(catalogue.WATCHER_ROLE_TAKEN)
             failure = await self._watch_once(kind)
             if failure is None:
+                self._reach.forget_failure(kind)
                 backoff_seconds = INITIAL_BACKOFF_SECONDS
                 continue
             if not failure.is_version_expired:
                 self._record_store_failure(failure)
+                self._reach.record_failure(kind)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
             backoff_seconds = min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
@@ -211,6 +206,7 @@
             version=format_version(listed.ok.version),
         )
         self._update_is_complete()
+        self._reach.forget_failure(kind)
         self._record_store_answer()
         return Ok(listed.ok)
 
@@ -346,6 +342,7 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self._update_settled()
             self._update_isolation()
+            self._publish_reach()
             # The other daemons may have been asked after the last answer of the store.
             self._update_is_complete()
 
@@ -355,6 +352,14 @@
             settled_at = self._clock.monotonic() + RANK_SETTLE_SECONDS
             self._settled_at = min(self._settled_at, settled_at)
 
+    def _publish_reach(self) -> None:
+        is_lost = self._reach.is_lost()
+        if is_lost != self._is_store_lost:
+            self._is_store_lost = is_lost
+            self._directory.publish_own_change(is_store_lost=is_lost)
+            event = catalogue.WATCHER_ROLE_UNFILLED if is_lost else catalogue.WATCHER_ROLE_FILLED
+            self._journal.record(event)
+
     def _update_isolation(self) -> None:
         hears_majority = self._gossip.hearing.hears_majority()
         if self._configuration.is_ready and hears_majority:
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -47,6 +47,7 @@
     born_ms: int = 0
     store_era: int = 0
     server_version: str = ""
+    is_store_lost: bool = False
 
     @property
     def version(self) -> tuple[int, int]:
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -22,10 +22,12 @@
     Watcher,
 )
 from kingcuppond.events.journal import Journal
+from kingcuppond.membership.messages import Member
 from kingcuppond.store.era import make_version
 from kingcuppond.store.interface import StoredObject, StoreError, WatchResult
 from tests.claims.fakes import FakeStore
 from tests.conftest import FakeTime
+from tests.membership.test_directory import make_member
 
 OUT = encode(DataCentreState("a", "out"))
 IN = encode(DataCentreState("a", "in"))
@@ -52,7 +54,14 @@
 class FakeDirectory:
     """Never changes, so that the daemon watches for itself and not by its rank."""
 
-    generation: int = -1
+    me: Member
+    generation: int = 0
+
+    def living(self) -> list[Member]:
+        return []
+
+    def is_suspected(self, vm: str) -> bool:
+        return False
 
 
 class QuietStore(FakeStore):
@@ -80,7 +89,7 @@
         cast(Any, store),
         configuration,
         gossip,
-        cast(Any, FakeDirectory()),
+        cast(Any, FakeDirectory(make_member("vm-1"))),
         clock,
         journal,
         Random(1),
