Answers: a status outside of 100 to 599 makes an answer invalid

What callers saw: a server's answer with the status 000 reached the client as status 0 with its body, 099 as 99, and 600 and 999 as they were (MIXED). The store's client took 000 for a refusal, so that a write that may have taken effect counted as not executed, and a health answer with 000 was a report.

Cause: both parsers of the library take any three digits, and nothing behind them looked at the range.

Change: TrackedConnection rejects such a head, and 101, since Upgrade is never sent, and closes the connection. It is the connection of all readers: of servers, of other daemons and of the store. Values outside of 100 to 599 are invalid by RFC 9110, section 15, so 600 to 999 are rejected too.

--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -2,6 +2,9 @@
 
 Requests and answers on a connection belong together by their order alone.  A server that writes an
 answer twice, or late, would otherwise have it taken for the answer to the next request.
+
+The parser takes any three digits for a status.  One outside of 100 to 599 is invalid (RFC 9110,
+section 15), and 101 answers an ``Upgrade`` that is never sent, so that such an answer is none.
 """
 
 import asyncio
@@ -12,11 +15,15 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import BadHttpMessage, BadStatusLine
 
 MAX_USELESS_BYTES: Final = 131_072
 """Most bytes in a row without a whole head or a part of a body, and so the longest head."""
 
+FIRST_STATUS: Final = 100
 FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
+SWITCHING_PROTOCOLS: Final = 101
 
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
@@ -56,7 +63,13 @@
         """Count the final answers; interim ones (1xx) do not count."""
         message, _ = data
         self._answers += message.code >= FIRST_FINAL_STATUS
-        super().feed_data(data, size)
+        error = _find_error(message)
+        if error is None:
+            super().feed_data(data, size)
+            return
+        # A later answer on this connection may belong to the same request.
+        self.set_exception(error)
+        self.close_at_once()
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, and close the connection if they lead to no answer."""
@@ -100,6 +113,14 @@
         return self._answers, 0 if self._payload is None else self._payload.total_bytes
 
 
+def _find_error(message: Any) -> BadHttpMessage | None:
+    """Return why the head of an answer is invalid, if the parser has let it pass."""
+    is_valid = FIRST_STATUS <= message.code <= LAST_STATUS
+    if not is_valid or message.code == SWITCHING_PROTOCOLS:
+        return BadStatusLine(f"{message.code:03}", "the status of the answer is invalid")
+    return None
+
+
 def track_connections(connector: aiohttp.BaseConnector) -> None:
     """Make a connector open tracked connections; to be called in the event loop."""
     factory: Any = partial(TrackedConnection, loop=asyncio.get_running_loop())
--- a/tests/routing/test_truncated_heads.py
+++ b/tests/routing/test_truncated_heads.py
@@ -5,8 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import aiohttp.client_proto
-import aiohttp.http_parser
+import aiohttp
 import attrs
 import pytest
 from multidict import CIMultiDict
@@ -55,12 +54,7 @@
 """Offsets tried at the start and at the end of an answer that is longer than both."""
 
 
-@pytest.fixture(params=["C", "Python"], autouse=True)
-def parser(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Run each test with both parsers of the library; the one in Python is its fallback."""
-    if request.param == "Python":
-        parser = aiohttp.http_parser.HttpResponseParserPy
-        monkeypatch.setattr(aiohttp.client_proto, "HttpResponseParser", parser)
+pytestmark = pytest.mark.usefixtures("each_parser")
 
 
 @attrs.define
