Answers: a blank in the name of a field makes an answer invalid

Cause: aiohttp's compiled parser takes a blank, and what follows it, behind each name that it looks for itself (Content-Length, Transfer-Encoding, Connection, Proxy-Connection, Upgrade). Its parser in Python does not.

Change: TrackedConnection, the connection of all readers of answers, rejects a head with a name that is no token (RFC 9110, section 5.1).

--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -5,9 +5,12 @@
 
 The parser takes any three digits for a status.  One outside of 100 to 599 is invalid (RFC 9110,
 section 15), and 101 answers an ``Upgrade`` that is never sent, so that such an answer is none.
+Neither is one with a blank in the name of a field (section 5.1), which the compiled parser takes if
+it is behind a name that it knows, as in ``Content-Length x``.
 """
 
 import asyncio
+import re
 import socket
 import struct
 from functools import partial
@@ -25,6 +28,8 @@
 LAST_STATUS: Final = 599
 SWITCHING_PROTOCOLS: Final = 101
 
+FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
 
@@ -118,6 +123,9 @@
     is_valid = FIRST_STATUS <= message.code <= LAST_STATUS
     if not is_valid or message.code == SWITCHING_PROTOCOLS:
         return BadStatusLine(f"{message.code:03}", "the status of the answer is invalid")
+    for name, _ in message.raw_headers:
+        if FIELD_NAME.fullmatch(name) is None:
+            return BadHttpMessage(f"the answer has a field with the invalid name {name!r}")
     return None
 
 
