Answers: a control character in a value makes an answer invalid

What callers saw: where a server's answer had a control byte or DEL in the value of a field, the connection of a client of the server's own daemon was closed without any answer; a hop away it was a 502.

Cause: both parsers of the library take such values, while the writer of responses refuses them, and its error ended the handler of the client's request.

Change: TrackedConnection rejects a head with such a value (RFC 9110, section 5.5); a tab and bytes beyond ASCII stay valid. The client gets 502, which promises nothing.

--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -6,7 +6,8 @@
 The parser takes any three digits for a status.  One outside of 100 to 599 is invalid (RFC 9110,
 section 15), and 101 answers an ``Upgrade`` that is never sent, so that such an answer is none.
 Neither is one with a blank in the name of a field (section 5.1), which the compiled parser takes if
-it is behind a name that it knows, as in ``Content-Length x``.
+it is behind a name that it knows, as in ``Content-Length x``, or with a control character in the
+value of a field (section 5.5), which can't be passed on.
 """
 
 import asyncio
@@ -29,6 +30,7 @@
 SWITCHING_PROTOCOLS: Final = 101
 
 FIELD_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTROL_CHARACTER: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a socket is reset when it is closed."""
@@ -123,9 +125,11 @@
     is_valid = FIRST_STATUS <= message.code <= LAST_STATUS
     if not is_valid or message.code == SWITCHING_PROTOCOLS:
         return BadStatusLine(f"{message.code:03}", "the status of the answer is invalid")
-    for name, _ in message.raw_headers:
+    for name, value in message.raw_headers:
         if FIELD_NAME.fullmatch(name) is None:
             return BadHttpMessage(f"the answer has a field with the invalid name {name!r}")
+        if CONTROL_CHARACTER.search(value) is not None:
+            return BadHttpMessage(f"the field {name!r} of the answer has a control character")
     return None
 
 
--- a/tests/routing/test_invalid_heads.py
+++ b/tests/routing/test_invalid_heads.py
@@ -27,6 +27,7 @@
     (b"Connection", b"close"),
     (b"Upgrade", b"x"),
 ]
+INVALID_VALUES = [b"a\x01b", b"\x00", b"a\x7f", b"a\x0bb", b"a\x1b[0m", b"a\rb"]
 OK = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -114,6 +115,14 @@
         assert result.is_error()
 
 
+@pytest.mark.parametrize("value", INVALID_VALUES, ids=repr)
+async def test_answer_with_a_control_character_in_a_value_is_none(value: bytes) -> None:
+    """It could not be passed on, so that the caller's connection was closed without an answer."""
+    async with answering(OK + b"A: " + value + b"\r\nContent-Length: 2\r\n\r\nok") as address:
+        for result in await fetch(address, times=2):
+            assert result.is_error()
+
+
 async def test_tabs_and_bytes_beyond_ascii_in_a_value_are_valid() -> None:
     async with answering(OK + b"A: a\tb\xc3\xa9\r\nContent-Length: 2\r\n\r\nok") as address:
         (result,) = await fetch(address)
