Exchange: an answer that ends before the request was sent is not whole

What callers saw: a server answered a long upload with a 200 that had no length, sent a part of its body and ended the connection while the upload was still being written.

Cause: the reader asked whether the connection was lost with an error. Where the server closes it, or half of it before the reset, the close comes first, and what follows meets a connection that is closed already, without an error.

Change: such an answer is whole only if the other end has closed the connection in the regular way, with nothing of the request waiting to be written, after the whole body of the request was passed on. A server that closes early without a length is a 502 then: its intention can't be known. Early answers with a length or in chunks are delivered as before.

--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -47,14 +47,16 @@
 class TrackedConnection(ResponseHandler):
     """Counts requests, records how a connection ended, and closes it if it delivers no answer.
 
-    aiohttp treats a reset as the regular end of an answer that has no length.  It also goes on
-    reading a chunk header that never ends, and keeps answers to no request in memory while the
-    connection is idle.  If such an answer has only begun, aiohttp drops that part and reads the
-    rest as the answer to the next request.
+    aiohttp treats any end of the connection as the regular end of an answer that has no length.  It
+    also goes on reading a chunk header that never ends, and keeps answers to no request in memory
+    while the connection is idle.  If such an answer has only begun, aiohttp drops that part and
+    reads the rest as the answer to the next request.
     """
 
-    is_lost = False
-    lost_exc: BaseException | None = None
+    is_ended = False
+    """Whether the server has closed the connection in the regular way, and nothing of the request
+    was waiting to be written then."""
+
     requests = 0
     _answers = 0
     _useless_bytes = 0
@@ -100,11 +102,10 @@
             reset(self.transport)
         super().close()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record the end of the connection."""
-        self.is_lost = True
-        self.lost_exc = exc
-        super().connection_lost(exc)
+    def eof_received(self) -> None:
+        """Record that the server has closed the connection."""
+        self.is_ended = self.transport is not None and not self.transport.get_write_buffer_size()
+        super().eof_received()
 
     def _is_answer_complete(self) -> bool:
         return self._answers > 0 and self._payload is not None and self._payload.is_eof()
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -93,9 +93,14 @@
 
 @attrs.define
 class _BodyState:
-    """Whether the exchange still waits for ``100 Continue``."""
+    """How far the body of a request has got.
+
+    :param is_awaiting_continue: the exchange still waits for ``100 Continue``
+    :param is_read: all of it was passed to the connection
+    """
 
     is_awaiting_continue: bool
+    is_read: bool = False
 
 
 def _body_data(
@@ -105,6 +110,7 @@
     on_send: Callable[[], None],
 ) -> Any:
     if body.is_buffered and not body_state.is_awaiting_continue:
+        body_state.is_read = True
         return body.buffered or None
 
     async def data() -> AsyncIterator[bytes]:
@@ -114,9 +120,10 @@
             continue_timeout.reschedule(None)
         if body.is_buffered:
             yield body.buffered
-            return
-        async for chunk in body.stream():
-            yield chunk
+        else:
+            async for chunk in body.stream():
+                yield chunk
+        body_state.is_read = True
 
     return data()
 
@@ -165,7 +172,7 @@
             if not accept(response.status, response.headers, is_first):
                 close_connection(response)
                 raise InvalidAnswerError("the answer does not belong to the request")
-            answer = await _receive(response, method, deadline)
+            answer = await _receive(response, method, deadline, body_state)
             return Ok(ReceivedAnswer(response.headers, answer, is_first))
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         return Error(NotRun(Reason.UNREACHABLE, f"{address}: {exc}"))
@@ -227,7 +234,9 @@
         protocol.close_at_once()
 
 
-async def _receive(response: aiohttp.ClientResponse, method: str, deadline: float) -> Answer:
+async def _receive(
+    response: aiohttp.ClientResponse, method: str, deadline: float, body_state: _BodyState
+) -> Answer:
     connection = response.headers.get("Connection", "")
     headers = end_to_end(response.headers.items(), connection, OWN_ANSWER_HEADERS)
     codings = response.headers.getall("Transfer-Encoding", [])
@@ -242,30 +251,32 @@
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
         return Answer(response.status, headers, body)
     if length is None and not codings:
-        body = await _read_to_close(response)
+        body = await _read_to_close(response, body_state)
         return Answer(response.status, headers, body)
     answer = Answer(response.status, headers, chunks=_stream(response, deadline))
     answer.close = lambda: _release(response)
     return answer
 
 
-async def _read_to_close(response: aiohttp.ClientResponse) -> bytes:
+async def _read_to_close(response: aiohttp.ClientResponse, body_state: _BodyState) -> bytes:
     """Read an answer that is delimited by the end of its connection.
 
-    :raises InvalidAnswerError: the answer is truncated because the connection was reset, or it is
-        longer than ``MAX_UNFRAMED_BYTES``
+    A server that closes the connection while the request is still being written may have ended in
+    the middle of its answer, and the reset that the rest of the request causes may be seen after
+    the close or not at all.
+
+    :raises InvalidAnswerError: the answer may not be whole, or it is longer than
+        ``MAX_UNFRAMED_BYTES``
     """
     protocol = response._protocol
     try:
         body = await read_limited(MAX_UNFRAMED_BYTES, response.content.readany)
     except StreamTooLongError as exc:
         raise InvalidAnswerError(f"an answer without a length can't be buffered: {exc}") from exc
-    if not isinstance(protocol, TrackedConnection) or not protocol.is_lost:
+    if not isinstance(protocol, TrackedConnection) or not protocol.is_ended:
         raise InvalidAnswerError("the answer has no length and its connection was not closed")
-    if protocol.lost_exc is not None:
-        raise InvalidAnswerError(
-            f"the connection was lost during the answer: {protocol.lost_exc!r}"
-        )
+    if not body_state.is_read:
+        raise InvalidAnswerError("the answer ended before the request was sent")
     return body
 
 
