Exchange: long answers without a length are streamed

What callers saw: an answer without a length was held in memory as a whole, up to 8 MB each, for as long as its caller did not take it. A crowd of callers that read nothing brings a daemon over the 200 MB of the smallest machine, and the requests of all others end with it (LOST).

Cause: such an answer was read to its end before anything was passed on, since only the end shows whether it is whole.

Change: it is buffered up to 64 KB, as one with a length is, and streamed if it is longer. Its caller's connection is reset if the end shows that it may not be whole. The limit of 8 MB is gone.

The case "no length and no end" of test_body_without_end is replaced: it required that less than 16 MB were read of such an answer, which was the buffer's limit. Two tests take its place, for answers without a length and in chunks: less than 16 MB are read while nobody takes them, and a caller that does gets no more after the deadline.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -3,8 +3,8 @@
 Failures are classified here.  If no connection was established, no byte of the call left this VM:
 ``NotRun``.  Any later failure leaves the outcome ``Unknown``, unless the body was held back and the
 other end has not asked for it yet.  A short answer is buffered before it is returned, so that a
-truncated one is never passed on as complete.  A long one is streamed; if it is truncated, so is the
-answer to the caller.
+truncated one is never passed on as complete.  A long one is streamed, also if it has no length, so
+that a slow caller does not fill the memory; if it is truncated, so is the answer to the caller.
 """
 
 import asyncio
@@ -22,8 +22,9 @@
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
+from kingcuppond.routing.unframed import make_unframed_reader, prepend, read_start
 from kingcuppond.settings.checks import split_address
-from kingcuppond.streams import StreamTooLongError, read_limited, read_until
+from kingcuppond.streams import ReadPiece, read_until
 
 CONNECT_SECONDS: Final = 0.5
 """Timeout of a connection attempt; TCP retransmits a lost SYN only after one second."""
@@ -38,9 +39,6 @@
 CHUNK_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 32_768
 
-MAX_UNFRAMED_BYTES: Final = 8_388_608
-"""An answer without a length is buffered, since only its end shows whether it is complete."""
-
 BODILESS_STATUSES: Final = (204, 304)
 
 SKIPPED_AUTO_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -250,39 +248,23 @@
         if not has_no_body and len(body) != length:
             raise InvalidAnswerError("the answer is shorter than its Content-Length")
         return Answer(response.status, headers, body)
+    read: ReadPiece = response.content.readany
     if length is None and not codings:
-        body = await _read_to_close(response, body_state)
-        return Answer(response.status, headers, body)
-    answer = Answer(response.status, headers, chunks=_stream(response, deadline))
+        read = make_unframed_reader(response, lambda: body_state.is_read)
+        start, is_whole = await read_start(read, MAX_BUFFERED_ANSWER_BYTES)
+        if is_whole:
+            return Answer(response.status, headers, start)
+        read = prepend(start, read)
+    answer = Answer(response.status, headers, chunks=_stream(response, deadline, read))
     answer.close = lambda: _release(response)
     return answer
 
 
-async def _read_to_close(response: aiohttp.ClientResponse, body_state: _BodyState) -> bytes:
-    """Read an answer that is delimited by the end of its connection.
-
-    A server that closes the connection while the request is still being written may have ended in
-    the middle of its answer, and the reset that the rest of the request causes may be seen after
-    the close or not at all.
-
-    :raises InvalidAnswerError: the answer may not be whole, or it is longer than
-        ``MAX_UNFRAMED_BYTES``
-    """
-    protocol = response._protocol
-    try:
-        body = await read_limited(MAX_UNFRAMED_BYTES, response.content.readany)
-    except StreamTooLongError as exc:
-        raise InvalidAnswerError(f"an answer without a length can't be buffered: {exc}") from exc
-    if not isinstance(protocol, TrackedConnection) or not protocol.is_ended:
-        raise InvalidAnswerError("the answer has no length and its connection was not closed")
-    if not body_state.is_read:
-        raise InvalidAnswerError("the answer ended before the request was sent")
-    return body
-
-
-async def _stream(response: aiohttp.ClientResponse, deadline: float) -> AsyncIterator[bytes]:
+async def _stream(
+    response: aiohttp.ClientResponse, deadline: float, read: ReadPiece
+) -> AsyncIterator[bytes]:
     try:
-        async for chunk in read_until(deadline, time.monotonic, response.content.readany):
+        async for chunk in read_until(deadline, time.monotonic, read):
             yield chunk
     except TimeoutError as exc:
         _abort(response)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -3,6 +3,7 @@
 It sends heartbeats to its daemon, answers its health path, and runs requests in its slots:
 
 * the query parameters ``ms=`` and ``crash=1`` set the service time and end the process;
+  ``unframed=`` answers with so many bytes without a length, and closes the connection;
 * each answer carries a seal, the id of its request, and the load, whose fourth figure is the
   slowdown in percent;
 * ``PUT /_/faults`` replaces the injected faults, ``GET /_/runs`` returns what ran.  Both bypass the
@@ -27,6 +28,7 @@
 REQUEST_ID_HEADER: Final = "X-Kingcuppond-Attempt-Id"
 INSTANCE_HEADER: Final = "X-Kingcuppond-Instance-Id"
 LOAD_HEADER: Final = "X-Kingcuppond-Server-Load"
+PIECE_BYTES: Final = 65_536
 
 
 @attrs.define
@@ -182,10 +184,27 @@
     percent = max(state.options.failing_percent, state.faults.failing_percent)
     status = 500 if random.random() * 100 < percent else 200
     state.runs_by_status[status] += 1
+    if "unframed" in request.query:
+        return await _send_unframed(request, headers, int(request.query["unframed"]))
     answer = {"id": request_id, "size": len(body)}
     return web.json_response(answer, status=status, headers=headers)
 
 
+async def _send_unframed(
+    request: web.Request, headers: dict[str, str], size: int
+) -> web.StreamResponse:
+    """Write an answer that ends with its connection, which the library would send in chunks."""
+    transport = request.transport
+    assert transport is not None
+    fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    transport.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
+    for start in range(0, size, PIECE_BYTES):
+        transport.write(b"x" * min(PIECE_BYTES, size - start))
+        await request.protocol._drain_helper()
+    transport.close()
+    raise ConnectionResetError("the connection ends with the answer")
+
+
 async def _send_heartbeat(state: ServerState, session: aiohttp.ClientSession) -> None:
     if state.faults.is_silent or state.faults.is_withdrawn:
         return
--- a/tests/failures/test_hostile_clients.py
+++ b/tests/failures/test_hostile_clients.py
@@ -11,11 +11,12 @@
 """
 
 import asyncio
+import itertools
 import json
 import resource
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import ExitStack, asynccontextmanager, suppress
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager, suppress
 from pathlib import Path
 
 import attrs
@@ -61,6 +62,12 @@
 BLOCK_BYTES = 65_536
 MAX_SENT_BYTES = 4_000_000
 
+UNFRAMED_BYTES = 7_000_000
+UNFRAMED_SECONDS = 3.0
+"""Longer than the route's timeout, so that the requests of a wave of clients have ended."""
+
+WAVES = 4
+
 Script = Callable[["Client"], Awaitable[None]]
 
 
@@ -260,6 +267,23 @@
         await target.check()
 
 
+async def test_long_answers_without_a_length_that_are_never_read(target: Target) -> None:
+    """Guards against whole answers that are held in memory for as long as nobody takes them."""
+    fields = "X-Kingcuppond-Attempt-Id: {}\r\nX-Kingcuppond-Deadline-Ms: 2000\r\n"
+    ids = itertools.count(1)
+
+    async def request_long_answer(client: Client) -> None:
+        path = f"/read/1?unframed={UNFRAMED_BYTES}"
+        await client.send(client.head(fields=fields.format(f"l{next(ids)}"), path=path) + b"\r\n")
+        await asyncio.sleep(UNFRAMED_SECONDS)
+
+    async with AsyncExitStack() as waves:
+        for _ in range(WAVES):
+            attack = attacked(target, "caller_address", request_long_answer, CLIENTS // WAVES)
+            await waves.enter_async_context(attack)
+        await target.check()
+
+
 @pytest.mark.parametrize("port", ["caller_address", "metrics_address"])
 async def test_long_heads_behind_a_request(target: Target, port: str) -> None:
     """Guards against pipelined requests that are read ahead up to a number, whatever their size."""
--- a/tests/routing/test_endless.py
+++ b/tests/routing/test_endless.py
@@ -21,8 +21,7 @@
 
 DEADLINE_SECONDS = 1.0
 MAX_TAKEN_BYTES = 16_777_216
-"""What the receiver may take: an answer without a length is buffered up to 8 MB, and the kernel's
-socket buffers hold a few more."""
+"""What the receiver may take: the kernel's socket buffers hold some MB."""
 
 OK = b"HTTP/1.1 200 OK\r\n"
 FRAMED = OK + b"Content-Length: 5\r\n\r\nhello"
@@ -39,7 +38,10 @@
     "chunk extension without end": (CHUNKED + b"5;", b"x" * 65_536),
     "chunk size without end": (CHUNKED, b"0" * 65_536),
     "trailers without end": (CHUNKED + b"5\r\nhello\r\n0\r\n", b"A: b\r\n" * 8192),
-    "no length and no end": (OK + b"Connection: close\r\n\r\n", b"x" * 65_536),
+}
+STREAMS = {
+    "chunks": (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
+    "no length": (OK + b"Connection: close\r\n\r\n", b"x" * 65_536),
 }
 AFTER_ANSWER = {
     "answers without end": (FRAMED, FRAMED * 1024),
@@ -127,9 +129,24 @@
         await session.close()
 
 
-async def test_whole_chunks_without_end_stop_at_the_deadline() -> None:
-    """They were passed on past the deadline, as a read that finds bytes never times out."""
-    async with serving(CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n") as server:
+@pytest.mark.parametrize(("first", "repeated"), STREAMS.values(), ids=STREAMS)
+async def test_stream_without_end_that_nobody_reads(first: bytes, repeated: bytes) -> None:
+    """Bytes that the caller does not take stay with the server."""
+    async with serving(first, repeated) as server:
+        session = open_session()
+        answer = (await fetch(session, server.address, time.monotonic() + 60.0)).ok.answer
+        assert answer.chunks is not None, "an answer that never ended must not look complete"
+        await asyncio.sleep(DEADLINE_SECONDS)
+        assert server.sent < MAX_TAKEN_BYTES
+        await answer.close()
+        await asyncio.wait_for(server.closed.wait(), 1.0)
+        await session.close()
+
+
+@pytest.mark.parametrize(("first", "repeated"), STREAMS.values(), ids=STREAMS)
+async def test_stream_without_end_stops_at_the_deadline(first: bytes, repeated: bytes) -> None:
+    """It was passed on past the deadline, as a read that finds bytes never times out."""
+    async with serving(first, repeated) as server:
         session = open_session()
         deadline = time.monotonic() + DEADLINE_SECONDS
         answer = (await fetch(session, server.address, deadline)).ok.answer
