Store: answers that are read at a time share a limit of memory

What callers saw: nothing yet.

Cause: each answer could hold 64 MB, however many were read at a time.

Change: an answer of the store may have 16 MB, and all that are read at a time 32 MB. A longer watch fails and the objects are listed again, by pages of 1 MB. The commands of operators read at most 16 MB of a daemon's page.

--- a/kingcuppond/operators/fleet_reader.py
+++ b/kingcuppond/operators/fleet_reader.py
@@ -18,11 +18,15 @@
 from kingcuppond.membership.registration import DAEMON_KIND
 from kingcuppond.operators.messages import DaemonStatus
 from kingcuppond.store.interface import Store, decode_body
+from kingcuppond.streams import StreamTooLongError, read_limited
 
 MAX_DAEMONS_TRIED: Final = 8
 READ_TIMEOUT_SECONDS: Final = 2.0
 MAX_CONCURRENT_READS: Final = 50
 
+MAX_PAGE_BYTES: Final = 16_777_216
+"""The status page of a daemon in a fleet of 2,000 members has less than a tenth of it."""
+
 T = TypeVar("T")
 ProgressCallback = Callable[[int, int], None]
 
@@ -89,8 +93,8 @@
     url = f"http://{member.metrics_address}{path}"
     try:
         async with session.get(url, timeout=timeout) as answer:
-            body = await answer.read()
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            body = await read_limited(MAX_PAGE_BYTES, answer.content.readany)
+    except (aiohttp.ClientError, StreamTooLongError, TimeoutError, OSError, ValueError):
         return None
     decoded = decode_json(body, type_)
     return decoded.ok if decoded.is_ok() else None
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -44,7 +44,7 @@
     StoreError,
     WatchResult,
 )
-from kingcuppond.streams import StreamTooLongError, read_limited
+from kingcuppond.streams import MemoryBudget, StreamTooLongError, read_limited
 
 CALL_TIMEOUT_SECONDS: Final = 1.0
 """Timeout of a call that is not a watch: about 250 times the usual response time."""
@@ -60,8 +60,12 @@
 KEEPALIVE_PROBES: Final = 2
 """A watch on a dead connection fails after about 3 s, without a call to the store."""
 
-MAX_RESPONSE_BYTES: Final = 67_108_864
-"""A page has about 1 MB; a watch may report many changes of objects of up to 1 MB each."""
+MAX_RESPONSE_BYTES: Final = 16_777_216
+"""A page has about 1 MB; a watch may report many changes of objects of up to 1 MB each.  If it is
+longer, the objects are listed again, page by page."""
+
+MAX_RESPONSES_BYTES: Final = 2 * MAX_RESPONSE_BYTES
+"""Limit for all answers that are being read, on machines with 200 MB."""
 
 MAX_LISTED_OBJECTS: Final = 100_000
 """Far more than a fleet has; a listing whose pages never end is an error."""
@@ -94,6 +98,7 @@
         self.eras = eras or EraTracker()
         self.calls_by_operation = {"read": 0, "watch": 0, "write": 0}
         self._base = f"http://{address}/objects"
+        self._budget = MemoryBudget(MAX_RESPONSES_BYTES)
         self._session: aiohttp.ClientSession | None = None
         self._close_tasks: set[asyncio.Task[None]] = set()
         self._watch_calls: set[asyncio.Task[Result[_Response, StoreError]]] = set()
@@ -255,7 +260,9 @@
                     method, URL(self._base + path, encoded=True), data=body, headers=headers
                 ) as response,
             ):
-                content = await read_limited(MAX_RESPONSE_BYTES, response.content.readany)
+                content = await read_limited(
+                    MAX_RESPONSE_BYTES, response.content.readany, self._budget
+                )
         except aiohttp.ClientConnectorError as exc:
             return Error(StoreError(f"store is unreachable: {exc.strerror}"))
         except (aiohttp.ClientError, StreamTooLongError, TimeoutError, OSError) as exc:
--- a/kingcuppond/streams.py
+++ b/kingcuppond/streams.py
@@ -4,13 +4,16 @@
 bytes ready.  A timeout on each read does not bound it then, since a read that finds bytes succeeds
 at once.  Bodies that are passed on piece by piece are read through ``read_until``, which also
 checks the clock before each read.  Bodies that are read as a whole are read through
-``read_limited``, within a timeout, so that they do not fill the memory meanwhile.
+``read_limited``, within a timeout, so that they do not fill the memory meanwhile; if several are
+read at a time, they share a ``MemoryBudget``.
 """
 
 import asyncio
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import attrs
+
 ReadPiece = Callable[[], Awaitable[bytes]]
 """Returns the next piece of a stream, empty at its end."""
 
@@ -42,16 +45,37 @@
         yield piece
 
 
-async def read_limited(max_bytes: int, read: ReadPiece) -> bytes:
+@attrs.define
+class MemoryBudget:
+    """What several reads together may hold in memory.
+
+    :param held_bytes: what they hold now
+    """
+
+    max_bytes: int
+    held_bytes: int = 0
+
+
+async def read_limited(
+    max_bytes: int, read: ReadPiece, budget: MemoryBudget | None = None
+) -> bytes:
     """Read a stream to its end.
 
-    :raises StreamTooLongError: it is longer than ``max_bytes``
+    :param budget: shared with other reads; this one counts until it returns
+    :raises StreamTooLongError: it is longer than ``max_bytes``, or exceeds the budget
     """
+    budget = budget or MemoryBudget(max_bytes)
     pieces: list[bytes] = []
     size = 0
-    while piece := await read():
-        size += len(piece)
-        if size > max_bytes:
-            raise StreamTooLongError(f"it is longer than {max_bytes} bytes")
-        pieces.append(piece)
-    return b"".join(pieces)
+    try:
+        while piece := await read():
+            size += len(piece)
+            budget.held_bytes += len(piece)
+            if size > max_bytes:
+                raise StreamTooLongError(f"it is longer than {max_bytes} bytes")
+            if budget.held_bytes > budget.max_bytes:
+                raise StreamTooLongError(f"over {budget.max_bytes} bytes are read at a time")
+            pieces.append(piece)
+        return b"".join(pieces)
+    finally:
+        budget.held_bytes -= size
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store, against a stand-in with the same protocol."""
 
 import asyncio
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -17,6 +18,10 @@
 from tests.routing.test_endless import serving as serving_endless
 from tests.servers import listening
 
+CALLS_AT_ONCE = 16
+MAX_HELD_BYTES = 100_000_000
+"""Half of what the smallest VM has."""
+
 
 @attrs.define
 class RunningStore:
@@ -247,6 +252,21 @@
         await store.close()
 
 
+async def test_answers_without_end_share_a_limit() -> None:
+    """Each had a limit of its own, and many calls at a time could fill the memory."""
+    tracemalloc.start()
+    async with serving_endless(b"HTTP/1.1 200 OK\r\n\r\n", b" " * 65_536) as server:
+        store = PlatformStore(server.address)
+        try:
+            results = await asyncio.gather(*(store.list(f"kind-{n}") for n in range(CALLS_AT_ONCE)))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert all(result.is_error() for result in results)
+        assert peak_bytes < MAX_HELD_BYTES
+        await store.close()
+
+
 async def test_a_listing_without_end_is_an_error() -> None:
     """Guards against a reader that goes from page to page forever."""
     pages = 0
