Router: an answer that nobody takes is closed

Cause: a long answer holds the slot of its call until it is closed. Where the router awaited a single attempt and its caller left in the moment between the end of the attempt and the router's continuation, the answer was dropped. After a pause both are due in the same round of the event loop. first_answer could drop one too, while the slower attempts were being cancelled.

Change: a single attempt is awaited as several are. Attempts are cancelled without waiting for their end, and a callback closes what they return.

Evidence: 2 cases of test_hedging.py failed before, those that cancel the router in the rounds in which the attempt ends.

--- a/kingcuppond/routing/hedging.py
+++ b/kingcuppond/routing/hedging.py
@@ -1,6 +1,12 @@
-"""Races several attempts of one call and returns the first answer."""
+"""Races several attempts of one call and returns the first answer.
+
+An attempt runs in a task of its own.  Its answer holds resources, such as a slot of the gate, until
+it is closed.  A caller may leave in the moment between the end of such a task and the continuation
+of the one that waits for it; nobody takes the answer then, so that it is closed here.
+"""
 
 import asyncio
+from collections.abc import Iterable
 
 from expression import Error, Result
 
@@ -9,6 +15,8 @@
 
 AttemptTask = asyncio.Task[Result[Answer, Failure]]
 
+_closing_tasks: set[asyncio.Task[None]] = set()
+
 
 async def first_answer(tasks: set[AttemptTask]) -> Result[Answer, Failure]:
     """Return the first answer and cancel the other attempts.
@@ -27,14 +35,29 @@
                     return task.result()
                 failures.append(task.result().error)
     finally:
-        await cancel_attempts(tasks)
+        cancel_attempts(tasks)
     return Error(next((f for f in failures if isinstance(f, Unknown)), failures[0]))
 
 
-async def cancel_attempts(tasks: set[AttemptTask]) -> None:
-    """Cancel attempts, and close the answers of those that had already completed."""
+def cancel_attempts(tasks: Iterable[AttemptTask]) -> None:
+    """Cancel attempts, and close the answers of those that complete or have completed."""
     for task in tasks:
         task.cancel()
-    for settled in await asyncio.gather(*tasks, return_exceptions=True):
-        if isinstance(settled, Result) and settled.is_ok():
-            await settled.ok.close()
+        close_when_done(task)
+
+
+def close_when_done(task: AttemptTask) -> None:
+    """Close the answer that a task returns or has returned, if any; nobody else takes it."""
+    task.add_done_callback(_close_answer)
+
+
+def _close_answer(task: AttemptTask) -> None:
+    if task.cancelled() or task.exception() is not None or task.result().is_error():
+        return
+    closing = asyncio.create_task(_close(task.result().ok))
+    _closing_tasks.add(closing)
+    closing.add_done_callback(_closing_tasks.discard)
+
+
+async def _close(answer: Answer) -> None:
+    await answer.close()
--- a/kingcuppond/routing/router.py
+++ b/kingcuppond/routing/router.py
@@ -341,12 +341,12 @@
         try:
             await asyncio.wait({first_attempt}, timeout=delay)
         except asyncio.CancelledError:
-            await cancel_attempts({first_attempt})
+            cancel_attempts({first_attempt})
             raise
         second_candidate = None if first_attempt.done() else self._choose(call, progress.tried)
         budget = self._repeat_budget(call.service)
         if second_candidate is None or not budget.take(may_have_run=True, rng=self.rng):
-            return await first_attempt
+            return await first_answer({first_attempt})
         progress.tried.add(second_candidate.vm)
         progress.retries_left -= 1
         self.journal.record(
