Claims: the long answer of a caller that has left is closed

Cause: a keyed request goes on in a task when its caller leaves. An answer longer than 64 KB is not cached, so that nobody took it, and it held the slot of its call. The same happened where the caller left while the digest of its upload was awaited, with the answer in hand.

Change: what is left to itself closes the answer that it returns.

--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -137,7 +137,12 @@
             )
             raise
         if result.is_ok():
-            await self._cache_answer(call, result.ok)
+            try:
+                await self._cache_answer(call, result.ok)
+            except BaseException:
+                self._attempts.finish(call.id, AttemptState.ANSWERED)
+                await result.ok.close()
+                raise
         elif isinstance(result.error, NotRun):
             self._attempts.finish(call.id, AttemptState.NOT_RUN)
             await self._release(record)
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -35,6 +35,7 @@
 from kingcuppond.quotas.guard import QuotaGuard
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
 from kingcuppond.routing.headers import RELAY_HEADER
+from kingcuppond.routing.hedging import close_when_done
 from kingcuppond.routing.router import Router
 
 
@@ -200,6 +201,8 @@
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
+            # A long answer is not cached, and holds a slot of its gate until it is closed.
+            close_when_done(task)
             if self.requests.is_closing:
                 # Once it has ended, it can't be sent any more.
                 task.cancel()
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -1,6 +1,7 @@
 """What the port answers while the daemon leaves and when it closes its connections."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -39,7 +40,7 @@
 from kingcuppond.quotas.bucket import QuotaBound
 from kingcuppond.quotas.guard import QuotaGuard
 from kingcuppond.quotas.peers import QuotaPeers
-from kingcuppond.routing.call import Answer, Call
+from kingcuppond.routing.call import Answer, Body, Call
 from kingcuppond.routing.headers import RELAY_HEADER
 from kingcuppond.store.era import EraTracker
 from tests.conftest import FakeTime
@@ -55,12 +56,14 @@
     :param calls: the calls that it was given
     :param is_sending: whether it sends them to a server at once
     :param may_end: set when the calls may end
+    :param answer: what it returns
     """
 
     rng: Random
     calls: list[Call] = attrs.field(factory=list)
     may_end: asyncio.Event = attrs.field(factory=asyncio.Event)
     is_sending: bool = True
+    answer: Answer = attrs.field(factory=lambda: Answer(200, (), b"done"))
     sender: Any = attrs.field(
         factory=lambda: SimpleNamespace(typical_seconds=lambda _class_name: 0.1)
     )
@@ -70,7 +73,7 @@
         if self.is_sending:
             call.delivery.attempts.add(call.id)
         await self.may_end.wait()
-        return Ok(Answer(200, (), b"done"))
+        return Ok(self.answer)
 
 
 async def _is_current() -> bool:
@@ -288,3 +291,74 @@
     response = await call
     assert (response.status, response.headers[OUTCOME_HEADER]) == (504, "unknown")
     assert peers.attempts.lookup(AttemptQuery("id", "", "")).state is AttemptState.UNKNOWN
+
+
+@attrs.define
+class LongAnswer:
+    """A streamed answer, which holds a slot of a gate until it is closed.
+
+    :ivar closes: how often it was closed
+    """
+
+    closes: int = 0
+
+    def make(self) -> Answer:
+        return Answer(200, (), chunks=_no_chunks(), close=self._close)
+
+    async def _close(self) -> None:
+        self.closes += 1
+
+
+async def _no_chunks() -> AsyncIterator[bytes]:
+    yield b""
+
+
+@pytest.mark.parametrize("rounds_before", range(6))
+async def test_the_long_answer_to_a_claimed_call_is_closed_if_its_caller_has_left(
+    clock: Clock, journal: Journal, rounds_before: int
+) -> None:
+    """Guards against slots of a gate that are lost for good, as nobody took such an answer."""
+    port, router = make_port(clock, journal)
+    peers = FakePeers()
+    peers.may_grant.set()
+    port.guard = make_guard(port, peers)
+    long_answer = LongAnswer()
+    router.answer = long_answer.make()
+    call = asyncio.create_task(send(port, deadline_ms=4000, key="k"))
+    await asyncio.sleep(0.01)
+    router.may_end.set()
+    for _ in range(rounds_before):
+        await asyncio.sleep(0)
+    call.cancel()
+    await asyncio.wait({call})
+    await asyncio.sleep(0.01)
+    assert port.is_idle
+    assert long_answer.closes == 1
+    assert peers.attempts.lookup(AttemptQuery("id", "", "")).state is AttemptState.ANSWERED
+
+
+async def test_the_answer_to_a_claimed_call_is_closed_if_its_caller_leaves_during_the_upload(
+    clock: Clock, journal: Journal
+) -> None:
+    """The answer came before the body, whose digest was awaited with the answer in hand."""
+
+    async def upload() -> AsyncIterator[bytes]:
+        await asyncio.Event().wait()
+        yield b""
+
+    port, router = make_port(clock, journal)
+    peers = FakePeers()
+    peers.may_grant.set()
+    guard = make_guard(port, peers)
+    long_answer = LongAnswer()
+    router.answer = attrs.evolve(long_answer.make(), body=b"done", chunks=None)
+    router.may_end.set()
+    deadline = clock.monotonic() + 4.0
+    body = Body(rest=upload(), length=None)
+    call = Call("id", "book", "shop", "POST", "/shop", (), body, deadline, 1, 0, True, "f")
+    running = asyncio.create_task(guard.run_once(call, "k"))
+    await asyncio.sleep(0.01)
+    running.cancel()
+    await asyncio.wait({running})
+    assert long_answer.closes == 1
+    assert peers.attempts.lookup(AttemptQuery("id", "", "")).state is AttemptState.ANSWERED
