Store: the watches of the fleet end one after another

Cause: a watch is given up one second after the 20 s for which the store may hold it. A change ends all watches at once, so that they all began and ended together, and nobody asked the store for up to 21 s.

Change: the moment at which a watch ends follows from the watcher's rank, its data centre and the fleet's time, spread evenly over the 20 s. With nine watchers one ends every 2.2 s. It fails a second later if its connection is silent; its daemon reads the store anew, and tells the others. Calm costs the same number of calls; a change costs each watcher one watch more at most.

The simulated store of the tests takes a watch as over within a microsecond of its end: timers run early by less than that, and a watch was repeated forever.

--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -11,9 +11,10 @@
 configuration.
 
 A watch that exceeds its time limit is dropped together with its connection, and all objects are
-listed again, as they are after the store was restored from a copy.  After a failure the next
-attempt is delayed by a backoff with jitter, so that the watchers do not all reconnect at once to a
-store that recovers after an hour.
+listed again, as they are after the store was restored from a copy.  The watches of the fleet end
+one after another, so that one of them soon finds that all connections have gone silent.  After a
+failure the next attempt is delayed by a backoff with jitter, so that the watchers do not all
+reconnect at once to a store that recovers after an hour.
 """
 
 import asyncio
@@ -27,7 +28,7 @@
 from kingcuppond.configuration.listings import ListingReader
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.configuration.store_reach import StoreReach
-from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers
+from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers, watch_ms
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
@@ -75,7 +76,7 @@
     :param is_joined: returns whether this daemon has exchanged its state with another one
     :param is_restart: whether this daemon may be needed at once, and not only once the whole fleet
         has started for the first time
-    :param wait_ms: how long the store holds a watch without changes, in milliseconds
+    :param wait_ms: time between the ends of two watches without changes, in milliseconds
     :param read_first: reads what this daemon must know before requests can be routed
     """
 
@@ -106,6 +107,7 @@
         self._is_joined = is_joined
         self._is_restart = is_restart
         self.wait_ms = wait_ms
+        self._own_phase = rng.random()
         self._read_first = read_first
         self._store_heard_at = clock.monotonic()
         self._settled_at = clock.monotonic() + MAX_RANK_SETTLE_SECONDS
@@ -240,7 +242,7 @@
             return listed.error
         version = listed.ok.version
         is_answered = False
-        async for answer in watch_until_error(self._store, kind, version, self.wait_ms):
+        async for answer in watch_until_error(self._store, kind, version, self._next_wait_ms):
             if answer.is_error():
                 # A store that keeps no history would otherwise be listed without pause.
                 needs_no_backoff = is_answered and answer.error.is_version_expired
@@ -250,6 +252,10 @@
                 return None
         return None
 
+    def _next_wait_ms(self) -> int:
+        phase = self._current_ranks().phases_by_vm.get(self._directory.me.vm, self._own_phase)
+        return watch_ms(self._clock.fleet_ms(), phase, self.wait_ms)
+
     def merge_answer(self, kind: str, answer: WatchResult) -> bool:
         """Merge the answer to a watch; return whether the kind is due to be listed again."""
         self._update_is_complete()
--- a/kingcuppond/store/interface.py
+++ b/kingcuppond/store/interface.py
@@ -12,7 +12,7 @@
 is a conflict.  The body of an object is JSON text; the store may change its whitespace.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Final, Protocol, TypeVar
 
 import attrs
@@ -142,11 +142,14 @@
 
 
 async def watch_until_error(
-    store: Store, kind: str, after: int, wait_ms: int
+    store: Store, kind: str, after: int, next_wait_ms: Callable[[], int]
 ) -> AsyncIterator[Result[WatchResult, StoreError]]:
-    """Watch repeatedly and yield each result, up to and including the first error."""
+    """Watch repeatedly and yield each result, up to and including the first error.
+
+    :param next_wait_ms: returns how long the store may hold the next watch, in milliseconds
+    """
     while True:
-        result = await store.watch(kind, after, wait_ms)
+        result = await store.watch(kind, after, next_wait_ms())
         yield result
         if result.is_error():
             return
--- a/tests/configuration/test_watch_roles.py
+++ b/tests/configuration/test_watch_roles.py
@@ -16,9 +16,11 @@
     MAX_SUBSTITUTES_PER_DATA_CENTRE,
     MAX_WATCHERS_PER_DATA_CENTRE,
     rank_watchers,
+    watch_ms,
 )
 from kingcuppond.configuration.watcher import Watcher
 from kingcuppond.membership.messages import Member
+from kingcuppond.platform.store import WATCH_MARGIN_SECONDS
 from kingcuppond.store.interface import Listing, StoreError, WatchResult
 from tests.membership.network import Network, SimulatedDaemon, run_simulated, wait_until
 from tests.membership.store import SimulatedClient, SimulatedStore
@@ -29,6 +31,8 @@
 MAX_STRETCH_SECONDS = 5.0
 SILENT_CALL_SECONDS = 1.0
 DOWN_SECONDS = 60.0
+STABLE_WINDOW_SECONDS = 3.0
+CALM_SECONDS = 200.0
 MAX_SHARE = 0.35
 DRAW_SECONDS = 9.0
 
@@ -39,10 +43,12 @@
 
     :param rejection: ``""``, ``"refused"`` or ``"silent"``
     :param calls: calls made so far
+    :ivar lost_connections: set when the connections that are open then go silent
     """
 
     rejection: str = ""
     calls: int = 0
+    lost_connections: asyncio.Event = attrs.field(factory=asyncio.Event)
     _rejected: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def reject(self, rejection: str) -> None:
@@ -55,6 +61,11 @@
         self.rejection = ""
         self._rejected.clear()
 
+    def silence(self) -> None:
+        """Let the open connections go silent, without closing them; new ones work."""
+        self.lost_connections.set()
+        self.lost_connections = asyncio.Event()
+
     async def list(self, kind: str) -> Result[Listing, StoreError]:
         self.calls += 1
         if self.rejection:
@@ -67,13 +78,18 @@
             return await self._fail()
         watching = asyncio.create_task(super().watch(kind, after, wait_ms))
         cut = asyncio.create_task(self._rejected.wait())
+        silenced = asyncio.create_task(self.lost_connections.wait())
+        due = asyncio.get_running_loop().time() + wait_ms / 1000 + WATCH_MARGIN_SECONDS
         try:
-            await asyncio.wait({watching, cut}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({watching, cut, silenced}, return_when=asyncio.FIRST_COMPLETED)
         finally:
             cut.cancel()
+            silenced.cancel()
         if watching.done():
             return watching.result()
         watching.cancel()
+        if silenced.done():
+            await asyncio.sleep(due - asyncio.get_running_loop().time())
         return await self._fail()
 
     async def _fail(self) -> Result[Any, StoreError]:
@@ -203,6 +219,39 @@
     run_simulated(scenario)
 
 
+@pytest.mark.parametrize(("count", "data_centres"), [(12, 4), (27, 3), (60, 5), (36, 18)])
+@pytest.mark.parametrize("after_change_seconds", [0.5, 4.0, 11.0, 19.5])
+def test_a_change_arrives_after_all_connections_to_the_store_went_silent(
+    count: int, data_centres: int, after_change_seconds: float
+) -> None:
+    """Nothing asked the store before a watch of 20 s was over, so that no change arrived."""
+
+    async def scenario(network: Network) -> None:
+        store = SimulatedStore()
+        users = await start(network, store, count, data_centres)
+        await seconds_until_in_force(users, store, "budget/a", CONFIG_DEADLINE_SECONDS)
+        await asyncio.sleep(after_change_seconds)
+        for user in users:
+            user.client.silence()
+        await asyncio.sleep(STABLE_WINDOW_SECONDS)
+        await seconds_until_in_force(users, store, "budget/b", CONFIG_DEADLINE_SECONDS)
+
+    run_simulated(scenario)
+
+
+def test_calm_costs_one_watch_of_each_watcher_in_the_time_that_the_store_holds_it() -> None:
+    async def scenario(network: Network) -> None:
+        store = SimulatedStore()
+        users = await start(network, store, 27, 3)
+        store.reads.clear()
+        await asyncio.sleep(CALM_SECONDS)
+        kinds = len(users[0].daemon.configuration.format.kinds)
+        watches = CALM_SECONDS * 1000 / WATCH_WAIT_MS
+        assert store.reads.total <= len(watchers_of(users)) * kinds * watches
+
+    run_simulated(scenario)
+
+
 def test_only_a_few_daemons_ask_a_store_that_rejects_all() -> None:
     """The whole fleet must not ask, and the role must return when the store does."""
 
@@ -263,3 +312,17 @@
     all_lost = [attrs.evolve(it, is_store_lost=True) for it in members]
     most = MAX_WATCHERS_PER_DATA_CENTRE + MAX_SUBSTITUTES_PER_DATA_CENTRE
     assert len(rank_watchers("dc-1", all_lost, lambda _vm: False).watching) == most
+
+
+@pytest.mark.parametrize("now_ms", [0, 1, 4_999, 5_000, 5_001, 999_999])
+def test_watches_end_at_their_phase(now_ms: int) -> None:
+    wait_ms = watch_ms(now_ms, 0.25, WATCH_WAIT_MS)
+    assert 0 < wait_ms < WATCH_WAIT_MS * 1.05
+    assert (now_ms + wait_ms) % WATCH_WAIT_MS == WATCH_WAIT_MS // 4
+
+
+def test_phases_of_all_watchers_are_spread_evenly() -> None:
+    members = [attrs.evolve(make_member(f"vm-{i}"), data_centre=f"dc-{i % 4}") for i in range(40)]
+    ranks = [rank_watchers(f"dc-{i}", members, lambda _vm: False) for i in range(4)]
+    phases = sorted(phase for it in ranks for phase in it.phases_by_vm.values())
+    assert phases == pytest.approx([i / len(phases) for i in range(len(phases))])
--- a/tests/membership/store.py
+++ b/tests/membership/store.py
@@ -26,6 +26,10 @@
 CALL_SECONDS = 0.002
 PAGE_ITEMS = 500
 RATE_WINDOW_SECONDS = 1.0
+
+TIMER_RESOLUTION_SECONDS = 1e-6
+"""The event loop runs a timer that is due within its resolution, without a step of the time."""
+
 Key = tuple[str, str]
 
 
@@ -164,7 +168,7 @@
                 for revision, key, body in self.store.changes[first:]
                 if key[0] == kind
             ]
-            if changes or loop.time() >= end:
+            if changes or end - loop.time() < TIMER_RESOLUTION_SECONDS:
                 return Ok(WatchResult(changes, self._version(self.store.revision)))
             try:
                 await asyncio.wait_for(self.store.changed.wait(), end - loop.time())
