Ingress: pipelined requests are begun a few at a time

Cause: a request is due as soon as the one before it on its connection is answered. Of what the crowd had sent ahead, one request of each connection was served in every round of the event loop. An ordinary request takes some tens of rounds, and each took the time of 2,000 requests.

A connection whose request waits for its turn may be closed for newcomers, as that request has not begun.

--- a/kingcuppond/ingress/connection.py
+++ b/kingcuppond/ingress/connection.py
@@ -54,16 +54,20 @@
 
     :ivar connection: the connection that it handles, as long as it is open
     :ivar is_input_closed: whether nothing more is read, because of an error
+    :ivar is_pipelining: whether the next request was read before the last one was answered
+    :ivar is_queued: whether the request in progress waits for its turn, and has not begun
     :ivar on_input: called after bytes were parsed, also those that had waited in the parser
     """
 
-    __slots__ = ("connection", "is_input_closed", "on_input")
+    __slots__ = ("connection", "is_input_closed", "is_pipelining", "is_queued", "on_input")
 
     def __init__(self, manager: Any, **options: Any) -> None:
         super().__init__(manager, **options)
         self.connection: BoundedConnection | None = None
         self.on_input: Callable[[], None] = _ignore
         self.is_input_closed = False
+        self.is_pipelining = False
+        self.is_queued = False
         self._max_msg_queue_size = MAX_READ_AHEAD
         self._msg_queue_resume_size = MAX_READ_AHEAD // 2
         self._parser = HttpRequestParser(
@@ -207,6 +211,7 @@
             has_request=self._handler.has_request,
             is_complete=self._is_body_complete(),
             is_unread=self._handler.writing_paused,
+            is_queued=self._handler.is_queued,
             requests=self._requests,
             ticks=self._ticks,
             bytes=self._held_bytes(),
--- a/kingcuppond/ingress/connection_limits.py
+++ b/kingcuppond/ingress/connection_limits.py
@@ -84,6 +84,7 @@
     :param has_request: whether a request is in progress
     :param is_complete: whether the request in progress was received completely
     :param is_unread: whether its client lets an answer wait
+    :param is_queued: whether the request in progress was pipelined and has not begun
     :param requests: requests that were received on it so far
     :param ticks: ticks since its last request began, or since it was accepted
     :param bytes: bytes in its buffers
@@ -94,6 +95,7 @@
     has_request: bool = False
     is_complete: bool = True
     is_unread: bool = False
+    is_queued: bool = False
     requests: int = 0
     ticks: int = 0
     bytes: int = 0
@@ -101,7 +103,8 @@
     @property
     def is_kept(self) -> bool:
         """Whether it is never closed for others: its request may run, or it is of a daemon."""
-        return self.is_trusted or (self.has_request and self.is_complete and not self.is_unread)
+        may_run = self.has_request and self.is_complete and not self.is_queued
+        return self.is_trusted or (may_run and not self.is_unread)
 
 
 def choose_connections_to_close(
@@ -110,9 +113,9 @@
     """Choose the connections that make room for new ones: none if all are kept.
 
     Those that have sent no request for a tick or longer go first, then those that are new, then
-    those that are idle after a request, and last those whose request is incomplete or whose answer
-    is not read.  The newest goes first, as a flood is newer than the connections of ordinary
-    clients.
+    those that are idle after a request, and last those whose request is incomplete or has not
+    begun, or whose answer is not read.  The newest goes first, as a flood is newer than the
+    connections of ordinary clients.
 
     :param silent_count: how many are chosen if so many have sent no request for a tick; of the
         others only one is
--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -1,7 +1,8 @@
 """The HTTP server behind every listening port of a daemon.
 
-It is aiohttp's low-level server with four changes.  What clients send and leave unread is bounded
-(see :mod:`kingcuppond.ingress.connection`).  A request that can't be parsed is answered
+It is aiohttp's low-level server with five changes.  What clients send and leave unread is bounded
+(see :mod:`kingcuppond.ingress.connection`).  Pipelined requests are begun a few at a time (see
+:mod:`kingcuppond.ingress.pipelining`).  A request that can't be parsed is answered
 with problem details whose outcome is "not run", since it never reached a handler.  If a handler
 fails after the first bytes of a response, the connection is closed, so that a truncated response is
 never taken for a complete one.  If a client closes its connection, the handler is cancelled even if
@@ -11,6 +12,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -19,6 +21,7 @@
 from kingcuppond.dialect import NATIVE_DIALECT, Dialect
 from kingcuppond.ingress.connection import BoundedConnection, BoundedHandler
 from kingcuppond.ingress.connection_guard import ConnectionGuard
+from kingcuppond.ingress.pipelining import PipelineTurns
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown, problem_body
 from kingcuppond.settings.checks import split_address
 
@@ -49,6 +52,9 @@
 """Longer than callers keep an idle connection, so that no request races with its close."""
 
 
+RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class ProblemHandler(BoundedHandler):
     """Answers requests that can't be parsed with problem details, and notices each close.
 
@@ -153,7 +159,7 @@
 
 
 def make_server(
-    handler: Any, guard: ConnectionGuard | None = None, port: str = ""
+    handler: RequestHandler, guard: ConnectionGuard | None = None, port: str = ""
 ) -> ProblemServer:
     """Make a server that passes each request to a handler.
 
@@ -161,7 +167,7 @@
     :param port: key of the address in the settings
     """
     server = ProblemServer(
-        handler,
+        _take_turns(handler),
         handler_cancellation=True,
         access_log=None,
         auto_decompress=False,
@@ -177,6 +183,26 @@
     return server
 
 
+def _take_turns(handler: RequestHandler) -> RequestHandler:
+    """Return a handler that begins pipelined requests a few at a time."""
+    turns = PipelineTurns()
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        protocol = request.protocol
+        if not isinstance(protocol, ProblemHandler):
+            return await handler(request)
+        if protocol.is_pipelining:
+            protocol.is_queued = True
+            await turns.take()
+            protocol.is_queued = False
+        try:
+            return await handler(request)
+        finally:
+            protocol.is_pipelining = protocol.has_next_request
+
+    return handle
+
+
 def trust_connection(request: web.BaseRequest) -> None:
     """Never close the connection of a request because there are many: it is another daemon's."""
     protocol = request.protocol
--- a/tests/ingress/test_connection_limits.py
+++ b/tests/ingress/test_connection_limits.py
@@ -14,6 +14,7 @@
 IDLE = ConnectionView(3, requests=5, ticks=2)
 TRICKLING = ConnectionView(4, has_request=True, is_complete=False, requests=1)
 UNREAD = ConnectionView(5, has_request=True, is_unread=True, requests=1)
+QUEUED = ConnectionView(8, has_request=True, is_queued=True, requests=1)
 RUNNING = ConnectionView(6, has_request=True, requests=1)
 DAEMON = ConnectionView(7, is_trusted=True, requests=1)
 
@@ -41,6 +42,7 @@
     [
         ([RUNNING, DAEMON], []),
         ([TRICKLING, UNREAD, RUNNING], [5]),
+        ([RUNNING, QUEUED, DAEMON], [8]),
         ([IDLE, TRICKLING, UNREAD, DAEMON], [3]),
         ([IDLE, NEW, RUNNING], [2]),
         ([SILENT, NEW, IDLE], [1]),
