--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -32,7 +32,6 @@
 MAX_SUBSTITUTES_PER_DATA_CENTRE: Final = 3
 """All watchers of a data centre can be replaced at once."""
 
-
 MIN_WATCH_SHARE: Final = 0.05
 """A watch that would end sooner, as a part of the interval, waits for the next end."""
 
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -107,6 +107,7 @@
         self._is_joined = is_joined
         self._is_restart = is_restart
         self.wait_ms = wait_ms
+        # For a daemon that watches for itself, and not by its rank.
         self._own_phase = rng.random()
         self._read_first = read_first
         self._store_heard_at = clock.monotonic()
--- a/kingcuppond/routing/hedging.py
+++ b/kingcuppond/routing/hedging.py
@@ -15,7 +15,8 @@
 
 AttemptTask = asyncio.Task[Result[Answer, Failure]]
 
-_closing_tasks: set[asyncio.Task[None]] = set()
+# The event loop keeps no reference to its tasks.
+_closing: set[asyncio.Future[None]] = set()
 
 
 async def first_answer(tasks: set[AttemptTask]) -> Result[Answer, Failure]:
@@ -54,10 +55,6 @@
 def _close_answer(task: AttemptTask) -> None:
     if task.cancelled() or task.exception() is not None or task.result().is_error():
         return
-    closing = asyncio.create_task(_close(task.result().ok))
-    _closing_tasks.add(closing)
-    closing.add_done_callback(_closing_tasks.discard)
-
-
-async def _close(answer: Answer) -> None:
-    await answer.close()
+    closing = asyncio.ensure_future(task.result().ok.close())
+    _closing.add(closing)
+    closing.add_done_callback(_closing.discard)
