Store: substitutes only while the store rejects all watchers

Cause: up to three substitutes in each data centre watched after 0.5 s of failures, each with the backoff of a watcher, and also in place of members that were only suspected. While the store is down for all, that doubles what is asked of it.

Change: as long as the store serves one watcher of the fleet, no other need ask, since what that one reads crosses to all data centres. Suspected members are not replaced. Only the watches of the kind that changes least are spread, so that a new configuration costs no further call.

--- a/kingcuppond/configuration/objects.py
+++ b/kingcuppond/configuration/objects.py
@@ -215,6 +215,7 @@
     """How configuration is kept in the store.
 
     :param kinds: the kinds of objects to read and watch
+    :param steady_kind: the kind that changes least
     :param decode: decodes kind, name and body of an object into a change; a body of ``None`` means
         that the object was removed
     :param required: kind and name of the object without which no request can be routed
@@ -223,6 +224,7 @@
     """
 
     kinds: tuple[str, ...]
+    steady_kind: str
     decode: Callable[[str, str, bytes | None], Result[ConfigurationChange, ObjectError]]
     release_of: Callable[[str, str, bytes | None], int]
     required: tuple[str, str] | None = None
@@ -271,4 +273,6 @@
     return 0
 
 
-NATIVE_FORMAT: Final = ConfigurationFormat((CONFIGURATION_KIND,), _decode_change, _release_of)
+NATIVE_FORMAT: Final = ConfigurationFormat(
+    (CONFIGURATION_KIND,), CONFIGURATION_KIND, _decode_change, _release_of
+)
--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -1,21 +1,24 @@
 """Which members of a data centre watch the store.
 
 The members that rank first (rendezvous hashing) act for their data centre.  The ranking is the same
-wherever the same members are known, so it needs no election.  A member that ranks first but can't
-fill the role, because it is suspected or because the store rejects it, keeps trying, and the next
-one in the ranking watches as well.  Their number is bounded, so that a store that is down for all
-is not asked by the whole fleet.
-
-The watches of a kind end at different moments, spread over the time that the store holds one.  If
-all connections to the store go silent at once, the first watcher whose watch is due notices it, and
-what it then reads reaches the others as rumours.  A change ends all watches at once, so that the
-moments follow from the ranks and the fleet's time and not from the start of a watch.
-
-The load is a walk over the members after a change in the directory.
+wherever the same members are known, so it needs no election.  A member that ranks first but that
+the store rejects keeps trying.  While it rejects all of them, in all data centres, the next members
+in the ranking of the fleet watch as well; as long as one is served, what it reads reaches the
+others as rumours.  The number of these substitutes is bounded, and they try seldom, so that a store
+that is down for all is not asked by the whole fleet.
+
+The watches of one kind end at different moments, spread over the time that the store holds one.
+If all connections to the store go silent at once, the first watcher whose watch is due notices it,
+and what it then reads reaches the others as rumours.  A change ends all watches of its kind at
+once, so that the moments follow from the ranks and the fleet's time and not from the start of a
+watch.
+
+The load is a walk over the members after a change in the directory, and one more with a ranking of
+all members while all watchers of this data centre are rejected.
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -29,8 +32,11 @@
 FLEET_WATCHERS: Final = 10
 """With so many in all, each data centre needs fewer: what one hears crosses to the others."""
 
-MAX_SUBSTITUTES_PER_DATA_CENTRE: Final = 3
-"""All watchers of a data centre can be replaced at once."""
+WANTED_SUBSTITUTES: Final = 2
+"""Substitutes of the whole fleet that the store should serve while it rejects all watchers."""
+
+MAX_SUBSTITUTES: Final = 4
+"""Most substitutes of the whole fleet, whether served or not."""
 
 MIN_WATCH_SHARE: Final = 0.05
 """A watch that would end sooner, as a part of the interval, waits for the next end."""
@@ -38,15 +44,16 @@
 
 @attrs.frozen
 class WatchRanks:
-    """The members of one data centre that act for it.
+    """The members that watch the store.
 
-    :param acting: VMs that rank first
-    :param watching: VMs that watch the store: those in ``acting`` and their substitutes
-    :param phases_by_vm: when the watches of each of them end, as a part of the time between two
+    :param acting: VMs that rank first in this data centre
+    :param substitutes: VMs of the fleet that watch while the store rejects all that rank first
+    :param phases_by_vm: when the watches of those in ``acting`` end, as a part of the time between
+        two of them
     """
 
     acting: tuple[str, ...] = ()
-    watching: tuple[str, ...] = ()
+    substitutes: tuple[str, ...] = ()
     phases_by_vm: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -63,29 +70,50 @@
     return left_ms + interval_ms if is_due_again else left_ms
 
 
-def rank_watchers(
-    data_centre: str, living: Iterable[Member], is_suspected: Callable[[str], bool]
-) -> WatchRanks:
-    """Rank the members of a data centre.
+def rank_watchers(data_centre: str, living: Iterable[Member]) -> WatchRanks:
+    """Rank the members of the fleet.
 
+    :param data_centre: the data centre whose acting members are wanted
     :param living: the living members of all data centres
-    :param is_suspected: whether a member is suspected not to run
     """
     members = list(living)
-    candidates = [it for it in members if it.data_centre == data_centre and not it.is_leaving]
-    ranked = sorted(candidates, key=lambda member: rendezvous_hash("watch", member.vm))
     data_centres = sorted({member.data_centre for member in members})
     share = math.ceil(FLEET_WATCHERS / max(len(data_centres), 1))
     wanted = min(share, MAX_WATCHERS_PER_DATA_CENTRE)
-    able = 0
-    watching: list[str] = []
-    for member in ranked[: wanted + MAX_SUBSTITUTES_PER_DATA_CENTRE]:
-        if able == wanted:
-            break
-        watching.append(member.vm)
-        able += not (member.is_store_lost or is_suspected(member.vm))
+    acting = _rank(it for it in members if it.data_centre == data_centre)[:wanted]
     phases = {
-        vm: (rank + data_centres.index(data_centre) / len(data_centres)) / wanted % 1.0
-        for rank, vm in enumerate(watching)
+        member.vm: (rank + data_centres.index(data_centre) / len(data_centres)) / wanted
+        for rank, member in enumerate(acting)
     }
-    return WatchRanks(tuple(member.vm for member in ranked[:wanted]), tuple(watching), phases)
+    substitutes: list[str] = []
+    if acting and all(member.is_store_lost for member in acting):
+        substitutes = _find_substitutes(members, wanted)
+    return WatchRanks(tuple(member.vm for member in acting), tuple(substitutes), phases)
+
+
+def _find_substitutes(members: list[Member], wanted: int) -> list[str]:
+    """Return the substitutes of the whole fleet; none if the store serves any acting member."""
+    ranked = _rank(members)
+    acting_by_data_centre: dict[str, list[Member]] = {}
+    others: list[Member] = []
+    for member in ranked:
+        acting = acting_by_data_centre.setdefault(member.data_centre, [])
+        if len(acting) == wanted:
+            others.append(member)
+            continue
+        if not member.is_store_lost:
+            return []
+        acting.append(member)
+    substitutes: list[str] = []
+    served = 0
+    for member in others[:MAX_SUBSTITUTES]:
+        if served == WANTED_SUBSTITUTES:
+            break
+        substitutes.append(member.vm)
+        served += not member.is_store_lost
+    return substitutes
+
+
+def _rank(members: Iterable[Member]) -> list[Member]:
+    staying = [member for member in members if not member.is_leaving]
+    return sorted(staying, key=lambda member: rendezvous_hash("watch", member.vm))
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -3,18 +3,19 @@
 In each data centre, the few living members that rank first (rendezvous hashing) watch the store;
 the others receive changes as rumours.  The number of watches therefore grows with the number of
 data centres and not with the fleet.  A watcher that the store does not answer says so in its entry
-as a member, so that the next ones in the ranking watch too (``watch_ranks``); it goes on trying,
-and withdraws the statement once it is answered.  A daemon that has had no complete configuration,
-or not heard from most of the fleet, for some time watches too, for itself.  A starting daemon first
-waits until it knows other members, since all would rank first among those that they know.  After a
-restart it reads the store once as soon as it has joined, unless another daemon has sent it the
-configuration.
+as a member; while all have said so, a few further members watch too (``watch_ranks``).  It goes on
+trying, and withdraws the statement once it is answered.  A daemon that has had no complete
+configuration, or not heard from most of the fleet, for some time watches too, for itself.  A
+starting daemon first waits until it knows other members, since all would rank first among those
+that they know.  After a restart it reads the store once as soon as it has joined, unless another
+daemon has sent it the configuration.
 
 A watch that exceeds its time limit is dropped together with its connection, and all objects are
-listed again, as they are after the store was restored from a copy.  The watches of the fleet end
-one after another, so that one of them soon finds that all connections have gone silent.  After a
-failure the next attempt is delayed by a backoff with jitter, so that the watchers do not all
-reconnect at once to a store that recovers after an hour.
+listed again, as they are after the store was restored from a copy.  The fleet's watches of one kind
+end one after another, so that one of them soon finds that all connections have gone silent; it is
+the kind that changes least, since each change of it costs a shorter watch.  After a failure the
+next attempt is delayed by a backoff with jitter, so that the watchers do not all reconnect at once
+to a store that recovers after an hour.
 """
 
 import asyncio
@@ -27,7 +28,12 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.listings import ListingReader
 from kingcuppond.configuration.replica import Configuration, VersionedObject
-from kingcuppond.configuration.store_reach import StoreReach
+from kingcuppond.configuration.store_reach import (
+    INITIAL_BACKOFF_SECONDS,
+    MIN_SUBSTITUTE_BACKOFF_SECONDS,
+    StoreReach,
+    max_backoff_seconds,
+)
 from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers, watch_ms
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
@@ -38,11 +44,9 @@
 
 CHECK_INTERVAL_SECONDS: Final = 0.2
 ROLE_CHECK_INTERVAL_SECONDS: Final = 0.5
-INITIAL_BACKOFF_SECONDS: Final = 0.1
-MAX_BACKOFF_SECONDS: Final = 2.0
 ISOLATED_AFTER_SECONDS: Final = 2.0
 RANK_SETTLE_SECONDS: Final = 0.3
-"""Time from joining the fleet until the ranks are known; rumours cross the fleet sooner."""
+"""Time from joining the fleet until the ranks are known; rumours cross it sooner."""
 
 MAX_RANK_SETTLE_SECONDS: Final = 1.0
 """Time from the start after which a daemon that could not join takes its rank as known."""
@@ -107,7 +111,7 @@
         self._is_joined = is_joined
         self._is_restart = is_restart
         self.wait_ms = wait_ms
-        # For a daemon that watches for itself, and not by its rank.
+        # For a daemon that watches for itself or as a substitute, and not by its rank.
         self._own_phase = rng.random()
         self._read_first = read_first
         self._store_heard_at = clock.monotonic()
@@ -146,23 +150,26 @@
 
     def should_watch(self) -> bool:
         """Return whether this daemon watches the store, by its rank or for itself."""
-        return self._directory.me.vm in self._current_ranks().watching or (
-            self._clock.monotonic() - self._informed_at > WATCH_ALONE_AFTER_SECONDS
+        return (
+            self.has_rank()
+            or self._is_substitute()
+            or self._clock.monotonic() - self._informed_at > WATCH_ALONE_AFTER_SECONDS
         )
 
     def has_rank(self) -> bool:
         """Return whether this daemon is one of the few that act for their data centre."""
         return self._directory.me.vm in self._current_ranks().acting
 
+    def _is_substitute(self) -> bool:
+        return self._directory.me.vm in self._current_ranks().substitutes
+
     def _current_ranks(self) -> WatchRanks:
         if self._clock.monotonic() < self._settled_at:
             return WatchRanks()
-        directory = self._directory
-        if self._rank_generation != directory.generation:
-            self._rank_generation = directory.generation
-            self._ranks = rank_watchers(
-                directory.me.data_centre, directory.living(), directory.is_suspected
-            )
+        if self._rank_generation != self._directory.generation:
+            self._rank_generation = self._directory.generation
+            data_centre = self._directory.me.data_centre
+            self._ranks = rank_watchers(data_centre, self._directory.living())
         return self._ranks
 
     async def run(self, kind: str) -> None:
@@ -185,8 +192,11 @@
             if not failure.is_version_expired:
                 self._record_store_failure(failure)
                 self._reach.record_failure(kind)
+            is_substitute = self._is_substitute()
+            if is_substitute:
+                backoff_seconds = max(backoff_seconds, MIN_SUBSTITUTE_BACKOFF_SECONDS)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
-            backoff_seconds = min(backoff_seconds * 2, MAX_BACKOFF_SECONDS)
+            backoff_seconds = min(backoff_seconds * 2, max_backoff_seconds(is_substitute))
 
     async def refresh(self, kind: str) -> Result[Listing, StoreError]:
         """List all objects of a kind, merge them and announce those that were newer."""
@@ -243,7 +253,9 @@
             return listed.error
         version = listed.ok.version
         is_answered = False
-        async for answer in watch_until_error(self._store, kind, version, self._next_wait_ms):
+        async for answer in watch_until_error(
+            self._store, kind, version, lambda: self._wait_ms_of(kind)
+        ):
             if answer.is_error():
                 # A store that keeps no history would otherwise be listed without pause.
                 needs_no_backoff = is_answered and answer.error.is_version_expired
@@ -253,7 +265,9 @@
                 return None
         return None
 
-    def _next_wait_ms(self) -> int:
+    def _wait_ms_of(self, kind: str) -> int:
+        if kind != self._configuration.format.steady_kind:
+            return self.wait_ms
         phase = self._current_ranks().phases_by_vm.get(self._directory.me.vm, self._own_phase)
         return watch_ms(self._clock.fleet_ms(), phase, self.wait_ms)
 
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -155,7 +155,9 @@
 STORE_LISTED: Final = Event(705, "info", "listed {count} objects of {kind} at version {version}")
 STORE_ERA: Final = Event(706, "info", "the store is in era {era}, as far as known")
 WATCHER_ROLE_UNFILLED: Final = Event(
-    707, "warning", "the store does not answer this watcher; the next ones in the ranking watch too"
+    707,
+    "warning",
+    "the store does not answer this watcher; while it answers none, a few others watch too",
 )
 WATCHER_ROLE_FILLED: Final = Event(708, "info", "the store answers this watcher again")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
--- a/kingcuppond/platform/configuration.py
+++ b/kingcuppond/platform/configuration.py
@@ -158,6 +158,7 @@
 
 PLATFORM_FORMAT: Final = ConfigurationFormat(
     kinds=(CONFIG_KIND, EVACUATIONS_KIND),
+    steady_kind=EVACUATIONS_KIND,
     decode=_decode,
     release_of=_release_of,
     required=(CONFIG_KIND, CONFIG_NAME),
--- a/tests/configuration/test_restored_fleet.py
+++ b/tests/configuration/test_restored_fleet.py
@@ -35,6 +35,7 @@
 RUNS_PER_TEST: Final = 100
 FORMAT: Final = ConfigurationFormat(
     (KIND,),
+    KIND,
     lambda _kind, name, body: Ok(DataCentreState(name, "in" if body is None else "out")),
     lambda _kind, _name, _body: 0,
 )
