--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -1,4 +1,4 @@
-"""Which members of a data centre watch the store.
+"""Which members watch the store.
 
 The members that rank first (rendezvous hashing) act for their data centre.  The ranking is the same
 wherever the same members are known, so it needs no election.  A member that ranks first but that
--- a/kingcuppond/ingress/pipelining.py
+++ b/kingcuppond/ingress/pipelining.py
@@ -14,7 +14,7 @@
 import attrs
 
 TURNS_PER_ROUND: Final = 8
-"""Pipelined requests that are begun in a round of the event loop: about a millisecond of work."""
+"""Pipelined requests that are begun in a round of the event loop."""
 
 
 @attrs.define
