Test fleets: ready only once their daemons have the configuration

Cause: Fleet.wait_until_ready took any version of the store that a daemon had heard of for the configuration. Registrations of members raise it too, so a fleet without any configuration counted as ready.

Change: the readiness probe of each daemon is asked in place of the version, also in fleets that are not on the platform.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -57,7 +57,7 @@
     :param server_port: where its daemon accepts messages of the server
     :param metrics: where its daemon serves metrics and status
     :param server: where its server accepts requests
-    :param ready: where its daemon answers readiness probes, if the fleet is on the platform
+    :param ready: where its daemon answers readiness probes
     """
 
     plan: VmPlan
@@ -271,15 +271,17 @@
         """
         return (self.folder / f"{name}-{role}.log").read_text()
 
-    def wait_until_ready(self, names: Sequence[str] | None = None) -> None:
-        """Wait until daemons know each other, their servers and a configuration.
+    def wait_until_ready(
+        self, names: Sequence[str] | None = None, seconds: float = READY_TIMEOUT_SECONDS
+    ) -> None:
+        """Wait until daemons know each other and their servers, and have the configuration.
 
         :param names: VMs whose daemons are waited for, all by default; each must know at least as
             many live members, with a server that accepts work
-        :raises TimeoutError: after ``READY_TIMEOUT_SECONDS``
+        :raises TimeoutError: after ``seconds``
         """
         names = list(self.vms_by_name) if names is None else names
-        end = time.monotonic() + READY_TIMEOUT_SECONDS
+        end = time.monotonic() + seconds
         for name in names:
             while not self._is_ready(name, len(names)):
                 if time.monotonic() > end:
@@ -312,7 +314,7 @@
             for m in status["members"]
             if m["condition"] == "alive" and m["member"]["state"] in ("warm", "cold")
         ]
-        return len(alive) >= members and status["configuration_version"] > 0
+        return len(alive) >= members and _is_success(f"http://{self.vms_by_name[name].ready}/ready")
 
     def _start_link(self, target: str) -> Link:
         (port,) = free_ports(1)
@@ -335,6 +337,7 @@
             "peer_address": peer,
             "server_address": server_port,
             "metrics_address": metrics,
+            "ready_address": ready,
             "platform_address": store,
             "log_level": self.log_level,
         }
@@ -342,7 +345,6 @@
             values |= {
                 "protocol": "platform",
                 "relay_address": relay,
-                "ready_address": ready,
                 "application_address": server,
                 "is_first_start": self.first_start,
                 "kill_after": self.kill_after,
@@ -416,6 +418,14 @@
         answer.read()
 
 
+def _is_success(url: str) -> bool:
+    try:
+        with urllib.request.urlopen(url, timeout=5):
+            return True
+    except OSError:
+        return False
+
+
 def put_json(url: str, value: object, method: str = "PUT") -> None:
     """Send a value as JSON."""
     request = urllib.request.Request(url, json.dumps(value).encode(), method=method)
