Test fleets: each process that draws addresses has a loopback host of its own

Cause: workers of the same number in two runs drew ports from the same range of 2,000. Whether a port is free was asked at the drawing; a fleet holds a port without a listener until its process has started, and again while it restarts.

Change: standins/addresses.py draws host and port; the host is derived from the process id, so that no two living processes share one. The stand-ins for the store and for links listen on the drawn host.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,8 +1,8 @@
 """Runs a small fleet on this machine as separate processes: platform store, servers and daemons.
 
 The demo, the tests with real processes and the benchmarks use it.  All processes listen on
-127.0.0.1; a daemon and its server stand for one VM.  Only processes that were started here are
-ended, by their id.
+loopback addresses; a daemon and its server stand for one VM.  Only processes that were started here
+are ended, by their id.
 """
 
 import contextlib
@@ -10,28 +10,25 @@
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Final
 
 import attrs
 
+from standins.addresses import free_addresses
 from standins.link import Link
 
-HOST: Final = "127.0.0.1"
 READY_TIMEOUT_SECONDS: Final = 30.0
 POLL_INTERVAL_SECONDS: Final = 0.05
 EXIT_TIMEOUT_SECONDS: Final = 20.0
-FIRST_PORT: Final = 10_000
-PORTS_PER_WORKER: Final = 2000
 WARM_UP_CALLERS: Final = 64
 
 
@@ -103,13 +100,13 @@
     def __enter__(self) -> "Fleet":
         self.folder = Path(tempfile.mkdtemp(prefix="kingcuppond-"))
         (self.folder / "fleet.key").write_text(secrets.token_hex(32))
-        ports = free_ports(1 + 7 * len(self.plans))
-        self.platform = f"{HOST}:{ports.pop()}"
+        addresses = free_addresses(1 + 7 * len(self.plans))
+        self.platform = addresses.pop()
         self.operator_settings.write_text(json.dumps({"platform_address": self.platform}))
         try:
             self.start_platform()
             for plan in self.plans:
-                self._add_vm(plan, [f"{HOST}:{ports.pop()}" for _ in range(7)])
+                self._add_vm(plan, [addresses.pop() for _ in range(7)])
             for name in self.vms_by_name:
                 self.start(name)
         except BaseException:
@@ -132,8 +129,8 @@
 
     def start_platform(self) -> None:
         """Start the platform store without any objects."""
-        port = self.platform.rpartition(":")[2]
-        arguments = ["standins.platform", "--port", port, *self.platform_options]
+        host, _, port = self.platform.rpartition(":")
+        arguments = ["standins.platform", "--host", host, "--port", port, *self.platform_options]
         self._platform_process = self._spawn("platform", arguments)
         self._wait_until_reachable(f"http://{self.platform}/counts")
 
@@ -159,7 +156,7 @@
         arguments = ["standins.server", "--service", vm.plan.service, "--address", vm.server]
         if name in self.server_links_by_name:
             link = self.server_links_by_name[name]
-            arguments += ["--announced-address", f"{HOST}:{link.listen_port}"]
+            arguments += ["--announced-address", link.address]
         arguments += ["--daemon-server-address", vm.server_port]
         arguments += ["--daemon-caller-address", vm.caller]
         arguments += [*vm.plan.server_options, *options]
@@ -317,8 +314,8 @@
         return len(alive) >= members and _is_success(f"http://{self.vms_by_name[name].ready}/ready")
 
     def _start_link(self, target: str) -> Link:
-        (port,) = free_ports(1)
-        return Link(port, int(target.rpartition(":")[2])).start()
+        (address,) = free_addresses(1)
+        return Link(address, target).start()
 
     def _add_vm(self, plan: VmPlan, addresses: list[str]) -> None:
         caller, peer, server_port, metrics, server, relay, ready = addresses
@@ -326,7 +323,7 @@
         store = self.platform
         if plan.name in self.linked_stores:
             link = self.store_links_by_name[plan.name] = self._start_link(self.platform)
-            store = f"{HOST}:{link.listen_port}"
+            store = link.address
         if plan.name in self.linked_servers:
             self.server_links_by_name[plan.name] = self._start_link(server)
         values: dict[str, object] = {
@@ -377,36 +374,6 @@
         raise TimeoutError(url)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports below the range that the system uses for outgoing connections.
-
-    Each parallel test worker has its own range, and a process takes no port twice before it has
-    been through the whole range.  It starts anywhere in it, as another test run may use the same.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = next(_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
-
-
-def _port_range() -> Iterator[int]:
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw9").removeprefix("gw"))
-    first = FIRST_PORT + PORTS_PER_WORKER * (worker % 10)
-    start = first + os.getpid() % PORTS_PER_WORKER
-    yield from range(start, first + PORTS_PER_WORKER)
-    while True:
-        yield from range(first, first + PORTS_PER_WORKER)
-
-
-_PORTS: Final = _port_range()
-
-
 def get_json(url: str) -> dict[str, Any]:
     """Fetch a JSON object."""
     with urllib.request.urlopen(url, timeout=5) as answer:
--- a/standins/link.py
+++ b/standins/link.py
@@ -26,12 +26,12 @@
 class Link:
     """A TCP proxy that runs in its own thread.
 
-    :param listen_port: local port that accepts connections
-    :param target_port: local port that they are forwarded to
+    :param address: host and port that accept connections
+    :param target: host and port that they are forwarded to
     """
 
-    listen_port: int
-    target_port: int
+    address: str
+    target: str
     _loop: asyncio.AbstractEventLoop = attrs.field(factory=asyncio.new_event_loop)
     _connections: set[_Connection] = attrs.field(factory=set)
     _is_cut: bool = False
@@ -86,7 +86,8 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        server: Any = asyncio.start_server(self._forward, "127.0.0.1", self.listen_port)
+        host, _, port = self.address.rpartition(":")
+        server: Any = asyncio.start_server(self._forward, host, int(port))
         self._loop.run_until_complete(server)
         self._started.set()
         self._loop.run_forever()
@@ -95,10 +96,9 @@
         if self._is_cut:
             writer.transport.abort()
             return
+        host, _, port = self.target.rpartition(":")
         try:
-            target_reader, target_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target_port
-            )
+            target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -8,7 +8,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.events.journal import Journal
 from kingcuppond.peers.transport import PeerTransport
-from standins.fleet import free_ports
+from standins.addresses import free_addresses
 
 ADDRESSES = ["10.0.0.9:99999", "10.0.0.9:-1", "10.0.0.9", "a b:1", "::::", ""]
 
@@ -20,8 +20,8 @@
 
 @pytest.fixture
 async def transport(clock: Clock, journal: Journal) -> AsyncIterator[PeerTransport]:
-    (port,) = free_ports(1)
-    transport = PeerTransport("vm-1", f"127.0.0.1:{port}", None, {"note": Note}, clock, journal)
+    (address,) = free_addresses(1)
+    transport = PeerTransport("vm-1", address, None, {"note": Note}, clock, journal)
     await transport.start()
     yield transport
     await transport.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,7 +13,7 @@
 from kingcuppond.platform.store import MAX_LISTED_OBJECTS, MAX_RESPONSE_BYTES, PlatformStore
 from kingcuppond.store.era import era_of, make_version, revision_of
 from kingcuppond.store.interface import ABSENT_VERSION
-from standins.fleet import free_ports
+from standins.addresses import free_addresses
 from standins.platform import make_app
 from tests.routing.test_endless import serving as serving_endless
 from tests.servers import listening
@@ -46,12 +46,13 @@
 
 @pytest.fixture
 async def running() -> AsyncIterator[RunningStore]:
-    (port,) = free_ports(1)
+    (address,) = free_addresses(1)
+    host, _, port = address.rpartition(":")
     runner = web.AppRunner(make_app(writes_per_second=10_000), shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", port).start()
-    store = PlatformStore(f"127.0.0.1:{port}")
-    yield RunningStore(f"127.0.0.1:{port}", store)
+    await web.TCPSite(runner, host, int(port)).start()
+    store = PlatformStore(address)
+    yield RunningStore(address, store)
     await store.close()
     await runner.cleanup()
 
--- a/tests/program/test_daemon_command.py
+++ b/tests/program/test_daemon_command.py
@@ -7,7 +7,8 @@
 import time
 from pathlib import Path
 
-from standins.fleet import free_ports, get_json
+from standins.addresses import free_addresses
+from standins.fleet import get_json
 
 START_SECONDS = 30.0
 GRACE_MS = 1000
@@ -25,7 +26,7 @@
     """On a busy machine the process was killed during its teardown."""
     keys = ("caller", "peer", "server", "metrics", "platform")
     addresses = {
-        f"{key}_address": f"127.0.0.1:{port}" for key, port in zip(keys, free_ports(5), strict=True)
+        f"{key}_address": address for key, address in zip(keys, free_addresses(5), strict=True)
     }
     identity = {"vm": "vm-1", "data_centre": "dc-1", "service": "shop", "grace_ms": GRACE_MS}
     settings = tmp_path / "daemon.json"
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from standins import platform
-from standins.fleet import free_ports
+from standins.addresses import free_addresses
 
 FIRST_ERA = str(platform.FIRST_ERA)
 NEXT_ERA = str(platform.FIRST_ERA + 1)
@@ -57,13 +57,14 @@
 
 @pytest.fixture
 async def client() -> AsyncIterator[Client]:
-    (port,) = free_ports(1)
+    (address,) = free_addresses(1)
+    host, _, port = address.rpartition(":")
     runner = web.AppRunner(platform.make_app(), shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", port).start()
+    await web.TCPSite(runner, host, int(port)).start()
     async with aiohttp.ClientSession() as session:
         session._retry_connection = False
-        yield Client(f"http://127.0.0.1:{port}", session)
+        yield Client(f"http://{address}", session)
     await runner.cleanup()
 
 
--- a/tests/test_assembly.py
+++ b/tests/test_assembly.py
@@ -13,15 +13,14 @@
 from kingcuppond.outcomes import NotRun, Reason
 from kingcuppond.routing.view import GateReport
 from kingcuppond.settings.daemon import DaemonSettings
-from standins.fleet import free_ports
+from standins.addresses import free_addresses
 
 
 @pytest.mark.parametrize("is_measured", [False, True])
 async def test_summaries_are_collected_only_where_the_settings_ask(is_measured: bool) -> None:
     """All other deployments send what they sent before."""
-    addresses = [f"127.0.0.1:{port}" for port in free_ports(5)]
     settings = DaemonSettings(
-        *("vm-1", "dc-1", "shop", *addresses),
+        *("vm-1", "dc-1", "shop", *free_addresses(5)),
         leaves_data_centre="measured" if is_measured else "penalty",
     )
     daemon = Daemon(settings, b"")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,7 +10,7 @@
 from kingcuppond.daemon import Daemon
 from kingcuppond.ingress.port import CallPort
 from kingcuppond.settings.daemon import DaemonSettings
-from standins.fleet import free_ports
+from standins.addresses import free_addresses
 
 DEREGISTRATION_SECONDS = 1.6
 LATE_CALL_SECONDS = 0.8
@@ -22,8 +22,7 @@
 
 def make_daemon(grace_ms: int) -> Daemon:
     """Make a daemon that has not bound its addresses."""
-    addresses = [f"127.0.0.1:{port}" for port in free_ports(5)]
-    settings = DaemonSettings("vm-1", "dc-1", "shop", *addresses, grace_ms=grace_ms)
+    settings = DaemonSettings("vm-1", "dc-1", "shop", *free_addresses(5), grace_ms=grace_ms)
     return Daemon(settings, b"")
 
 
