--- a/bench/control.py
+++ b/bench/control.py
@@ -13,7 +13,8 @@
 
 import attrs
 
-from standins.fleet import Fleet, VmPlan, get_json
+from standins.fleet import Fleet, VmPlan
+from standins.http_client import get_json
 
 DATA_CENTRES: Final = 6
 MEASURE_SECONDS: Final = 10.0
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,6 @@
 are ended, by their id.
 """
 
-import contextlib
 import json
 import os
 import secrets
@@ -14,8 +13,6 @@
 import sys
 import tempfile
 import time
-import urllib.error
-import urllib.request
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -24,6 +21,7 @@
 import attrs
 
 from standins.addresses import free_addresses
+from standins.http_client import get_ignoring_errors, get_json, is_success, put_json
 from standins.link import Link
 
 READY_TIMEOUT_SECONDS: Final = 30.0
@@ -298,7 +296,7 @@
                 if not cold:
                     return
                 urls = [f"http://{self.vms_by_name[name].caller}{path}" for name in cold]
-                list(pool.map(_get_ignoring_errors, urls * (WARM_UP_CALLERS // len(urls) + 1)))
+                list(pool.map(get_ignoring_errors, urls * (WARM_UP_CALLERS // len(urls) + 1)))
         raise TimeoutError("the gates did not raise their concurrency limits in time")
 
     def _is_ready(self, name: str, members: int) -> bool:
@@ -311,7 +309,7 @@
             for m in status["members"]
             if m["condition"] == "alive" and m["member"]["state"] in ("warm", "cold")
         ]
-        return len(alive) >= members and _is_success(f"http://{self.vms_by_name[name].ready}/ready")
+        return len(alive) >= members and is_success(f"http://{self.vms_by_name[name].ready}/ready")
 
     def _start_link(self, target: str) -> Link:
         (address,) = free_addresses(1)
@@ -374,32 +372,6 @@
         raise TimeoutError(url)
 
 
-def get_json(url: str) -> dict[str, Any]:
-    """Fetch a JSON object."""
-    with urllib.request.urlopen(url, timeout=5) as answer:
-        return dict(json.loads(answer.read()))
-
-
-def _get_ignoring_errors(url: str) -> None:
-    with contextlib.suppress(OSError), urllib.request.urlopen(url, timeout=5) as answer:
-        answer.read()
-
-
-def _is_success(url: str) -> bool:
-    try:
-        with urllib.request.urlopen(url, timeout=5):
-            return True
-    except OSError:
-        return False
-
-
-def put_json(url: str, value: object, method: str = "PUT") -> None:
-    """Send a value as JSON."""
-    request = urllib.request.Request(url, json.dumps(value).encode(), method=method)
-    with urllib.request.urlopen(request, timeout=5) as answer:
-        answer.read()
-
-
 def plan_service(
     service: str, counts_by_data_centre: dict[str, int], *options: str
 ) -> list[VmPlan]:
--- a/tests/failures/test_bad_input.py
+++ b/tests/failures/test_bad_input.py
@@ -9,7 +9,8 @@
 import zmq
 from zmq.utils import z85
 
-from standins.fleet import Fleet, get_json, plan_service
+from standins.fleet import Fleet, plan_service
+from standins.http_client import get_json
 from tests.failures.callers import send
 from tests.failures.conftest import StartFleet
 
--- a/tests/failures/test_membership.py
+++ b/tests/failures/test_membership.py
@@ -4,7 +4,8 @@
 import signal
 import time
 
-from standins.fleet import Fleet, get_json, plan_service
+from standins.fleet import Fleet, plan_service
+from standins.http_client import get_json
 from tests.failures.callers import failed_or_mismatched, send, send_steadily
 from tests.failures.conftest import StartFleet
 
--- a/tests/failures/test_platform.py
+++ b/tests/failures/test_platform.py
@@ -12,7 +12,8 @@
 import attrs
 import pytest
 
-from standins.fleet import Fleet, get_json, plan_service, put_json
+from standins.fleet import Fleet, plan_service
+from standins.http_client import get_json, put_json
 
 HOST = "shop.example"
 PLANS = plan_service("shop", {"dc-1": 2, "dc-2": 1})
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from standins.fleet import Fleet, get_json, put_json
+from standins.fleet import Fleet
+from standins.http_client import get_json, put_json
 from tests.failures.conftest import StartFleet
 from tests.failures.test_platform import (
     HOST,
--- a/tests/failures/test_rollouts.py
+++ b/tests/failures/test_rollouts.py
@@ -8,7 +8,8 @@
 import attrs
 import pytest
 
-from standins.fleet import Fleet, VmPlan, get_json, plan_service
+from standins.fleet import Fleet, VmPlan, plan_service
+from standins.http_client import get_json
 from tests.failures.test_platform import configure, put_object, send, wait_until
 
 OLD_PLANS = plan_service("shop", {"dc-1": 3})
--- a/tests/program/test_daemon_command.py
+++ b/tests/program/test_daemon_command.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from standins.addresses import free_addresses
-from standins.fleet import get_json
+from standins.http_client import get_json
 
 START_SECONDS = 30.0
 GRACE_MS = 1000
