Ingress: what an aborted answer held is freed at once

Cause: the library keeps the task of a request whose connection broke in a local variable of the loop that serves the connection, so that the error, its traceback and all that hangs from it (the server's answer, its buffers, the piece being written) form a reference cycle. A daemon makes a full pass of the garbage collector after about a million new objects only.

With the collector off, an answer that was not read in time was never freed.

Change: ProblemHandler catches the error of a broken connection and reports it by the result that the library provides for it.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -104,6 +104,21 @@
         """Whether a pipelined request was read behind the one that is being served."""
         return bool(self._messages)
 
+    async def _handle_request(
+        self, request: web.BaseRequest, start_time: float | None, request_handler: RequestHandler
+    ) -> tuple[web.StreamResponse, bool]:
+        """Serve a request; a connection that breaks meanwhile is closed.
+
+        The library would keep the exception, and with it all that its traceback holds, in a
+        reference cycle, for the garbage collector to find.
+
+        :return: the response, and whether the connection has broken
+        """
+        try:
+            return await super()._handle_request(request, start_time, request_handler)
+        except ConnectionError:
+            return web.StreamResponse(), True
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/tests/failures/test_hostile_clients.py
+++ b/tests/failures/test_hostile_clients.py
@@ -46,6 +46,7 @@
 """Settings that are a tenth too, for the daemons that have them."""
 
 PLANS = plan_service("shop", {"dc-1": 1})
+MANY_SLOTS_PLANS = plan_service("shop", {"dc-1": 1}, "--slots", str(CLIENTS))
 VM_NAME = PLANS[0].name
 
 PORTS = ["caller_address", "relay_address", "server_address", "ready_address", "metrics_address"]
@@ -68,6 +69,10 @@
 
 WAVES = 4
 
+GIVEN_UP_MS = 300
+GIVEN_UP_ROUNDS = 20
+"""Answers that each client lets end unread, one after another."""
+
 Script = Callable[["Client"], Awaitable[None]]
 
 
@@ -145,9 +150,11 @@
 
 
 @pytest.fixture
-def target() -> Iterator[Target]:
+def target(request: pytest.FixtureRequest) -> Iterator[Target]:
+    """Start the process, beside a server with few slots unless the test gives a plan for it."""
     with ExitStack() as stack:
-        fleet = stack.enter_context(Fleet(PLANS, is_on_platform=True))
+        plans = getattr(request, "param", PLANS)
+        fleet = stack.enter_context(Fleet(plans, is_on_platform=True))
         vm = fleet.vms_by_name[VM_NAME]
         known = {field.name for field in attrs.fields(DaemonSettings)}
         limits = {name: value for name, value in LIMITS.items() if name in known}
@@ -284,6 +291,29 @@
         await target.check()
 
 
+@pytest.mark.parametrize("target", [MANY_SLOTS_PLANS], ids=["many slots"], indirect=True)
+async def test_long_answers_that_are_not_read_in_time(target: Target) -> None:
+    """Guards against aborted answers that stay in memory until the garbage collector runs."""
+    ids = itertools.count(1)
+
+    async def request_again(client: Client) -> None:
+        loop = asyncio.get_running_loop()
+        path = f"/read/1?unframed={UNFRAMED_BYTES}"
+        for _ in range(GIVEN_UP_ROUNDS):
+            fields = (
+                f"X-Kingcuppond-Attempt-Id: g{next(ids)}\r\n"
+                f"X-Kingcuppond-Deadline-Ms: {GIVEN_UP_MS}\r\n"
+            )
+            with socket.socket() as connected, suppress(OSError):
+                connected.setblocking(False)
+                await loop.sock_connect(connected, client.address)
+                await loop.sock_sendall(connected, client.head(fields=fields, path=path) + b"\r\n")
+                await asyncio.sleep(GIVEN_UP_MS / 1000 * 1.5)
+
+    async with attacked(target, "caller_address", request_again, CLIENTS // WAVES):
+        await target.check()
+
+
 @pytest.mark.parametrize("port", ["caller_address", "metrics_address"])
 async def test_long_heads_behind_a_request(target: Target, port: str) -> None:
     """Guards against pipelined requests that are read ahead up to a number, whatever their size."""
