Answers that break off are freed at once

What was seen: with the garbage collector off, a response that broke off was still alive after its call had failed, with the pieces that were read and the body of the request. A daemon makes a full pass of the collector after about a million new objects only. A store that cuts its listings costs up to 16 MB for each, whatever the limit that its answers share.

Cause: the library keeps the error of a broken stream in the stream and raises that object; its traceback holds the frames of the readers, and these the stream.

Change: forget_traceback drops the tracebacks where the reading of an answer ends with an error: calls, streamed answers, the store, health queries.

--- a/kingcuppond/gate/observer.py
+++ b/kingcuppond/gate/observer.py
@@ -23,6 +23,7 @@
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.cold_rate_limiter import ColdRateLimiter
+from kingcuppond.http_connections import forget_traceback
 from kingcuppond.routing.call import InvalidAnswerError
 from kingcuppond.routing.exchange import close_connection
 from kingcuppond.streams import StreamTooLongError, read_limited
@@ -133,6 +134,7 @@
             TimeoutError,
             OSError,
         ) as exc:
+            forget_traceback(exc)
             # Not taken as a report; the calls themselves show whether the server is reachable.
             self.journal.record(
                 catalogue.HEALTH_CHECK_FAILED, address=self.address, error=repr(exc)
--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -44,6 +44,17 @@
     transport.abort()
 
 
+def forget_traceback(error: BaseException | None) -> None:
+    """Free what the frames hold that an error of a response has passed.
+
+    aiohttp keeps the error in the stream of the response, which the frames of its readers hold.
+    Only the garbage collector would free this reference cycle, and all that hangs from it.
+    """
+    while error is not None:
+        error.__traceback__ = None
+        error = error.__context__
+
+
 class TrackedConnection(ResponseHandler):
     """Counts requests, records how a connection ended, and closes it if it delivers no answer.
 
--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -27,7 +27,7 @@
 from yarl import URL
 
 from kingcuppond.decoding import decode_json
-from kingcuppond.http_connections import track_connections
+from kingcuppond.http_connections import forget_traceback, track_connections
 from kingcuppond.platform.stored_objects import (
     WireEvents,
     WireObject,
@@ -266,6 +266,7 @@
         except aiohttp.ClientConnectorError as exc:
             return Error(StoreError(f"store is unreachable: {exc.strerror}"))
         except (aiohttp.ClientError, StreamTooLongError, TimeoutError, OSError) as exc:
+            forget_traceback(exc)
             self._drop_session(session)
             message = f"no response from the store: {type(exc).__name__}"
             return Error(StoreError(message, is_outcome_unknown=is_write))
--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -18,7 +18,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from kingcuppond.http_connections import TrackedConnection, track_connections
+from kingcuppond.http_connections import (
+    TrackedConnection,
+    forget_traceback,
+    track_connections,
+)
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
@@ -180,6 +184,7 @@
             return Error(NotRun(Reason.UNREACHABLE, f"{address} did not send 100 Continue in time"))
         return Error(Unknown(Reason.DEADLINE, f"{address} sent no complete answer in time"))
     except (aiohttp.ClientError, InvalidAnswerError, OSError, ValueError) as exc:
+        forget_traceback(exc)
         _abort(response)
         detail = f"{address}: {type(exc).__name__} {exc}".rstrip()
         if body_state.is_awaiting_continue and response is None:
@@ -270,6 +275,7 @@
         _abort(response)
         raise InvalidAnswerError("the answer did not end in time", Reason.DEADLINE) from exc
     except (aiohttp.ClientError, OSError) as exc:
+        forget_traceback(exc)
         _abort(response)
         raise InvalidAnswerError(f"the answer was truncated: {type(exc).__name__}") from exc
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Shared fixtures: a clock that tests advance, a journal and a seeded random generator."""
 
+import gc
+from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 
@@ -45,6 +47,15 @@
     return Random(1)
 
 
+@pytest.fixture
+def no_collector() -> Iterator[None]:
+    """Switch the garbage collector off, so that objects in reference cycles stay alive."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
 def known_red() -> set[str]:
     """Return the tests that KNOWN-RED.txt names."""
     lines = KNOWN_RED_FILE.read_text().splitlines()
--- a/tests/gate/test_observer.py
+++ b/tests/gate/test_observer.py
@@ -1,6 +1,7 @@
 """Only the answer to a health query is taken as the server's report about its health."""
 
 import asyncio
+import gc
 from collections.abc import Callable
 
 import aiohttp
@@ -74,6 +75,21 @@
         assert [(report.cold_ms, is_healthy) for report, is_healthy in reports] == [(900, True)]
 
 
+@pytest.mark.usefixtures("no_collector")
+async def test_a_truncated_answer_is_freed() -> None:
+    """Guards against answers that break off and stay in memory until the collector runs."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + bytes(30_000))
+        await writer.drain()
+
+    async with listening(serve) as address:
+        assert await query(address, times=1) == []
+        assert not any(isinstance(item, aiohttp.ClientResponse) for item in gc.get_objects())
+
+
 async def test_query_after_the_answer_to_a_call_gets_a_new_connection() -> None:
     """On the old one, the late health answer would be read as the answer to a call."""
     async with serving([answer("a")]) as server:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store, against a stand-in with the same protocol."""
 
 import asyncio
+import gc
 import tracemalloc
 from collections.abc import AsyncIterator
 
@@ -268,6 +269,24 @@
         await store.close()
 
 
+@pytest.mark.usefixtures("no_collector")
+@pytest.mark.parametrize("framing", [b"Content-Length: 5000000", b"Transfer-Encoding: chunked"])
+async def test_a_truncated_response_is_freed(framing: bytes) -> None:
+    """Guards against listings that break off and stay in memory until the collector runs."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n"
+        writer.write(head + b"40000\r\n" + bytes(262_144) + b"\r\n")
+        await writer.drain()
+
+    async with listening(serve) as address:
+        store = PlatformStore(address)
+        assert (await store.list("kind")).is_error()
+        assert not any(isinstance(item, aiohttp.ClientResponse) for item in gc.get_objects())
+        await store.close()
+
+
 async def test_a_listing_without_end_is_an_error() -> None:
     """Guards against a reader that goes from page to page forever."""
     pages = 0
