--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -18,11 +18,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from kingcuppond.http_connections import (
-    TrackedConnection,
-    forget_traceback,
-    track_connections,
-)
+from kingcuppond.http_connections import TrackedConnection, forget_traceback, track_connections
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Body, InvalidAnswerError
 from kingcuppond.routing.headers import OWN_ANSWER_HEADERS, end_to_end
