--- a/kingcuppond/http_connections.py
+++ b/kingcuppond/http_connections.py
@@ -45,10 +45,10 @@
 
 
 def forget_traceback(error: BaseException | None) -> None:
-    """Free what the frames hold that an error of a response has passed.
+    """Drop the tracebacks of a handled error of a response, and what their frames hold.
 
-    aiohttp keeps the error in the stream of the response, which the frames of its readers hold.
-    Only the garbage collector would free this reference cycle, and all that hangs from it.
+    aiohttp keeps the error in the response's stream, to which the frames of its readers refer.
+    Only the garbage collector would free this reference cycle.
     """
     while error is not None:
         error.__traceback__ = None
