Ingress: the true cause of aborted answers that stayed in memory

Cause: the error ends the task of the request; through its causes it leads to the TimeoutError of asyncio.timeout, whose traceback holds the frame of that context manager, which refers to the task.

The fix stands, since the task no longer ends with the error.

--- a/kingcuppond/ingress/http_server.py
+++ b/kingcuppond/ingress/http_server.py
@@ -109,8 +109,9 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Serve a request; a connection that breaks meanwhile is closed.
 
-        The library would keep the exception, and with it all that its traceback holds, in a
-        reference cycle, for the garbage collector to find.
+        The task of a request must not end with the error of an answer that was not read in time:
+        the error's traceback holds the ``asyncio.timeout`` that has expired, and that the task.
+        Only the garbage collector would free this reference cycle, and the answer with it.
 
         :return: the response, and whether the connection has broken
         """
