Membership: a configuration is complete only with the holds

Callers saw: after all daemons had been killed and started again, a request that was held ran once more and took down a further server (502 in place of 503).

Cause: holds go out as a rumour at once, to the contacts of that moment, while the configuration is announced and pulled. A daemon that was still being introduced missed the rumour; its pull compared the objects only, and the reply completed its configuration. A ping that found the objects equal did the same although the notes differed.

Change: COMPLETING_PARTS names what a daemon must have before it routes requests. While its configuration is incomplete each exchange compares all of them, a reply that did not completes nothing, nor does a ping while one differs. The simulated network can end with nothing pending.

--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -171,7 +171,8 @@
     """What the receiver of a :class:`StateRequest` has and its sender lacks.
 
     :param objects: configuration objects that the sender of the request lacks
-    :param is_complete: whether the objects were compared and the replying daemon has all of them
+    :param is_complete: whether the objects and the quarantine notes were compared, and the replying
+        daemon has the whole configuration
     :param wanted: VMs of members of which the sender of the request has a newer description
     """
 
--- a/kingcuppond/membership/pinging.py
+++ b/kingcuppond/membership/pinging.py
@@ -17,7 +17,7 @@
 from kingcuppond.membership.contacts import Contacts
 from kingcuppond.membership.hearing import Hearing
 from kingcuppond.membership.messages import Member, Ping, Pong, Rumours, Suspicion
-from kingcuppond.membership.state import OBJECTS_PART, SharedState
+from kingcuppond.membership.state import COMPLETING_PARTS, SharedState
 from kingcuppond.membership.summaries import LoadNews, SummaryTable
 from kingcuppond.membership.tasks import start_once
 from kingcuppond.peers.transport import PeerTransport
@@ -171,7 +171,7 @@
             missed = 0
             directory.clear_suspicion(vm)
             parts = self.state.differing_parts(pong)
-            if OBJECTS_PART not in parts:
+            if not any(part in parts for part in COMPLETING_PARTS):
                 configuration.is_complete |= pong.is_complete
             mismatches = mismatches + 1 if parts else 0
             if mismatches >= SYNC_AFTER_DIGEST_MISMATCHES:
--- a/kingcuppond/membership/state.py
+++ b/kingcuppond/membership/state.py
@@ -28,6 +28,9 @@
 OBJECTS_PART: Final = "objects"
 NOTES_PART: Final = "notes"
 
+COMPLETING_PARTS: Final = (OBJECTS_PART, NOTES_PART)
+"""What a daemon must have before it routes requests; without the notes it would run held ones."""
+
 
 @attrs.define
 class SharedState:
@@ -71,7 +74,12 @@
         )
 
     def make_request(self, parts: tuple[str, ...] | None) -> StateRequest:
-        """Make the request that compares some parts, or all if ``parts`` is ``None``."""
+        """Make the request that compares some parts, or all if ``parts`` is ``None``.
+
+        While the configuration is incomplete, it also compares what the reply may complete.
+        """
+        if parts is not None and not self.configuration.is_complete:
+            parts = tuple(sorted({*parts, *COMPLETING_PARTS}))
         return StateRequest(
             me=self.directory.me,
             parts=parts,
@@ -99,7 +107,8 @@
                 ),
             ),
             objects=self.objects_newer_than(request.objects) if has_objects else (),
-            is_complete=has_objects and self.configuration.is_complete,
+            is_complete=self.configuration.is_complete
+            and all(_includes(parts, part) for part in COMPLETING_PARTS),
             wanted=tuple(vm for vm, version in versions.items() if self._is_older(vm, version)),
         )
 
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -80,6 +80,7 @@
     vm: str
     gossip: Gossip
     configuration: Configuration
+    suspects: SuspectTable
     transport: "SimulatedTransport"
     eras: EraTracker
     tasks: list["asyncio.Task[Any]"] = attrs.field(factory=list)
@@ -169,18 +170,19 @@
         )
         transport = SimulatedTransport(self, me)
         configuration = Configuration(journal)
+        suspects = SuspectTable(vm, clock, journal)
         eras = EraTracker()
         gossip = Gossip(
             Directory(me, clock, journal),
             configuration,
-            SuspectTable(vm, clock, journal),
+            suspects,
             cast(PeerTransport, transport),
             eras,
             clock,
             journal,
             Random(f"{self.rng.random()}"),
         )
-        daemon = SimulatedDaemon(vm, gossip, configuration, transport, eras)
+        daemon = SimulatedDaemon(vm, gossip, configuration, suspects, transport, eras)
         self.daemons_by_vm[vm] = daemon
         return daemon
 
@@ -257,7 +259,8 @@
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        if pending:
+            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
     finally:
         loop.close()
 
--- a/tests/membership/test_state.py
+++ b/tests/membership/test_state.py
@@ -6,8 +6,8 @@
 from kingcuppond.configuration.replica import Configuration
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
-from kingcuppond.membership.messages import Member, Pong, ServerState
-from kingcuppond.membership.state import SharedState
+from kingcuppond.membership.messages import Member, Pong, ServerState, StateRequest
+from kingcuppond.membership.state import COMPLETING_PARTS, OBJECTS_PART, SharedState
 from kingcuppond.quarantine.suspects import SuspectTable
 
 
@@ -41,3 +41,15 @@
     for member in (earlier, draining, restarted):
         state.directory.merge(member)
     assert state.introduce(restarted).members == (state.directory.me, draining)
+
+
+def test_a_reply_without_the_quarantine_notes_completes_no_configuration(
+    clock: Clock, journal: Journal
+) -> None:
+    """Guards against a daemon that is ready without the holds."""
+    state = make_state("vm-1", clock, journal)
+    state.configuration.is_complete = True
+    me = Member("vm-2", "dc-1", "shop", "b:1", "b:2", "b:3", 1)
+    assert state.answer_request(StateRequest(me, COMPLETING_PARTS)).is_complete
+    assert state.answer_request(StateRequest(me, None)).is_complete
+    assert not state.answer_request(StateRequest(me, (OBJECTS_PART,))).is_complete
