Store: a dropped pool of connections ends its watches at once

Cause: the daemons look for silence on the watches of one kind, the evacuations. When such a watch is not answered, its daemon drops its connections; its watch of the configuration was on one of them, and was given a second more before they were closed.

Change: what drops the connections ends the watches on them at once. Calls in flight keep their second, since a write that is cut has an unknown outcome. The number of calls is as before.

Test: platform/test_store.py; the other watch took longer than half a second before.

--- a/kingcuppond/platform/store.py
+++ b/kingcuppond/platform/store.py
@@ -101,8 +101,8 @@
         self._budget = MemoryBudget(MAX_RESPONSES_BYTES)
         self._session: aiohttp.ClientSession | None = None
         self._close_tasks: set[asyncio.Task[None]] = set()
-        self._watch_calls: set[asyncio.Task[Result[_Response, StoreError]]] = set()
-        self.eras.on_new_era.append(self._end_watches)
+        self._watch_ends: set[asyncio.Future[StoreError]] = set()
+        self.eras.on_new_era.append(lambda _era: self._end_watches(_history_is_gone()))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -214,19 +214,22 @@
         )
 
     async def _call_watch(self, path: str, timeout: float) -> Result[_Response, StoreError]:
-        """Call the store until it answers or a new era becomes known."""
+        """Call the store until it answers or :meth:`_end_watches` gives the reason for an end."""
         call = asyncio.create_task(self._call("watch", "GET", path, timeout=timeout))
-        self._watch_calls.add(call)
+        ended: asyncio.Future[StoreError] = asyncio.get_running_loop().create_future()
+        self._watch_ends.add(ended)
+        either: list[asyncio.Future[Any]] = [call, ended]
         try:
-            await asyncio.wait([call])
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            self._watch_calls.discard(call)
+            self._watch_ends.discard(ended)
             call.cancel()
-        return Error(_history_is_gone()) if call.cancelled() else call.result()
+        return call.result() if call.done() else Error(ended.result())
 
-    def _end_watches(self, _era: int) -> None:
-        for call in self._watch_calls:
-            call.cancel()
+    def _end_watches(self, reason: StoreError) -> None:
+        for ended in self._watch_ends:
+            if not ended.done():
+                ended.set_result(reason)
 
     async def _change_at(
         self, method: str, path: str, expected: int, body: bytes | None = None
@@ -301,10 +304,12 @@
 
     def _drop_session(self, failed: aiohttp.ClientSession | None = None) -> None:
         # Other connections in the pool may be unresponsive too, so the next call opens a new pool.
-        # Calls in flight on the old connections are given CALL_TIMEOUT_SECONDS to finish.
+        # Calls in flight on the old connections are given CALL_TIMEOUT_SECONDS to finish; watches
+        # are not, since a change that they miss waits for their end.
         if self._session is None or (failed is not None and failed is not self._session):
             return
         session, self._session = self._session, None
+        self._end_watches(StoreError("the connection of the watch was given up"))
         task = asyncio.create_task(_close_session(session, failed is not None))
         self._close_tasks.add(task)
         task.add_done_callback(self._close_tasks.discard)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,7 +11,12 @@
 import pytest
 from aiohttp import web
 
-from kingcuppond.platform.store import MAX_LISTED_OBJECTS, MAX_RESPONSE_BYTES, PlatformStore
+from kingcuppond.platform.store import (
+    CALL_TIMEOUT_SECONDS,
+    MAX_LISTED_OBJECTS,
+    MAX_RESPONSE_BYTES,
+    PlatformStore,
+)
 from kingcuppond.store.era import era_of, make_version, revision_of
 from kingcuppond.store.interface import ABSENT_VERSION
 from standins.addresses import free_addresses
@@ -154,6 +159,33 @@
     assert answer.error.is_version_expired
 
 
+async def test_a_watch_that_is_not_answered_ends_the_watches_on_the_same_connections() -> None:
+    """A change of their kinds waited a second longer, for the close of the connections."""
+
+    async def stay_silent(_request: web.Request) -> web.Response:
+        await asyncio.Event().wait()
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_get("/objects/{kind}", stay_silent)
+    (address,) = free_addresses(1)
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port)).start()
+    store = PlatformStore(address)
+    try:
+        pending = asyncio.create_task(store.watch("kind", 1, 20_000))
+        assert (await store.watch("steady", 1, 100)).is_error()
+        async with asyncio.timeout(CALL_TIMEOUT_SECONDS / 2):
+            ended = await pending
+        assert ended.is_error()
+        assert not ended.error.is_version_expired
+    finally:
+        await store.close()
+        await runner.cleanup()
+
+
 async def test_an_answer_of_an_earlier_era_is_an_error(running: RunningStore) -> None:
     """It would bring back what the restored store has replaced since."""
     store = running.store
