Watches: no gap after a change in the order in which they end

Cause: a watch that would end within a second, a twentieth of the interval, waited for the next end. That is meant for a store that answers a moment early. But a change ends all watches at once, and those whose end was near then skipped it: for up to 2.6 s no watch of 12 was due, in place of 1.7 s.

Change: a hundredth of a second to each two seconds of the interval (100 ms at 20 s) counts as early.

--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -38,7 +38,7 @@
 MAX_SUBSTITUTES: Final = 4
 """Most substitutes of the whole fleet, whether served or not."""
 
-MIN_WATCH_SHARE: Final = 0.05
+MIN_WATCH_SHARE: Final = 0.005
 """A watch that would end sooner, as a part of the interval, waits for the next end."""
 
 
--- a/tests/configuration/test_watch_roles.py
+++ b/tests/configuration/test_watch_roles.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from itertools import pairwise
 from random import Random
 from typing import Any, cast
 
@@ -34,6 +35,9 @@
 DOWN_SECONDS = 60.0
 STABLE_WINDOW_SECONDS = 3.0
 CALM_SECONDS = 200.0
+MAX_EARLY_MS = 100
+"""How long before the end of its wait a store may answer a watch."""
+
 MAX_SHARE = 0.35
 DRAW_SECONDS = 9.0
 
@@ -333,6 +337,20 @@
     assert (now_ms + wait_ms) % WATCH_WAIT_MS == WATCH_WAIT_MS // 4
 
 
+def test_watches_that_begin_together_end_without_a_gap() -> None:
+    """Watches due within a second of a change waited for the next round, and left a gap."""
+    phases = [index / 12 for index in range(12)]
+    for started_ms in range(0, WATCH_WAIT_MS, 50):
+        waits_ms = sorted(watch_ms(started_ms, phase, WATCH_WAIT_MS) for phase in phases)
+        gaps_ms = [after - before for before, after in pairwise([0, *waits_ms])]
+        assert max(gaps_ms) <= WATCH_WAIT_MS / len(phases) + MAX_EARLY_MS
+
+
+def test_a_watch_that_is_answered_early_is_not_repeated_at_once() -> None:
+    wait_ms = watch_ms(WATCH_WAIT_MS // 4 - MAX_EARLY_MS + 10, 0.25, WATCH_WAIT_MS)
+    assert wait_ms > WATCH_WAIT_MS
+
+
 def test_phases_of_all_watchers_are_spread_evenly() -> None:
     members = [attrs.evolve(make_member(f"vm-{i}"), data_centre=f"dc-{i % 4}") for i in range(40)]
     ranks = [rank_watchers(f"dc-{i}", members) for i in range(4)]
