Watches: bounded time to notice silence in small and uneven fleets

Callers saw: in fleets of one or two data centres whose connections to the store had all gone silent, a change was in force after up to 7.7 s (3 watchers) or 4.4 s (6 watchers) more, by design.

Cause: the watches of a fleet ended 20 s divided by the watchers apart. Data centres with fewer members than watchers wanted kept their moments empty, so that 3 daemons in 2 data centres left 13 s.

Change: the moments are divided among the watchers that there are, and a watcher's interval is 2.25 s for each watcher of the fleet, 20 s at most. With nine watchers or more the calls in calm are as before.

--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -13,11 +13,15 @@
 once, so that the moments follow from the ranks and the fleet's time and not from the start of a
 watch.
 
+With few watchers each one asks more often, so that the time between two of these moments stays
+bounded.
+
 The load is a walk over the members after a change in the directory, and one more with a ranking of
 all members while all watchers of this data centre are rejected.
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final
 
@@ -38,6 +42,9 @@
 MAX_SUBSTITUTES: Final = 4
 """Most substitutes of the whole fleet, whether served or not."""
 
+MAX_WATCH_GAP_MS: Final = 2_250
+"""Longest time between the ends of two watches of a kind anywhere in the fleet."""
+
 MIN_WATCH_SHARE: Final = 0.005
 """A watch that would end sooner, as a part of the interval, waits for the next end."""
 
@@ -50,11 +57,20 @@
     :param substitutes: VMs of the fleet that watch while the store rejects all that rank first
     :param phases_by_vm: when the watches of those in ``acting`` end, as a part of the time between
         two of them
+    :param watchers: number of members that rank first in all data centres, at least 1
     """
 
     acting: tuple[str, ...] = ()
     substitutes: tuple[str, ...] = ()
     phases_by_vm: dict[str, float] = attrs.field(factory=dict)
+    watchers: int = 1
+
+    def interval_ms(self, wait_ms: int) -> int:
+        """Return the time between the ends of two watches of one watcher.
+
+        :param wait_ms: how long the store may hold a watch
+        """
+        return min(wait_ms, self.watchers * MAX_WATCH_GAP_MS)
 
 
 def watch_ms(now_ms: int, phase: float, interval_ms: int) -> int:
@@ -77,18 +93,24 @@
     :param living: the living members of all data centres
     """
     members = list(living)
-    data_centres = sorted({member.data_centre for member in members})
-    share = math.ceil(FLEET_WATCHERS / max(len(data_centres), 1))
+    counts_by_data_centre = Counter(it.data_centre for it in members if not it.is_leaving)
+    share = math.ceil(FLEET_WATCHERS / max(len(counts_by_data_centre), 1))
     wanted = min(share, MAX_WATCHERS_PER_DATA_CENTRE)
     acting = _rank(it for it in members if it.data_centre == data_centre)[:wanted]
+    turns = sorted(
+        (rank, name)
+        for name, count in counts_by_data_centre.items()
+        for rank in range(min(count, wanted))
+    )
     phases = {
-        member.vm: (rank + data_centres.index(data_centre) / len(data_centres)) / wanted
+        member.vm: turns.index((rank, data_centre)) / len(turns)
         for rank, member in enumerate(acting)
     }
     substitutes: list[str] = []
     if acting and all(member.is_store_lost for member in acting):
         substitutes = _find_substitutes(members, wanted)
-    return WatchRanks(tuple(member.vm for member in acting), tuple(substitutes), phases)
+    vms = tuple(member.vm for member in acting)
+    return WatchRanks(vms, tuple(substitutes), phases, max(len(turns), 1))
 
 
 def _find_substitutes(members: list[Member], wanted: int) -> list[str]:
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -20,6 +20,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -139,11 +140,10 @@
 
     def loops(self) -> dict[str, Callable[[], Coroutine[Any, Any, None]]]:
         """Return the loops that run for the lifetime of the daemon, by name."""
-        watches = {
-            f"watch {kind}": self._make_watch_loop(kind)
-            for kind in self._configuration.format.kinds
+        loops: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            f"watch {kind}": partial(self.run, kind) for kind in self._configuration.format.kinds
         }
-        loops = {**watches, "isolation": self._check_isolation}
+        loops["isolation"] = self._check_isolation
         if self._is_restart:
             loops["first reading"] = self._read_after_restart
         return loops
@@ -240,9 +240,6 @@
                 break
         return {}
 
-    def _make_watch_loop(self, kind: str) -> Callable[[], Coroutine[Any, Any, None]]:
-        return lambda: self.run(kind)
-
     async def _watch_once(self, kind: str) -> StoreError | None:
         """List a kind, then watch it until that fails or this daemon is no longer a watcher.
 
@@ -268,8 +265,9 @@
     def _wait_ms_of(self, kind: str) -> int:
         if kind != self._configuration.format.steady_kind:
             return self.wait_ms
-        phase = self._current_ranks().phases_by_vm.get(self._directory.me.vm, self._own_phase)
-        return watch_ms(self._clock.fleet_ms(), phase, self.wait_ms)
+        ranks = self._current_ranks()
+        phase = ranks.phases_by_vm.get(self._directory.me.vm, self._own_phase)
+        return watch_ms(self._clock.fleet_ms(), phase, ranks.interval_ms(self.wait_ms))
 
     def merge_answer(self, kind: str, answer: WatchResult) -> bool:
         """Merge the answer to a watch; return whether the kind is due to be listed again."""
--- a/tests/configuration/test_watch_roles.py
+++ b/tests/configuration/test_watch_roles.py
@@ -15,6 +15,7 @@
 from kingcuppond.configuration.objects import CONFIGURATION_KIND
 from kingcuppond.configuration.watch_ranks import (
     MAX_SUBSTITUTES,
+    MAX_WATCH_GAP_MS,
     MAX_WATCHERS_PER_DATA_CENTRE,
     WANTED_SUBSTITUTES,
     rank_watchers,
@@ -224,12 +225,18 @@
     run_simulated(scenario)
 
 
-@pytest.mark.parametrize(("count", "data_centres"), [(12, 4), (27, 3), (60, 5), (36, 18)])
+@pytest.mark.parametrize(
+    ("count", "data_centres"),
+    [(12, 4), (27, 3), (60, 5), (36, 18), (1, 1), (3, 1), (3, 2), (8, 1), (20, 2)],
+)
 @pytest.mark.parametrize("after_change_seconds", [0.5, 4.0, 11.0, 19.5])
 def test_a_change_arrives_after_all_connections_to_the_store_went_silent(
     count: int, data_centres: int, after_change_seconds: float
 ) -> None:
-    """Nothing asked the store before a watch of 20 s was over, so that no change arrived."""
+    """Nothing asked the store before a watch of 20 s was over, so that no change arrived.
+
+    The fewer watchers a fleet has, the longer that took.
+    """
 
     async def scenario(network: Network) -> None:
         store = SimulatedStore()
@@ -356,3 +363,19 @@
     ranks = [rank_watchers(f"dc-{i}", members) for i in range(4)]
     phases = sorted(phase for it in ranks for phase in it.phases_by_vm.values())
     assert phases == pytest.approx([i / len(phases) for i in range(len(phases))])
+
+
+@pytest.mark.parametrize("counts", [[1], [2, 1], [9, 1, 1], [1, 5, 2, 3], [2] * 18])
+def test_uneven_data_centres_leave_no_gap_between_watches(counts: list[int]) -> None:
+    """Data centres with fewer members than watchers wanted left their moments empty."""
+    members = [
+        attrs.evolve(make_member(f"vm-{data_centre}-{i}"), data_centre=f"dc-{data_centre}")
+        for data_centre, count in enumerate(counts)
+        for i in range(count)
+    ]
+    ranks = [rank_watchers(f"dc-{data_centre}", members) for data_centre in range(len(counts))]
+    phases = sorted(phase for it in ranks for phase in it.phases_by_vm.values())
+    assert phases == pytest.approx([i / len(phases) for i in range(len(phases))])
+    assert {it.watchers for it in ranks} == {len(phases)}
+    intervals_ms = {it.interval_ms(WATCH_WAIT_MS) for it in ranks}
+    assert max(intervals_ms) <= min(WATCH_WAIT_MS, MAX_WATCH_GAP_MS * len(phases))
