--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -35,7 +35,8 @@
     StoreReach,
     max_backoff_seconds,
 )
-from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers, watch_ms
+from kingcuppond.configuration.watch_ranks import watch_ms
+from kingcuppond.configuration.watch_roles import WatchRoles
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.directory import Directory
@@ -46,12 +47,6 @@
 CHECK_INTERVAL_SECONDS: Final = 0.2
 ROLE_CHECK_INTERVAL_SECONDS: Final = 0.5
 ISOLATED_AFTER_SECONDS: Final = 2.0
-RANK_SETTLE_SECONDS: Final = 0.3
-"""Time from joining the fleet until the ranks are known; rumours cross it sooner."""
-
-MAX_RANK_SETTLE_SECONDS: Final = 1.0
-"""Time from the start after which a daemon that could not join takes its rank as known."""
-
 JOIN_POLL_SECONDS: Final = 0.05
 
 FIRST_READ_SPREAD_SECONDS: Final = 0.3
@@ -109,18 +104,14 @@
         self._journal = journal
         self._rng = rng
         self._has_contacted_members = has_contacted_members
-        self._is_joined = is_joined
         self._is_restart = is_restart
         self.wait_ms = wait_ms
         # For a daemon that watches for itself or as a substitute, and not by its rank.
         self._own_phase = rng.random()
         self._read_first = read_first
         self._store_heard_at = clock.monotonic()
-        self._settled_at = clock.monotonic() + MAX_RANK_SETTLE_SECONDS
-        self._was_joined = False
+        self._roles = WatchRoles(directory, clock, is_joined)
         self._informed_at = clock.monotonic()
-        self._rank_generation = -1
-        self._ranks = WatchRanks()
         self._reach = StoreReach(clock.monotonic)
         self._is_store_lost = False
         self._listed_kinds: set[str] = set()
@@ -151,26 +142,14 @@
     def should_watch(self) -> bool:
         """Return whether this daemon watches the store, by its rank or for itself."""
         return (
-            self.has_rank()
-            or self._is_substitute()
+            self._roles.has_rank()
+            or self._roles.is_substitute()
             or self._clock.monotonic() - self._informed_at > WATCH_ALONE_AFTER_SECONDS
         )
 
     def has_rank(self) -> bool:
         """Return whether this daemon is one of the few that act for their data centre."""
-        return self._directory.me.vm in self._current_ranks().acting
-
-    def _is_substitute(self) -> bool:
-        return self._directory.me.vm in self._current_ranks().substitutes
-
-    def _current_ranks(self) -> WatchRanks:
-        if self._clock.monotonic() < self._settled_at:
-            return WatchRanks()
-        if self._rank_generation != self._directory.generation:
-            self._rank_generation = self._directory.generation
-            data_centre = self._directory.me.data_centre
-            self._ranks = rank_watchers(data_centre, self._directory.living())
-        return self._ranks
+        return self._roles.has_rank()
 
     async def run(self, kind: str) -> None:
         """Watch a kind whenever this daemon is one of the watchers; never returns."""
@@ -192,7 +171,7 @@
             if not failure.is_version_expired:
                 self._record_store_failure(failure)
                 self._reach.record_failure(kind)
-            is_substitute = self._is_substitute()
+            is_substitute = self._roles.is_substitute()
             if is_substitute:
                 backoff_seconds = max(backoff_seconds, MIN_SUBSTITUTE_BACKOFF_SECONDS)
             await asyncio.sleep(backoff_seconds * self._rng.uniform(0.5, 1.0))
@@ -265,7 +244,7 @@
     def _wait_ms_of(self, kind: str) -> int:
         if kind != self._configuration.format.steady_kind:
             return self.wait_ms
-        ranks = self._current_ranks()
+        ranks = self._roles.ranks()
         phase = ranks.phases_by_vm.get(self._directory.me.vm, self._own_phase)
         return watch_ms(self._clock.fleet_ms(), phase, ranks.interval_ms(self.wait_ms))
 
@@ -347,7 +326,7 @@
             self._journal.record(catalogue.WATCH_FAILED, error=error.message)
 
     async def _read_after_restart(self) -> None:
-        while not self._is_joined() and self._clock.monotonic() < self._settled_at:
+        while not self._roles.is_joined() and not self._roles.is_settled():
             await asyncio.sleep(JOIN_POLL_SECONDS)
         await asyncio.sleep(self._rng.uniform(0.0, FIRST_READ_SPREAD_SECONDS))
         if not self._configuration.is_ready:
@@ -359,18 +338,12 @@
         # Computed a few times per second and not for each call, since it iterates over all members.
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            self._update_settled()
+            self._roles.update_settled()
             self._update_isolation()
             self._publish_reach()
             # The other daemons may have been asked after the last answer of the store.
             self._update_is_complete()
 
-    def _update_settled(self) -> None:
-        if not self._was_joined and self._is_joined():
-            self._was_joined = True
-            settled_at = self._clock.monotonic() + RANK_SETTLE_SECONDS
-            self._settled_at = min(self._settled_at, settled_at)
-
     def _publish_reach(self) -> None:
         is_lost = self._reach.is_lost()
         if is_lost != self._is_store_lost:
