Watches: substitutes at once when no watcher of the fleet answers

Cause: the next in rank act once the watchers count as dead, two missed pings and 2 s later. Substitutes watched while the store rejects all watchers, and watchers that fail say nothing.

Change: the four members that would be substitutes ping one watcher, of their own data centre if possible, every 0.3 s, and all of them if it does not answer; if none does, they watch at once. A process that was held up itself concludes nothing. A daemon looks for its role every 0.25 s, not 0.5 s. In calm the store gets no call more.

--- a/kingcuppond/configuration/watch_roles.py
+++ b/kingcuppond/configuration/watch_roles.py
@@ -2,9 +2,18 @@
 
 A starting daemon knows few members at first and would rank first among them.  It takes no role
 until it has joined the fleet and rumours have crossed it.
+
+Members that fail count as dead after some seconds, and only then do the next in rank act.  If all
+watchers fail at once, nobody follows the store so long.  The few members that would be substitutes
+therefore ping one watcher, of their own data centre if possible, and all of them if it does not
+answer.  If none does, they watch at once.
+
+Load: a ping of each candidate in ``PROBE_SECONDS``, four at most in the fleet.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Final
 
 import attrs
@@ -12,6 +21,8 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers
 from kingcuppond.membership.directory import Directory
+from kingcuppond.membership.messages import Member, Pong
+from kingcuppond.membership.pinging import PING_TIMEOUT_SECONDS
 
 RANK_SETTLE_SECONDS: Final = 0.3
 """Time from joining the fleet until the ranks are known; rumours cross it sooner."""
@@ -20,20 +31,31 @@
 """Time from the start after which a daemon that could not join takes its rank as known."""
 
 
+PROBE_SECONDS: Final = 0.3
+
+STALL_SECONDS: Final = 0.2
+"""A ping that ends so much later than its timeout was held up by this process."""
+
+
 @attrs.define
 class WatchRoles:
     """The ranks of the watchers as this daemon knows them.
 
     :param is_joined: returns whether this daemon has exchanged its state with another one
+    :param ping: pings a member, and returns its reply unless there was none in time
     """
 
     directory: Directory
     clock: Clock
+    rng: Random
     is_joined: Callable[[], bool]
+    ping: Callable[[Member], Awaitable[Pong | None]]
     _settled_at: float = attrs.field(init=False)
     _was_joined: bool = False
     _ranks: WatchRanks = attrs.field(factory=WatchRanks)
     _ranked_generation: int = -1
+    _unreachable: frozenset[str] = frozenset()
+    _probed_vm: str = ""
 
     def __attrs_post_init__(self) -> None:
         self._settled_at = self.clock.monotonic() + MAX_RANK_SETTLE_SECONDS
@@ -43,7 +65,7 @@
         return self.directory.me.vm in self.ranks().acting
 
     def is_substitute(self) -> bool:
-        """Return whether this daemon watches in place of those that the store rejects."""
+        """Return whether this daemon watches since the store serves no watcher."""
         return self.directory.me.vm in self.ranks().substitutes
 
     def is_settled(self) -> bool:
@@ -56,8 +78,9 @@
             return WatchRanks()
         if self._ranked_generation != self.directory.generation:
             self._ranked_generation = self.directory.generation
-            me = self.directory.me
-            self._ranks = rank_watchers(me.data_centre, self.directory.living())
+            self._ranks = rank_watchers(
+                self.directory.me.data_centre, self.directory.living(), self._unreachable
+            )
         return self._ranks
 
     def update_settled(self) -> None:
@@ -66,3 +89,37 @@
             self._was_joined = True
             settled_at = self.clock.monotonic() + RANK_SETTLE_SECONDS
             self._settled_at = min(self._settled_at, settled_at)
+
+    async def probe(self) -> None:
+        """Find out, forever, whether any watcher answers, if this daemon may be a substitute."""
+        while True:
+            await asyncio.sleep(PROBE_SECONDS * self.rng.uniform(0.8, 1.2))
+            unreachable = await self._find_unreachable()
+            if unreachable != self._unreachable:
+                self._unreachable = unreachable
+                self._ranked_generation = -1
+
+    async def _find_unreachable(self) -> frozenset[str]:
+        """Return the watchers that the store may serve, if none of them answers."""
+        ranks, me = self.ranks(), self.directory.me
+        if me.vm not in ranks.candidates:
+            return frozenset()
+        watchers = [member for member in ranks.watchers if not member.is_store_lost]
+        # A ping to another data centre costs more.
+        watchers.sort(key=lambda member: member.data_centre != me.data_centre)
+        probed = [member for member in watchers if member.vm == self._probed_vm] or watchers[:1]
+        if not probed or await self._answers(probed[0]):
+            return frozenset()
+        answers = await asyncio.gather(*map(self._answers, watchers))
+        for member, is_answered in zip(watchers, answers, strict=True):
+            if is_answered:
+                self._probed_vm = member.vm
+                return frozenset()
+        return frozenset(member.vm for member in watchers)
+
+    async def _answers(self, member: Member) -> bool:
+        """Return whether a member answers a ping, or this process was too slow to know."""
+        started = self.clock.monotonic()
+        pong = await self.ping(member)
+        late_seconds = self.clock.monotonic() - started - PING_TIMEOUT_SECONDS
+        return pong is not None or late_seconds > STALL_SECONDS
--- a/kingcuppond/configuration/watcher.py
+++ b/kingcuppond/configuration/watcher.py
@@ -45,7 +45,7 @@
 from kingcuppond.store.interface import Listing, Store, StoreError, WatchResult, watch_until_error
 
 CHECK_INTERVAL_SECONDS: Final = 0.2
-ROLE_CHECK_INTERVAL_SECONDS: Final = 0.5
+ROLE_CHECK_INTERVAL_SECONDS: Final = 0.25
 ISOLATED_AFTER_SECONDS: Final = 2.0
 JOIN_POLL_SECONDS: Final = 0.05
 
@@ -110,7 +110,7 @@
         self._own_phase = rng.random()
         self._read_first = read_first
         self._store_heard_at = clock.monotonic()
-        self._roles = WatchRoles(directory, clock, is_joined)
+        self._roles = WatchRoles(directory, clock, rng, is_joined, gossip.pinger.ping)
         self._informed_at = clock.monotonic()
         self._reach = StoreReach(clock.monotonic)
         self._is_store_lost = False
@@ -135,6 +135,7 @@
             f"watch {kind}": partial(self.run, kind) for kind in self._configuration.format.kinds
         }
         loops["isolation"] = self._check_isolation
+        loops["probe"] = self._roles.probe
         if self._is_restart:
             loops["first reading"] = self._read_after_restart
         return loops
--- a/tests/configuration/test_restored_fleet.py
+++ b/tests/configuration/test_restored_fleet.py
@@ -137,6 +137,13 @@
 
     configuration: Configuration
 
+    @property
+    def pinger(self) -> "ModelGossip":
+        return self
+
+    async def ping(self, member: Any) -> None:
+        """Return that the member did not answer."""
+
     def spread_objects(self, objects: list[VersionedObject]) -> None:
         self.configuration.merge(objects)
 
--- a/tests/configuration/test_watch_roles.py
+++ b/tests/configuration/test_watch_roles.py
@@ -88,6 +88,9 @@
         due = asyncio.get_running_loop().time() + wait_ms / 1000 + WATCH_MARGIN_SECONDS
         try:
             await asyncio.wait({watching, cut, silenced}, return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            watching.cancel()
+            raise
         finally:
             cut.cancel()
             silenced.cancel()
@@ -251,6 +254,26 @@
     run_simulated(scenario)
 
 
+@pytest.mark.parametrize(("count", "data_centres"), [(15, 3), (27, 3), (60, 5), (36, 18)])
+@pytest.mark.parametrize("after_kill_seconds", [0.1, 1.0, 2.0])
+def test_a_change_arrives_after_all_watchers_were_killed_at_once(
+    count: int, data_centres: int, after_kill_seconds: float
+) -> None:
+    """The others relied on them until they counted as dead, 2 s after they were suspected."""
+
+    async def scenario(network: Network) -> None:
+        store = SimulatedStore()
+        users = await start(network, store, count, data_centres)
+        watchers = watchers_of(users)
+        others = [user for user in users if user not in watchers]
+        for user in watchers:
+            user.daemon.stop()
+        await asyncio.sleep(after_kill_seconds)
+        await seconds_until_in_force(others, store, "budget/a", CONFIG_DEADLINE_SECONDS)
+
+    run_simulated(scenario)
+
+
 def test_calm_costs_one_watch_of_each_watcher_in_the_time_that_the_store_holds_it() -> None:
     async def scenario(network: Network) -> None:
         store = SimulatedStore()
@@ -333,6 +356,23 @@
     assert len(rank_watchers("dc-1", all_lost).substitutes) == MAX_SUBSTITUTES
 
 
+def test_unreachable_watchers_are_replaced_only_while_none_is_reachable() -> None:
+    """Replacing each watcher that fails cost calls whenever a few machines had trouble."""
+    members = [attrs.evolve(make_member(f"vm-{i}"), data_centre=f"dc-{i % 2}") for i in range(40)]
+    acting = {vm for name in ("dc-0", "dc-1") for vm in rank_watchers(name, members).acting}
+    one_left = frozenset(acting - {min(acting)})
+    assert rank_watchers("dc-0", members, one_left).substitutes == ()
+    assert rank_watchers("dc-1", members, one_left).substitutes == ()
+    substitutes = rank_watchers("dc-1", members, frozenset(acting)).substitutes
+    assert len(substitutes) == WANTED_SUBSTITUTES
+    assert not acting & set(substitutes)
+    assert rank_watchers("dc-0", members, frozenset(acting)).substitutes == substitutes
+    one_lost = mark_lost(members, {substitutes[0]})
+    further = rank_watchers("dc-0", one_lost, frozenset(acting)).substitutes
+    assert further[: len(substitutes)] == substitutes
+    assert len(further) == len(substitutes) + 1
+
+
 def mark_lost(members: list[Member], lost: set[str]) -> list[Member]:
     return [attrs.evolve(member, is_store_lost=member.vm in lost) for member in members]
 
@@ -376,6 +416,6 @@
     ranks = [rank_watchers(f"dc-{data_centre}", members) for data_centre in range(len(counts))]
     phases = sorted(phase for it in ranks for phase in it.phases_by_vm.values())
     assert phases == pytest.approx([i / len(phases) for i in range(len(phases))])
-    assert {it.watchers for it in ranks} == {len(phases)}
+    assert {len(it.watchers) for it in ranks} == {len(phases)}
     intervals_ms = {it.interval_ms(WATCH_WAIT_MS) for it in ranks}
     assert max(intervals_ms) <= min(WATCH_WAIT_MS, MAX_WATCH_GAP_MS * len(phases))
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -46,6 +46,13 @@
     def hears_majority(self) -> bool:
         return True
 
+    @property
+    def pinger(self) -> "FakeGossip":
+        return self
+
+    async def ping(self, member: Member) -> None:
+        """Return that the member did not answer."""
+
     def spread_objects(self, objects: list[VersionedObject]) -> None:
         self.configuration.merge(objects)
 
