Watches: the next in rank of each data centre replace unreachable ones

Cause: the four substitutes of the whole fleet knew the change after 1.5 s, but their rumours go to contacts that were killed with the watchers, until these count as dead (suspected).

Change: in each data centre as many of the next in rank as it has watchers ping a watcher; if none of the fleet's answers, they leave these out of the ranking, and so watch in their place. Other duties of a watcher (registration) wait until the members count as dead, as before. While the store rejects all watchers the substitutes are as before.

--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -2,10 +2,10 @@
 
 The members that rank first (rendezvous hashing) act for their data centre.  The ranking is the same
 wherever the same members are known, so it needs no election.  A member that ranks first but that
-the store rejects keeps trying.  While each of them, in all data centres, is rejected or
-unreachable, the next members in the ranking of the fleet watch as well; as long as one is served,
-what it reads reaches the others as rumours.  The number of these substitutes is bounded, and they
-try seldom, so that a store that is down for all is not asked by the whole fleet.
+the store rejects keeps trying.  While it rejects all of them, in all data centres, the next members
+in the ranking of the fleet watch as well; as long as one is served, what it reads reaches the
+others as rumours.  The number of these substitutes is bounded, and they try seldom, so that a store
+that is down for all is not asked by the whole fleet.
 
 The watches of one kind end at different moments, spread over the time that the store holds one.
 If all connections to the store go silent at once, the first watcher whose watch is due notices it,
@@ -16,10 +16,12 @@
 With few watchers each one asks more often, so that the time between two of these moments stays
 bounded.
 
-The load is a ranking of all members after a change in the directory.
+The load is a walk over the members after a change in the directory, and one more with a ranking of
+all members while all watchers of this data centre are rejected.
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final
 
@@ -35,7 +37,7 @@
 """With so many in all, each data centre needs fewer: what one hears crosses to the others."""
 
 WANTED_SUBSTITUTES: Final = 2
-"""Substitutes of the whole fleet that the store should serve while it serves no watcher."""
+"""Substitutes of the whole fleet that the store should serve while it rejects all watchers."""
 
 MAX_SUBSTITUTES: Final = 4
 """Most substitutes of the whole fleet, whether served or not."""
@@ -52,25 +54,25 @@
     """The members that watch the store.
 
     :param acting: VMs that rank first in this data centre
-    :param watchers: members that rank first in any data centre
-    :param candidates: VMs of the fleet that may become substitutes
-    :param substitutes: those of them that watch now, since the store serves no watcher
+    :param next_in_rank: as many VMs of this data centre that rank after them
+    :param substitutes: VMs of the fleet that watch while the store rejects all that rank first
     :param phases_by_vm: when the watches of those in ``acting`` end, as a part of the time between
         two of them
+    :param watchers: number of members that rank first in all data centres, at least 1
     """
 
     acting: tuple[str, ...] = ()
-    watchers: tuple[Member, ...] = ()
-    candidates: tuple[str, ...] = ()
+    next_in_rank: tuple[str, ...] = ()
     substitutes: tuple[str, ...] = ()
     phases_by_vm: dict[str, float] = attrs.field(factory=dict)
+    watchers: int = 1
 
     def interval_ms(self, wait_ms: int) -> int:
         """Return the time between the ends of two watches of one watcher.
 
         :param wait_ms: how long the store may hold a watch
         """
-        return min(wait_ms, max(len(self.watchers), 1) * MAX_WATCH_GAP_MS)
+        return min(wait_ms, self.watchers * MAX_WATCH_GAP_MS)
 
 
 def watch_ms(now_ms: int, phase: float, interval_ms: int) -> int:
@@ -86,56 +88,75 @@
     return left_ms + interval_ms if is_due_again else left_ms
 
 
-def rank_watchers(
-    data_centre: str, living: Iterable[Member], unreachable: frozenset[str] = frozenset()
-) -> WatchRanks:
+def rank_watchers(data_centre: str, living: Iterable[Member]) -> WatchRanks:
     """Rank the members of the fleet.
 
     :param data_centre: the data centre whose acting members are wanted
     :param living: the living members of all data centres
-    :param unreachable: VMs of the watchers that don't answer
     """
-    ranked = _rank(living)
-    data_centres = {member.data_centre for member in ranked}
-    share = math.ceil(FLEET_WATCHERS / max(len(data_centres), 1))
-    wanted = min(share, MAX_WATCHERS_PER_DATA_CENTRE)
-    acting_by_data_centre: dict[str, list[Member]] = {name: [] for name in data_centres}
-    others: list[Member] = []
-    for member in ranked:
-        acting = acting_by_data_centre[member.data_centre]
-        (acting if len(acting) < wanted else others).append(member)
+    members = list(living)
+    counts_by_data_centre = Counter(it.data_centre for it in members if not it.is_leaving)
+    wanted = _wanted_watchers(len(counts_by_data_centre))
+    ranked = _rank(it for it in members if it.data_centre == data_centre)
+    acting, following = ranked[:wanted], ranked[wanted : 2 * wanted]
     turns = sorted(
         (rank, name)
-        for name, acting in acting_by_data_centre.items()
-        for rank in range(len(acting))
-    )
-    watchers = tuple(member for acting in acting_by_data_centre.values() for member in acting)
-    candidates = others[:MAX_SUBSTITUTES]
-    is_any_served = any(
-        not member.is_store_lost and member.vm not in unreachable for member in watchers
+        for name, count in counts_by_data_centre.items()
+        for rank in range(min(count, wanted))
     )
-    vms = tuple(member.vm for member in acting_by_data_centre.get(data_centre, ()))
+    substitutes: list[str] = []
+    if acting and all(member.is_store_lost for member in acting):
+        substitutes = _find_substitutes(members, wanted)
     return WatchRanks(
-        acting=vms,
-        watchers=watchers,
-        candidates=tuple(member.vm for member in candidates),
-        substitutes=() if is_any_served else _choose_substitutes(candidates),
+        acting=tuple(member.vm for member in acting),
+        next_in_rank=tuple(member.vm for member in following),
+        substitutes=tuple(substitutes),
         phases_by_vm={
-            vm: turns.index((rank, data_centre)) / len(turns) for rank, vm in enumerate(vms)
+            member.vm: turns.index((rank, data_centre)) / len(turns)
+            for rank, member in enumerate(acting)
         },
+        watchers=max(len(turns), 1),
     )
 
 
-def _choose_substitutes(candidates: list[Member]) -> tuple[str, ...]:
-    """Return the candidates up to the last of those wanted that the store serves."""
+def find_watchers(living: Iterable[Member]) -> list[Member]:
+    """Return the members that rank first in each data centre."""
+    members = list(living)
+    data_centres = {member.data_centre for member in members if not member.is_leaving}
+    wanted = _wanted_watchers(len(data_centres))
+    watchers: list[Member] = []
+    for name in sorted(data_centres):
+        watchers += _rank(it for it in members if it.data_centre == name)[:wanted]
+    return watchers
+
+
+def _wanted_watchers(data_centres: int) -> int:
+    """Return the number of watchers wanted in each data centre."""
+    share = math.ceil(FLEET_WATCHERS / max(data_centres, 1))
+    return min(share, MAX_WATCHERS_PER_DATA_CENTRE)
+
+
+def _find_substitutes(members: list[Member], wanted: int) -> list[str]:
+    """Return the substitutes of the whole fleet; none if the store serves any acting member."""
+    ranked = _rank(members)
+    acting_by_data_centre: dict[str, list[Member]] = {}
+    others: list[Member] = []
+    for member in ranked:
+        acting = acting_by_data_centre.setdefault(member.data_centre, [])
+        if len(acting) == wanted:
+            others.append(member)
+            continue
+        if not member.is_store_lost:
+            return []
+        acting.append(member)
     substitutes: list[str] = []
     served = 0
-    for member in candidates:
+    for member in others[:MAX_SUBSTITUTES]:
         if served == WANTED_SUBSTITUTES:
             break
         substitutes.append(member.vm)
         served += not member.is_store_lost
-    return tuple(substitutes)
+    return substitutes
 
 
 def _rank(members: Iterable[Member]) -> list[Member]:
--- a/kingcuppond/configuration/watch_roles.py
+++ b/kingcuppond/configuration/watch_roles.py
@@ -4,11 +4,11 @@
 until it has joined the fleet and rumours have crossed it.
 
 Members that fail count as dead after some seconds, and only then do the next in rank act.  If all
-watchers fail at once, nobody follows the store so long.  The few members that would be substitutes
-therefore ping one watcher, of their own data centre if possible, and all of them if it does not
-answer.  If none does, they watch at once.
+watchers fail at once, nobody follows the store so long.  The next in rank therefore ping one
+watcher, of their own data centre if possible, and all of them if it does not answer.  If none does,
+they watch at once.
 
-Load: a ping of each candidate in ``PROBE_SECONDS``, four at most in the fleet.
+Load: in ``PROBE_SECONDS`` a ping of each of the next in rank, who are as many as the watchers.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 import attrs
 
 from kingcuppond.clock import Clock
-from kingcuppond.configuration.watch_ranks import WatchRanks, rank_watchers
+from kingcuppond.configuration.watch_ranks import WatchRanks, find_watchers, rank_watchers
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import Member, Pong
 from kingcuppond.membership.pinging import PING_TIMEOUT_SECONDS
@@ -53,7 +53,10 @@
     _settled_at: float = attrs.field(init=False)
     _was_joined: bool = False
     _ranks: WatchRanks = attrs.field(factory=WatchRanks)
+    _reachable_ranks: WatchRanks = attrs.field(factory=WatchRanks)
     _ranked_generation: int = -1
+    _watchers: list[Member] = attrs.field(factory=list)
+    _listed_generation: int = -1
     _unreachable: frozenset[str] = frozenset()
     _probed_vm: str = ""
 
@@ -62,26 +65,22 @@
 
     def has_rank(self) -> bool:
         """Return whether this daemon is one of the few that act for their data centre."""
-        return self.directory.me.vm in self.ranks().acting
+        self._update_ranks()
+        return self.directory.me.vm in self._ranks.acting
 
     def is_substitute(self) -> bool:
-        """Return whether this daemon watches since the store serves no watcher."""
-        return self.directory.me.vm in self.ranks().substitutes
+        """Return whether this daemon watches in place of others that can't."""
+        ranks, me = self.ranks(), self.directory.me
+        return me.vm in ranks.substitutes or (me.vm in ranks.acting and not self.has_rank())
 
     def is_settled(self) -> bool:
         """Return whether the ranks are taken as known."""
         return self.clock.monotonic() >= self._settled_at
 
     def ranks(self) -> WatchRanks:
-        """Return the present ranks; nobody has one before they are settled."""
-        if not self.is_settled():
-            return WatchRanks()
-        if self._ranked_generation != self.directory.generation:
-            self._ranked_generation = self.directory.generation
-            self._ranks = rank_watchers(
-                self.directory.me.data_centre, self.directory.living(), self._unreachable
-            )
-        return self._ranks
+        """Return the ranks of the reachable members; nobody has one before they are settled."""
+        self._update_ranks()
+        return self._reachable_ranks
 
     def update_settled(self) -> None:
         """Settle the ranks soon if this daemon has joined since the last call."""
@@ -91,7 +90,7 @@
             self._settled_at = min(self._settled_at, settled_at)
 
     async def probe(self) -> None:
-        """Find out, forever, whether any watcher answers, if this daemon may be a substitute."""
+        """Find out, forever, whether any watcher answers, if this daemon is next in rank."""
         while True:
             await asyncio.sleep(PROBE_SECONDS * self.rng.uniform(0.8, 1.2))
             unreachable = await self._find_unreachable()
@@ -99,14 +98,22 @@
                 self._unreachable = unreachable
                 self._ranked_generation = -1
 
+    def _update_ranks(self) -> None:
+        if not self.is_settled() or self._ranked_generation == self.directory.generation:
+            return
+        self._ranked_generation = self.directory.generation
+        data_centre, living = self.directory.me.data_centre, self.directory.living()
+        self._ranks = self._reachable_ranks = rank_watchers(data_centre, living)
+        if self._unreachable:
+            reachable = (member for member in living if member.vm not in self._unreachable)
+            self._reachable_ranks = rank_watchers(data_centre, reachable)
+
     async def _find_unreachable(self) -> frozenset[str]:
         """Return the watchers that the store may serve, if none of them answers."""
-        ranks, me = self.ranks(), self.directory.me
-        if me.vm not in ranks.candidates:
+        self._update_ranks()
+        if self.directory.me.vm not in self._ranks.next_in_rank:
             return frozenset()
-        watchers = [member for member in ranks.watchers if not member.is_store_lost]
-        # A ping to another data centre costs more.
-        watchers.sort(key=lambda member: member.data_centre != me.data_centre)
+        watchers = self._list_watchers()
         probed = [member for member in watchers if member.vm == self._probed_vm] or watchers[:1]
         if not probed or await self._answers(probed[0]):
             return frozenset()
@@ -117,6 +124,16 @@
                 return frozenset()
         return frozenset(member.vm for member in watchers)
 
+    def _list_watchers(self) -> list[Member]:
+        """Return the watchers that the store may serve, first those of this data centre."""
+        if self._listed_generation != self.directory.generation:
+            self._listed_generation = self.directory.generation
+            watchers = find_watchers(self.directory.living())
+            self._watchers = [member for member in watchers if not member.is_store_lost]
+            own = self.directory.me.data_centre
+            self._watchers.sort(key=lambda member: member.data_centre != own)
+        return self._watchers
+
     async def _answers(self, member: Member) -> bool:
         """Return whether a member answers a ping, or this process was too slow to know."""
         started = self.clock.monotonic()
