--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,65 +1,133 @@
-"""A request whose query is empty reaches its server without the question mark."""
+"""The machines that watch the store, and those next in rank, are killed at the same moment."""
 
-import json
 import os
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
-from review.rig3.rig import Rig, exchange
+from kingcuppond.configuration.watch_ranks import rank_watchers
+from kingcuppond.membership.messages import Member
+from review.rig3.rig import Machine, Rig, exchange
 
 HERE: Final = Path(__file__).parent
 TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
-ROUTES: Final = [
-    {
-        "Name": name,
-        "Host": "quotes.example",
-        "PathPrefix": f"/{name}/",
-        "Kind": kind,
+ZONES: Final = ("kochi", "thrissur", "kozhikode", "tvm", "kannur")
+MACHINES: Final = 40
+LARGEST_SHARE: Final = 0.55
+DOWN_SECONDS: Final = 2.0
+CHANGE_AFTER_SECONDS: Final = 0.1
+CONFIG_DEADLINE_SECONDS: Final = 2.5
+WATCHED_SECONDS: Final = 6.0
+ROUNDS_PER_SECOND: Final = 10
+OLD: Final = "offer-ledger"
+NEW: Final = "quote-desk"
+
+
+def route_to(service: str) -> dict[str, Any]:
+    """Return the route for offers."""
+    return {
+        "Name": "offer",
+        "Host": "offers.example",
+        "PathPrefix": "/offer/",
+        "Kind": "unsafe",
         "Timeout": "2000ms",
         "TargetLatency": "600ms",
         "Priority": 1,
-        "Service": "quote-desk",
+        "Service": service,
         "MaxAttempts": 2,
     }
-    for name, kind in (("lookup", "safe"), ("confirm", "unsafe"))
-]
+
+
+def find_watchers(machines: list[Machine]) -> list[Machine]:
+    """Return the machines that watch the store, and those that would replace them."""
+    members = [
+        Member(machine.name, machine.zone, machine.service, "", "", "", 1) for machine in machines
+    ]
+    names: set[str] = set()
+    for zone in ZONES:
+        ranks = rank_watchers(zone, members)
+        names |= {*ranks.acting, *ranks.next_in_rank}
+    return [machine for machine in machines if machine.name in names]
+
+
+def send(machine: Machine, request_id: str, sent: dict[str, tuple[float, str]]) -> None:
+    """Send one offer."""
+    head = (
+        f"POST /offer/{request_id} HTTP/1.1\r\nHost: offers.example\r\n"
+        f"X-Kingcuppond-Attempt-Id: {request_id}\r\nX-Kingcuppond-Deadline-Ms: 4000\r\n"
+        "Content-Length: 2\r\nConnection: close\r\n\r\nab"
+    )
+    sent[request_id] = (time.time(), machine.name)
+    exchange(machine.outbound, head.encode())
+
+
+def kill_at_once(machines: list[Machine]) -> None:
+    """Kill the daemons of some machines."""
+    for machine in machines:
+        assert machine.daemon is not None
+        machine.daemon.kill()
+    for machine in machines:
+        assert machine.daemon is not None
+        machine.daemon.wait()
 
 
 def main() -> int:
     """Run the case and return its exit code."""
-    sent: dict[str, str] = {}
-    with Rig(
-        ["quote-desk", "quote-desk", "other"],
-        ["kochi", "thrissur", "kochi"],
-        ROUTES,
-        HERE / "record.txt",
-    ) as rig:
-        time.sleep(2.0)
-        for number in range(30):
-            method, path = (("GET", "/lookup/"), ("POST", "/confirm/"))[number % 2]
-            target = f"{path}{number}" + ("?" if TROUBLE else "?car=7")
-            request_id = f"{number:016x}"
-            machine = rig.machines[number % 3]
-            length = "Content-Length: 0\r\n" if method == "POST" else ""
-            head = (
-                f"{method} {target} HTTP/1.1\r\nHost: quotes.example\r\n"
-                f"X-Kingcuppond-Attempt-Id: {request_id}\r\nX-Kingcuppond-Deadline-Ms: 3000\r\n"
-                f"{length}Connection: close\r\n\r\n"
-            )
-            answer = exchange(machine.outbound, head.encode())
-            sent[request_id] = target
-            rig.note(f"{method} {target} as {request_id} at {machine.name}: {answer[9:12]!r}")
-        runs = rig.runs()
-        for run in runs:
-            rig.note(f"run: {json.dumps(run)}")
-        changed = [run for run in runs if run["target"] != sent[run["id"]]]
-        rig.note(f"{len(runs)} runs, {len(changed)} of them with another target than was sent")
-        print(f"{len(runs)} runs, {len(changed)} with a changed query")
-        if len(runs) < len(sent) // 2:
+    services = [(OLD, NEW)[number // len(ZONES) % 2] for number in range(MACHINES)]
+    zones = [ZONES[number % len(ZONES)] for number in range(MACHINES)]
+    with Rig(services, zones, [route_to(OLD)], HERE / "record.txt") as rig:
+        time.sleep(6.0)
+        killed = find_watchers(rig.machines)
+        calm = [machine for machine in rig.machines if machine not in killed]
+        names = " ".join(machine.name for machine in killed)
+        rig.note(f"{len(killed)} of {MACHINES} machines are killed: {names}")
+        if len(killed) > LARGEST_SHARE * MACHINES:
+            return 2
+        sent: dict[str, tuple[float, str]] = {}
+        for number, machine in enumerate(calm):
+            send(machine, f"{number:016x}", sent)
+        if TROUBLE:
+            kill_at_once(killed)
+        killed_at = time.time()
+        time.sleep(CHANGE_AFTER_SECONDS)
+        rig.routes[:] = [route_to(NEW)]
+        rig.put_config(2)
+        acknowledged = time.time()
+        is_down = TROUBLE
+        with ThreadPoolExecutor(128) as pool:
+            for index in range(int(WATCHED_SECONDS * ROUNDS_PER_SECOND)):
+                time.sleep(max(0.0, acknowledged + index / ROUNDS_PER_SECOND - time.time()))
+                if is_down and time.time() > killed_at + DOWN_SECONDS:
+                    is_down = False
+                    for machine in killed:
+                        rig.start_daemon(machine)
+                for place, machine in enumerate(calm):
+                    pool.submit(send, machine, f"{index + 1:08x}{place:08x}", sent)
+        runs = [run for run in rig.runs() if "id" in run]
+        service_by_server = {f"i-{machine.name}": machine.service for machine in rig.machines}
+        late: set[str] = set()
+        last_old = 0.0
+        for run in sorted(runs, key=lambda run: sent[run["id"]]):
+            sent_at, name = sent[run["id"]]
+            seconds = sent_at - acknowledged
+            service = service_by_server[run["server"]]
+            rig.note(f"{run['id']} sent to {name} {seconds:.3f} s after it, run by {service}")
+            if service == OLD:
+                last_old = max(last_old, seconds)
+                if seconds > CONFIG_DEADLINE_SECONDS:
+                    late.add(run["id"])
+        text = (
+            f"{len(late)} requests sent later than {CONFIG_DEADLINE_SECONDS} s were run by the old"
+            f" service; the last one that was, {last_old:.2f} s after the acknowledgement"
+        )
+        rig.note(text)
+        print(text)
+        is_new_seen = any(service_by_server[run["server"]] == NEW for run in runs)
+        if len(runs) < len(calm) or not is_new_seen:
             return 2
-        return 1 if changed else 0
+        return 1 if late else 0
 
 
 if __name__ == "__main__":
