Quarantine: caller, host and whole body tell requests apart

Cause: the fingerprint was made of method, path and the first 64 KiB of the body. The next answer to another caller's request, or to a body that differed later, cleared the suspect before it came to a trial.

Change: caller's service, host and the whole body count. A streamed body has a partial fingerprint; if it starts like that of a suspected request the gate reads it ahead, within a bound, before the server gets any of it. A 5xx, an answer of another version of the server and an answer before the end of the body clear nothing any more; a full table drops no hold for a suspect. Claims keep their digest of the content, so that stored ones stay good.

--- a/kingcuppond/claims/attempts.py
+++ b/kingcuppond/claims/attempts.py
@@ -41,7 +41,7 @@
         """Add an attempt, before its claim is requested.
 
         :param attempt: id of the attempt
-        :param content: fingerprint of its request
+        :param content: digest of its request
         """
         self._attempts_by_id[attempt] = _Attempt(content)
         while len(self._attempts_by_id) > MAX_KNOWN_ATTEMPTS:
--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -34,11 +34,12 @@
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
-from kingcuppond.routing.call import Answer, Call
+from kingcuppond.routing.call import BODY_MEMORY_BYTES, Answer, Call
 from kingcuppond.store.era import EraTracker
 
 MAX_CLAIM_ROUNDS: Final = 4
 KEY_DIGEST_BYTES: Final = 16
+CONTENT_DIGEST_BYTES: Final = 12
 
 RunCall = Callable[[Call], Awaitable[Result[Answer, Failure]]]
 
@@ -49,6 +50,16 @@
     return blake2b(text, digest_size=KEY_DIGEST_BYTES).digest()
 
 
+def content_digest(call: Call) -> str:
+    """Return the digest of a call's method, target and the part of its body that is in memory."""
+    digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
+    start = call.body.buffered[:BODY_MEMORY_BYTES]
+    for part in (call.method.encode(), call.target.encode("utf-8", "surrogateescape"), start):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 class ClaimGuard:
     """Runs a request with an idempotency key at most once.
 
@@ -85,9 +96,10 @@
         state is ``NOT_RUN``.  After a later cancellation the state is ``UNKNOWN``.
         """
         digest = key_digest(call.class_name, key)
+        content = content_digest(call)
         for _ in range(MAX_CLAIM_ROUNDS):
-            record = self._make_record(call, digest)
-            self._attempts.start(call.id, call.fingerprint)
+            record = ClaimRecord(digest, content, call.id, self._clock.fleet_ms())
+            self._attempts.start(call.id, content)
             try:
                 reply = await self._peers.submit(record, call.deadline)
                 self._eras.observe(reply.era)
@@ -113,7 +125,7 @@
                 catalogue.CLAIM_REFUSED, key=digest.hex(), attempt=reply.holder.attempt
             )
             call.delivery.attempts.add(reply.holder.attempt)
-            result = await self._resolve_held_key(call, reply.holder)
+            result = await self._resolve_held_key(call, content, reply.holder)
             if result is not None:
                 return result
             call.delivery.attempts.discard(reply.holder.attempt)
@@ -122,9 +134,6 @@
             Unknown(Reason.KEY_RUNNING, "other attempts claimed this idempotency key first")
         )
 
-    def _make_record(self, call: Call, digest: bytes) -> ClaimRecord:
-        return ClaimRecord(digest, call.fingerprint, call.id, self._clock.fleet_ms())
-
     async def _run_granted(self, call: Call, record: ClaimRecord) -> Result[Answer, Failure]:
         self._attempts.record_grant(record)
         self._journal.record(catalogue.CLAIM_GRANTED, key=record.key.hex(), attempt=call.id)
@@ -165,10 +174,10 @@
         self._attempts.store_answer(call.id, digest, cached)
 
     async def _resolve_held_key(
-        self, call: Call, holder: ClaimRecord
+        self, call: Call, content: str, holder: ClaimRecord
     ) -> Result[Answer, Failure] | None:
         """Return the result of a call whose key is held; ``None`` if the key is free now."""
-        if holder.content != call.fingerprint:
+        if holder.content != content:
             return Error(
                 NotRun(Reason.KEY_REUSED, "the idempotency key was used with another request")
             )
--- a/kingcuppond/claims/messages.py
+++ b/kingcuppond/claims/messages.py
@@ -15,8 +15,8 @@
     """A record of a shard's claim log.
 
     :param key: digest of the class name and the idempotency key
-    :param content: fingerprint of the request: a digest of its method, its target and the part of
-        its body that is held in memory
+    :param content: digest of the request's method, its target and the part of its body that is held
+        in memory
     :param attempt: id of the attempt that claims the key
     :param at_ms: the fleet's time in milliseconds
     :param is_release: the attempt has not run and never will, so its key is free again
@@ -126,8 +126,8 @@
 class AttemptQuery:
     """Asks the owner of an attempt for its state and answer.
 
-    :param content: fingerprint of the request, as in :class:`ClaimRecord`
-    :param rest: digest of the part of the body that the fingerprint leaves out
+    :param content: digest of the request, as in :class:`ClaimRecord`
+    :param rest: digest of the part of the body that ``content`` leaves out
     """
 
     attempt: str
--- a/kingcuppond/gate/call_outcomes.py
+++ b/kingcuppond/gate/call_outcomes.py
@@ -17,6 +17,7 @@
 from kingcuppond.events.journal import Journal
 from kingcuppond.gate.admission import Admission, Ticket
 from kingcuppond.gate.observer import ServerObserver
+from kingcuppond.gate.trials import whole_fingerprint
 from kingcuppond.gate.version_share import UnlimitedShare, VersionShare
 from kingcuppond.outcomes import Failure, NotRun, Reason
 from kingcuppond.quarantine.suspects import SuspectTable
@@ -33,6 +34,7 @@
     :param suspect_delay_seconds: returns how long the failure of a call that may have taken the
         server down is delayed
     :param mark_server_gone: called when nothing listens at the address any more
+    :param server_version: returns the version that the server states
     :param share: bounds and counts calls during a roll-out
     """
 
@@ -46,6 +48,7 @@
     address: Callable[[], str]
     suspect_delay_seconds: Callable[[], float]
     mark_server_gone: Callable[[], None]
+    server_version: Callable[[], str]
     share: VersionShare = attrs.field(factory=UnlimitedShare)
     answered: int = 0
     refused_by_reason: dict[Reason, int] = attrs.field(factory=dict)
@@ -68,7 +71,9 @@
             begun_slowdown=answer.begun_slowdown,
             **self._decision_inputs(),
         )
-        self.suspects.record_answer(call.fingerprint)
+        # A server that fails may do so without having run the request.
+        if answer.status < 500:
+            self.suspects.record_answer(whole_fingerprint(call), self.server_version())
         self.share.record_answer(
             call.class_name,
             self.clock.monotonic() - started,
@@ -120,7 +125,9 @@
 
     async def _suspect_if_server_gone(self, call: Call, ticket: Ticket) -> None:
         if await is_not_listening(self.address()):
-            self.suspects.record_server_loss(call.fingerprint, ticket.is_on_trial)
+            self.suspects.record_server_loss(
+                whole_fingerprint(call), ticket.is_on_trial, self.server_version()
+            )
             # The caller may retry at once; by then all daemons must know of the suspect.
             await asyncio.sleep(self.suspect_delay_seconds())
 
--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -31,10 +31,10 @@
 from kingcuppond.gate.incarnation import Incarnation, IncarnationTracker
 from kingcuppond.gate.observer import ServerObserver
 from kingcuppond.gate.server_client import ServerClient, track_stream
+from kingcuppond.gate.trials import Trials
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.messages import ServerState
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
-from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.routing.call import Answer, Call
 from kingcuppond.routing.view import GateReport
@@ -81,8 +81,10 @@
     admission: Admission = attrs.field(init=False)
     observer: ServerObserver = attrs.field(init=False)
     deadline_check: DeadlineCheck = attrs.field(init=False)
+    trials: Trials = attrs.field(init=False)
     outcomes: CallOutcomes = attrs.field(init=False)
     _version: str = ""
+    _announced_version: str = ""
     _was_out_of_service: bool = False
     _call_ids: RecentCallIds = attrs.field(init=False)
     _client: ServerClient = attrs.field(init=False)
@@ -115,6 +117,7 @@
             lambda: self.incarnations.current.id,
             self.observer.record_report,
         )
+        self.trials = Trials(self.suspects)
         self._call_ids = RecentCallIds(now)
         self.deadline_check = DeadlineCheck(
             self.directory.me.vm, self.admission, self.observer, self.typical_latencies
@@ -130,6 +133,7 @@
             lambda: self.address,
             lambda: self.suspect_delay_seconds,
             self._mark_server_gone,
+            lambda: self._announced_version,
         )
 
     @property
@@ -195,6 +199,7 @@
             or self._version_of(announcement) != self.directory.me.server_version
         )
         self._version = self._version_of(announcement)
+        self._announced_version = announcement.version
         self.address = self.observer.address = announcement.address
         new = ServerState(announcement.state)
         if new is ServerState.DRAINING:
@@ -265,14 +270,9 @@
         """
         if not self._call_ids.remember(call.id):
             return Error(Unknown(Reason.DUPLICATE, f"call {call.id} was already received"))
-        level = self.suspects.level(call.fingerprint)
-        if level is QuarantineLevel.HELD:
-            return Error(
-                NotRun(
-                    Reason.HARMFUL,
-                    f"request {call.fingerprint} is held because it takes servers down",
-                )
-            )
+        return await self.trials.run(call, self.refusal, self._run_unless_refused)
+
+    async def _run_unless_refused(self, call: Call) -> Result[Answer, Failure]:
         refusal = self.refusal()
         if refusal is None:
             await self.observer.refresh()
@@ -284,17 +284,17 @@
         refusal = self.outcomes.share.take()
         if refusal is not None:
             return Error(self.outcomes.record_refusal(call, refusal))
-        result = await self._admit(call, level)
+        result = await self._admit(call)
         if result.is_error() and isinstance(result.error, NotRun):
             self.outcomes.share.give_back()
         return result
 
-    async def _admit(self, call: Call, level: QuarantineLevel) -> Result[Answer, Failure]:
+    async def _admit(self, call: Call) -> Result[Answer, Failure]:
         try:
             admitted = await self.admission.acquire(
                 call.class_name,
                 call.deadline,
-                call.is_on_trial or level is QuarantineLevel.SUSPECTED,
+                call.is_on_trial,
                 call.priority,
                 self.deadline_check.queue_timeout_seconds(call),
                 self.deadline_check.standing(call),
--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -19,7 +19,7 @@
 from kingcuppond.organisations.guard import OrganisationGuard
 from kingcuppond.organisations.organisation import Organisation
 from kingcuppond.outcomes import Failure, NotRun, Reason
-from kingcuppond.quarantine.suspects import fingerprint
+from kingcuppond.quarantine.fingerprints import fingerprint
 from kingcuppond.routing.call import (
     BODY_MEMORY_BYTES,
     DEFAULT_RETRY_BUDGET,
@@ -100,7 +100,14 @@
         depth=options.depth + 1,
         retry_budget=options.retry_budget,
         at_most_once=class_of_work.at_most_once,
-        fingerprint=fingerprint(request.method, request.raw_path, body.ok.buffered),
+        fingerprint=fingerprint(
+            caller_service,
+            _host(request),
+            request.method,
+            request.raw_path,
+            body.ok.buffered,
+            is_partial=not body.ok.is_buffered,
+        ),
         request_id=request.headers.get(dialect.request_id_header, ""),
         caller_service=caller_service,
         target_at=started + class_of_work.answer_within_ms / 1000,
@@ -157,8 +164,7 @@
         return Error(NotRun(Reason.BAD_REQUEST, "the path must not contain '.' or '..' segments"))
     if not configuration.is_ready:
         return Error(NotRun(Reason.NOT_READY, "this daemon has not received the configuration yet"))
-    host = request.headers.get("Host", "").partition(":")[0].lower()
-    class_of_work = configuration.match(request.method, path, host)
+    class_of_work = configuration.match(request.method, path, _host(request))
     if class_of_work is None:
         return Error(NotRun(Reason.NO_CLASS, f"no class of work matches {request.method} {path}"))
     if isinstance(class_of_work, UnusableEntry):
@@ -167,6 +173,10 @@
     return Ok(class_of_work)
 
 
+def _host(request: web.BaseRequest) -> str:
+    return request.headers.get("Host", "").partition(":")[0].lower()
+
+
 @attrs.frozen
 class _CallOptions:
     key: str
--- a/kingcuppond/quarantine/messages.py
+++ b/kingcuppond/quarantine/messages.py
@@ -17,13 +17,16 @@
 class QuarantineNote:
     """The quarantine state of one request.
 
-    :param fingerprint: digest of the request's content
+    :param fingerprint: identifies the request; partial if its server went away before it had the
+        whole body
     :param level: current state
     :param stamp: hybrid logical clock time at which the state was set
     :param servers: VMs whose servers went away while running the request
+    :param server_version: version of the last of these servers, empty if it is not known
     """
 
     fingerprint: str
     level: QuarantineLevel
     stamp: int
     servers: tuple[str, ...] = ()
+    server_version: str = ""
--- a/kingcuppond/quarantine/suspects.py
+++ b/kingcuppond/quarantine/suspects.py
@@ -7,12 +7,15 @@
 expires.  So a harmful request is stopped after two servers, and the harmless ones in flight beside
 it run again.
 
-The state belongs to the content of a request, not to its key or sender.  Notes spread by gossip;
-holds are also kept in the store (see ``kingcuppond.quarantine.holds``).
+The state belongs to a request (see ``kingcuppond.quarantine.fingerprints``), whatever its key.
+Only an answer to the same request clears it, and only one of the same version of the server that
+went away.  A request of which only the start is known is suspected if any request is that starts in
+the same way; it is identified before it runs (see ``kingcuppond.gate.trials``).
+
+Notes spread by gossip; holds are also kept in the store (see ``kingcuppond.quarantine.holds``).
 """
 
 from collections.abc import Callable, Iterable
-from hashlib import blake2b
 from typing import Final
 
 import attrs
@@ -21,6 +24,7 @@
 from kingcuppond.digest import digest_of
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
+from kingcuppond.quarantine.fingerprints import is_partial
 from kingcuppond.quarantine.messages import QuarantineLevel, QuarantineNote
 
 HELD_TTL_MS: Final = 600_000
@@ -34,19 +38,6 @@
 }
 
 
-def fingerprint(method: str, target: str, body: bytes) -> str:
-    """Return the digest of a request's content.
-
-    :param target: path and query
-    :param body: the body, or its first part if it is long
-    """
-    digest = blake2b(digest_size=12)
-    for part in (method.encode(), target.encode("utf-8", "surrogateescape"), body):
-        digest.update(len(part).to_bytes(8))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 @attrs.define
 class SuspectTable:
     """The quarantine states that this daemon knows of."""
@@ -60,25 +51,45 @@
 
     def level(self, fingerprint_: str) -> QuarantineLevel:
         """Return the state of a request; an unknown or expired one is cleared."""
+        if is_partial(fingerprint_):
+            return self._level_of_start(fingerprint_)
         note = self._notes_by_fingerprint.get(fingerprint_)
         if note is None or self.is_expired(note):
             return QuarantineLevel.CLEARED
         return note.level
 
-    def record_server_loss(self, fingerprint_: str, is_on_trial: bool) -> None:
+    def _level_of_start(self, start: str) -> QuarantineLevel:
+        """Return whether any request that starts in this way is suspected or held."""
+        is_suspected = any(
+            fingerprint_.startswith(start)
+            and note.level is not QuarantineLevel.CLEARED
+            and not self.is_expired(note)
+            for fingerprint_, note in self._notes_by_fingerprint.items()
+        )
+        return QuarantineLevel.SUSPECTED if is_suspected else QuarantineLevel.CLEARED
+
+    def record_server_loss(
+        self, fingerprint_: str, is_on_trial: bool, server_version: str = ""
+    ) -> None:
         """Record that the local server went away while it ran a request."""
         known = self._notes_by_fingerprint.get(fingerprint_)
         servers = () if known is None else known.servers
         level = QuarantineLevel.HELD if is_on_trial else QuarantineLevel.SUSPECTED
-        note = QuarantineNote(fingerprint_, level, self.clock.stamp(), (*servers, self.vm))
+        note = QuarantineNote(
+            fingerprint_, level, self.clock.stamp(), (*servers, self.vm), server_version
+        )
         self.publish(note)
 
-    def record_answer(self, fingerprint_: str) -> None:
-        """Record that a request was answered, which clears a suspected request."""
-        if (
-            not self._notes_by_fingerprint
-            or self.level(fingerprint_) is not QuarantineLevel.SUSPECTED
-        ):
+    def record_answer(self, fingerprint_: str, server_version: str = "") -> None:
+        """Record that a request was answered, which clears a suspected request.
+
+        The answer to a request of which only the start is known clears nothing.
+        """
+        note = self._notes_by_fingerprint.get(fingerprint_)
+        if note is None or is_partial(fingerprint_) or self.is_expired(note):
+            return
+        is_other_version = note.server_version and note.server_version != server_version
+        if note.level is not QuarantineLevel.SUSPECTED or is_other_version:
             return
         self.publish(QuarantineNote(fingerprint_, QuarantineLevel.CLEARED, self.clock.stamp()))
 
@@ -96,7 +107,10 @@
         if self.is_expired(note):
             return False
         if known is None and len(self._notes_by_fingerprint) >= MAX_NOTES:
-            self._evict_weakest()
+            weakest = min(self._notes_by_fingerprint.values(), key=_strength)
+            if _strength(weakest) > _strength(note):
+                return False
+            self._remove(weakest)
         self._store(note, known)
         self._record_event(note)
         return True
@@ -118,8 +132,7 @@
         """Drop expired notes."""
         for note in list(self._notes_by_fingerprint.values()):
             if self.is_expired(note):
-                del self._notes_by_fingerprint[note.fingerprint]
-                self.digest ^= _hash(note)
+                self._remove(note)
 
     def publish(self, note: QuarantineNote) -> None:
         """Store a note if it supersedes the known one, and tell the other daemons of it."""
@@ -145,12 +158,9 @@
         self.digest ^= _hash(note) ^ (0 if known is None else _hash(known))
         self._notes_by_fingerprint[note.fingerprint] = note
 
-    def _evict_weakest(self) -> None:
-        weakest = min(
-            self._notes_by_fingerprint.values(), key=lambda note: (note.level, note.stamp)
-        )
-        del self._notes_by_fingerprint[weakest.fingerprint]
-        self.digest ^= _hash(weakest)
+    def _remove(self, note: QuarantineNote) -> None:
+        del self._notes_by_fingerprint[note.fingerprint]
+        self.digest ^= _hash(note)
 
     def _record_event(self, note: QuarantineNote) -> None:
         server = note.servers[-1] if note.servers else ""
@@ -162,5 +172,10 @@
         self.journal.record(event, fingerprint=note.fingerprint, server=server)
 
 
+def _strength(note: QuarantineNote) -> tuple[QuarantineLevel, int]:
+    """Order notes by what is lost without them: a hold is dropped only for a newer hold."""
+    return note.level, note.stamp
+
+
 def _hash(note: QuarantineNote) -> int:
     return digest_of(note.fingerprint, note.stamp)
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -12,6 +12,7 @@
 import attrs
 
 from kingcuppond.outcomes import Reason
+from kingcuppond.streams import StreamTooLongError
 
 MAX_DEPTH: Final = 16
 DEFAULT_RETRY_BUDGET: Final = 3
@@ -28,14 +29,20 @@
     :param rest: the bytes that are streamed after them, or ``None`` if there are none
     :param length: value of ``Content-Length``, or ``None`` if the caller sent none
     :param is_stream_started: whether ``stream`` was called
+    :param read_bytes: number of bytes read so far
     """
 
     buffered: bytes = b""
     rest: AsyncIterator[bytes] | None = None
     length: int | None = 0
     is_stream_started: bool = False
+    read_bytes: int = attrs.field(init=False)
+    _is_rest_read: bool = attrs.field(default=False, init=False)
     _hash: Any = attrs.field(factory=lambda: blake2b(digest_size=16))
 
+    def __attrs_post_init__(self) -> None:
+        self.read_bytes = len(self.buffered)
+
     @property
     def is_buffered(self) -> bool:
         """Whether the whole body is in memory, so that it can be sent again."""
@@ -46,10 +53,17 @@
         self.is_stream_started = True
         if self.buffered:
             yield self.buffered
+        async for chunk in self._read_rest():
+            yield chunk
+
+    async def _read_rest(self) -> AsyncIterator[bytes]:
         if self.rest is not None:
             async for chunk in self.rest:
-                self._hash.update(chunk)
+                # The digest must not depend on which part of the start is in memory here.
+                self._hash.update(chunk[max(0, BODY_MEMORY_BYTES - self.read_bytes) :])
+                self.read_bytes += len(chunk)
                 yield chunk
+        self._is_rest_read = True
 
     @property
     def is_consumed(self) -> bool:
@@ -60,11 +74,31 @@
         """Read a short body into memory, so that the call starts only when its body is complete."""
         if self.rest is None or self.length is None or self.length > BODY_MEMORY_BYTES:
             return
-        self.buffered = b"".join([chunk async for chunk in self.stream()])
-        self.rest = None
+        await self.buffer_whole(BODY_MEMORY_BYTES)
+
+    async def buffer_whole(self, max_bytes: int) -> None:
+        """Read the whole body into memory.
+
+        :raises StreamTooLongError: it is longer than ``max_bytes``
+        """
+        self.is_stream_started = True
+        chunks = [self.buffered]
+        async for chunk in self._read_rest():
+            if self.read_bytes > max_bytes:
+                raise StreamTooLongError(f"the body is longer than {max_bytes} bytes")
+            chunks.append(chunk)
+        self.buffered, self.rest = b"".join(chunks), None
+
+    @property
+    def tail_digest(self) -> str | None:
+        """Digest of the bytes after the first ``BODY_MEMORY_BYTES``; ``None`` until the end."""
+        return str(self._hash.hexdigest()) if self.is_buffered or self._is_rest_read else None
 
     async def digest(self) -> str:
-        """Return the digest of the bytes after ``buffered``, reading them if not streamed yet."""
+        """Return the digest of the bytes after the first ``BODY_MEMORY_BYTES``.
+
+        They are read first if the body is not being streamed.
+        """
         if not self.is_buffered and not self.is_stream_started:
             async for _ in self.stream():
                 pass
--- a/tests/gate/test_stale_refusals.py
+++ b/tests/gate/test_stale_refusals.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import attrs
 import pytest
@@ -80,8 +80,12 @@
         yield scripted
 
 
+def gate_of(server: ScriptedServer) -> AbstractAsyncContextManager[Gate]:
+    return make_gate(server.address)
+
+
 @asynccontextmanager
-async def gate_of(server: ScriptedServer) -> AsyncIterator[Gate]:
+async def make_gate(address: str) -> AsyncIterator[Gate]:
     clock = Clock()
     journal = Journal("vm-1", clock)
     me = Member("vm-1", "a", "shop", "1:1", "1:2", "1:3", 1, state=ServerState.WARM)
@@ -98,7 +102,7 @@
         suspect_delay_seconds=0.0,
         is_isolated=lambda: False,
     )
-    gate.address = server.address
+    gate.address = address
     try:
         yield gate
     finally:
--- a/tests/quarantine/test_suspects.py
+++ b/tests/quarantine/test_suspects.py
@@ -2,13 +2,14 @@
 
 from random import Random
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from kingcuppond.clock import COUNTER_BITS, Clock
 from kingcuppond.events.journal import Journal
 from kingcuppond.quarantine.messages import QuarantineLevel, QuarantineNote
-from kingcuppond.quarantine.suspects import HELD_TTL_MS, SuspectTable, fingerprint
+from kingcuppond.quarantine.suspects import HELD_TTL_MS, MAX_NOTES, SuspectTable
 from tests.conftest import FakeTime
 
 
@@ -48,11 +49,50 @@
     assert table.digest == 0
 
 
-def test_the_fingerprint_identifies_the_content() -> None:
-    base = fingerprint("POST", "/a?b=1", b"body")
-    others = [("PUT", "/a?b=1", b"body"), ("POST", "/a?b=2", b"body"), ("POST", "/a?b=1", b"x")]
-    assert base == fingerprint("POST", "/a?b=1", b"body")
-    assert base not in [fingerprint(*other) for other in others]
+def test_an_answer_of_another_version_clears_nothing(fake_time: FakeTime) -> None:
+    """A request that crashes only the new version was cleared by the old one, and ran again."""
+    table = make_table(fake_time)
+    table.record_server_loss("f", is_on_trial=False, server_version="v2")
+    table.record_answer("f", "v1")
+    assert table.level("f") is QuarantineLevel.SUSPECTED
+    table.record_answer("f", "v2")
+    assert table.level("f") is QuarantineLevel.CLEARED
+
+
+def test_the_start_of_a_suspected_request_is_suspected(fake_time: FakeTime) -> None:
+    """Bodies that differ after their start shared a state, and cleared each other."""
+    table = make_table(fake_time)
+    table.record_server_loss("f-1", is_on_trial=True)
+    assert table.level("f-") is QuarantineLevel.SUSPECTED
+    assert table.level("f-2") is QuarantineLevel.CLEARED
+    assert table.level("g-") is QuarantineLevel.CLEARED
+    table.record_server_loss("g-", is_on_trial=False)
+    table.record_answer("g-")
+    assert table.level("g-") is QuarantineLevel.SUSPECTED, "the whole request is not known"
+
+
+def test_a_crowd_of_suspects_does_not_push_out_a_hold(fake_time: FakeTime) -> None:
+    """A table full of holds dropped its oldest one for a suspect."""
+    table = make_table(fake_time)
+    table.record_server_loss("held", is_on_trial=True)
+    for number in range(MAX_NOTES + 10):
+        table.record_server_loss(f"suspect {number}", is_on_trial=False)
+    assert table.level("held") is QuarantineLevel.HELD
+    for number in range(MAX_NOTES - 1):
+        table.record_server_loss(f"held {number}", is_on_trial=True)
+    table.record_server_loss("suspect", is_on_trial=False)
+    assert len(table.held()) == MAX_NOTES
+    assert table.level("held") is QuarantineLevel.HELD
+    fake_time.advance(HELD_TTL_MS / 1000 + 1)
+    table.expire()
+    assert table.digest == 0
+
+
+def test_a_note_of_an_earlier_version_is_read() -> None:
+    """Both versions of the daemons run during an update, and holds are stored."""
+    note = {"fingerprint": "f", "level": 2, "stamp": 7, "servers": ["vm-1"]}
+    decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(note), type=QuarantineNote)
+    assert decoded == QuarantineNote("f", QuarantineLevel.HELD, 7, ("vm-1",))
 
 
 NOTES = st.lists(
