A server's failure after a run promises nothing to the caller

Cause: any sealed answer was passed on unchanged. 408, 421, 429 and 503 promise that a request has not run, whoever sends them; a server states that by X-Kingcuppond-Not-Executed or 421 only.

Change: for calls that must not run twice such an answer is replaced by an unknown outcome without the seal, where the gate reads it and once more before the caller is answered, as a daemon of an earlier version may have relayed or kept it. Repeatable calls get the server's answer unchanged.

--- a/kingcuppond/dialect.py
+++ b/kingcuppond/dialect.py
@@ -17,6 +17,7 @@
     NotRun,
     Outcome,
     Reason,
+    Unknown,
     problem_headers,
 )
 
@@ -104,6 +105,8 @@
     :param organisation_key_header: lower-case name of the header with an organisation's key, which
         is never forwarded where there are organisations; empty if the dialect has none
     :param private_headers: lower-case names of request headers that are never forwarded
+    :param promise_statuses: statuses that promise to a caller that its request has not run and
+        never will, whoever sends them
     :param failure_status: returns the HTTP status that reports a failure to a caller
     :param failure_headers: returns the headers that report a failure to a caller, given the seconds
         after which it may retry
@@ -119,6 +122,7 @@
     request_id_header: str
     organisation_key_header: str
     private_headers: frozenset[str]
+    promise_statuses: frozenset[int]
     failure_status: Callable[[Failure], int]
     failure_headers: Callable[[Failure, float], dict[str, str]]
     server_headers: Callable[[ServerRequest], dict[str, str]]
@@ -126,6 +130,21 @@
     parse_server_report: Callable[[Headers], ServerReport]
 
 
+def check_promise(dialect: Dialect, status: int, at_most_once: bool) -> Unknown | None:
+    """Return what to report instead of a server's answer that promises too much.
+
+    A caller may send a request again after such a status, though the server may have run it.  That
+    does no harm if the request may run more than once.
+
+    :param status: status of the answer
+    :param at_most_once: whether the request must not run more than once
+    """
+    if not at_most_once or status not in dialect.promise_statuses:
+        return None
+    detail = f"the server answered {status} and does not state that it has not run the call"
+    return Unknown(Reason.FAILED_BY_SERVER, detail)
+
+
 def _failure_headers(failure: Failure, _retry_after_seconds: float) -> dict[str, str]:
     headers = problem_headers(failure)
     if isinstance(failure, NotRun) and failure.room_after_seconds is not None:
@@ -158,6 +177,7 @@
     request_id_header="",
     organisation_key_header="",
     private_headers=NATIVE_HEADERS,
+    promise_statuses=frozenset(),
     failure_status=lambda failure: failure.status,
     failure_headers=_failure_headers,
     server_headers=_server_headers,
--- a/kingcuppond/gate/server_client.py
+++ b/kingcuppond/gate/server_client.py
@@ -5,10 +5,10 @@
 
 import aiohttp
 import attrs
-from aiohttp import web
 from expression import Error, Ok, Result
 
-from kingcuppond.dialect import AnswerKind, Dialect, Headers, ServerRequest
+from kingcuppond.dialect import AnswerKind, Dialect, Headers, ServerRequest, check_promise
+from kingcuppond.gate.trials import read_ahead
 from kingcuppond.outcomes import Failure, NotRun, Reason, Unknown
 from kingcuppond.routing.call import Answer, Call, InvalidAnswerError
 from kingcuppond.routing.exchange import exchange
@@ -38,13 +38,9 @@
     async def send(self, call: Call) -> Result[Answer, Failure]:
         """Send a call to the server."""
         if call.at_most_once:
-            try:
-                await call.body.buffer()
-            except TimeoutError:
-                detail = "the request body did not arrive before the deadline"
-                return Error(NotRun(Reason.DEADLINE, detail))
-            except (OSError, aiohttp.ClientError, web.RequestPayloadError) as exc:
-                return Error(NotRun(Reason.BAD_REQUEST, f"the request body ended early: {exc!r}"))
+            unread = await read_ahead(call.body.buffer())
+            if unread is not None:
+                return Error(unread)
         headers = to_multidict(call.headers)
         left_ms = int((call.deadline - time.monotonic()) * 1000)
         server_request = ServerRequest(
@@ -77,9 +73,14 @@
         answer = result.ok.answer
         self.record_report(answer_headers)
         kind = classify(answer.status, answer_headers, result.ok.is_first_on_connection)
+        false_promise = None
         if kind is AnswerKind.ANSWERED:
-            return Ok(answer)
+            false_promise = check_promise(self.dialect, answer.status, call.at_most_once)
+            if false_promise is None:
+                return Ok(answer)
         await answer.close()
+        if false_promise is not None:
+            return Error(false_promise)
         if kind is AnswerKind.OTHER_INSTANCE:
             return Error(NotRun(Reason.NO_SERVER, "another server incarnation has the address now"))
         return Error(NotRun(Reason.SHED_BY_SERVER, f"the server on {self.vm} shed the call"))
--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -17,7 +17,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ClassOfWork
 from kingcuppond.configuration.replica import Configuration
-from kingcuppond.dialect import Dialect
+from kingcuppond.dialect import Dialect, check_promise
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
@@ -126,6 +126,8 @@
             self._run(caller_request), lambda: stopped_during(caller_request.call, self.vm)
         )
         name = caller_request.class_of_work.name
+        if result.is_ok():
+            result = await self._check_promise(caller_request.call, result.ok)
         if result.is_error():
             self._record_failure(caller_request, result.error)
             delay = self._retry_after(caller_request.call, result.error)
@@ -164,6 +166,14 @@
         )
         return response
 
+    async def _check_promise(self, call: Call, answer: Answer) -> Result[Answer, Failure]:
+        """Check an answer that another daemon, perhaps of an earlier version, may have kept."""
+        false_promise = check_promise(self.dialect, answer.status, call.at_most_once)
+        if false_promise is None:
+            return Result.Ok(answer)
+        await answer.close()
+        return Result.Error(false_promise)
+
     def _retry_after(self, call: Call, failure: Failure) -> float:
         return retry_after_seconds(
             failure.reason,
--- a/kingcuppond/outcomes.py
+++ b/kingcuppond/outcomes.py
@@ -54,6 +54,7 @@
     CONNECTION_LOST = "connection-lost"
     CANCELLED = "cancelled"
     DUPLICATE = "doubled"
+    FAILED_BY_SERVER = "failed-by-server"
 
 
 STATUS_BY_REASON: Final = {
--- a/kingcuppond/platform/calls.py
+++ b/kingcuppond/platform/calls.py
@@ -47,6 +47,9 @@
 }
 """All other requests that were not run get 503, which lets the client retry."""
 
+PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Clients take these to mean that a request has not run and never will, also from a server."""
+
 
 def _failure_status(failure: Failure) -> int:
     if isinstance(failure, NotRun):
@@ -137,6 +140,7 @@
             ORGANISATION_HEADER,
         )
     ),
+    promise_statuses=PROMISE_STATUSES,
     failure_status=_failure_status,
     failure_headers=_failure_headers,
     server_headers=_server_headers,
--- a/tests/ingress/test_port.py
+++ b/tests/ingress/test_port.py
@@ -26,7 +26,7 @@
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.objects import ClassOfWork, encode
 from kingcuppond.configuration.replica import Configuration, VersionedObject
-from kingcuppond.dialect import DEADLINE_HEADER, KEY_HEADER, NATIVE_DIALECT
+from kingcuppond.dialect import DEADLINE_HEADER, KEY_HEADER, NATIVE_DIALECT, Dialect
 from kingcuppond.events.journal import Journal
 from kingcuppond.ingress.counts import CallCounts
 from kingcuppond.ingress.draining import start_grace_period
@@ -36,6 +36,7 @@
 from kingcuppond.organisations.guard import make_organisation_guard
 from kingcuppond.organisations.identification import KeyPolicy
 from kingcuppond.outcomes import OUTCOME_HEADER, Failure
+from kingcuppond.platform.calls import PLATFORM_DIALECT, SERVER_SEAL_HEADER
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.quotas.bucket import QuotaBound
 from kingcuppond.quotas.guard import QuotaGuard
@@ -85,7 +86,9 @@
     return await asyncio.Event().wait()
 
 
-def make_port(clock: Clock, journal: Journal) -> tuple[CallPort, FakeRouter]:
+def make_port(
+    clock: Clock, journal: Journal, dialect: Dialect = NATIVE_DIALECT
+) -> tuple[CallPort, FakeRouter]:
     configuration = Configuration(journal)
     shop = ClassOfWork("book", "shop", "/shop", 4000, at_most_once=True)
     configuration.merge([VersionedObject("class/book", 1, encode(shop))])
@@ -99,7 +102,7 @@
     port = CallPort(
         vm="vm-1",
         service="shop",
-        dialect=NATIVE_DIALECT,
+        dialect=dialect,
         choose_service=lambda class_of_work: class_of_work.service,
         configuration=configuration,
         directory=directory,
@@ -166,6 +169,23 @@
     return await port.handle_caller(make_mocked_request("POST", "/shop/a", headers=headers))
 
 
+@pytest.mark.parametrize("key", ["", "k"], ids=["without a key", "with a key"])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_an_answer_that_promises_too_much_is_not_passed_on(
+    clock: Clock, journal: Journal, status: int, key: str
+) -> None:
+    """A daemon of an earlier version passes it on, or kept it for its key; it was sent again."""
+    port, router = make_port(clock, journal, PLATFORM_DIALECT)
+    peers = FakePeers()
+    peers.may_grant.set()
+    port.guard = make_guard(port, peers)
+    router.may_end.set()
+    router.answer = Answer(status, ((SERVER_SEAL_HEADER, "3e1b"),), b"failed")
+    response = await send(port, deadline_ms=4000, key=key)
+    assert (response.status, response.headers[OUTCOME_HEADER]) == (502, "unknown")
+    assert SERVER_SEAL_HEADER not in response.headers
+
+
 @pytest.mark.parametrize(("after_seconds", "is_served"), [(0.0, True), (2.0, True), (3.5, False)])
 async def test_a_late_request_is_refused_before_it_is_sent(
     clock: Clock, journal: Journal, fake_time: FakeTime, after_seconds: float, is_served: bool
