Configuration: daemons know how current it is, and ask the store by chance

Cause: a few members by rank followed the store, a fixed number stood in for them, and all others trusted that somebody did. Nothing told a daemon that its knowledge was old, so some set of members always broke the chain.

Change: watchers count the intervals in which they run, in which they follow the store, and its answers; pings carry the newest counts with their ages, and a daemon takes them over only with the same configuration, or fetches it. If the counts cease, members ask the store in waves of the whole fleet, the first by rank, the others by chance, and whoever is answered follows it for a while. The pings of the next in rank and the fixed substitutes are gone, and four watchers are enough in place of ten.

--- a/kingcuppond/configuration/store_reach.py
+++ b/kingcuppond/configuration/store_reach.py
@@ -7,24 +7,11 @@
 
 INITIAL_BACKOFF_SECONDS: Final = 0.1
 MAX_BACKOFF_SECONDS: Final = 2.0
-MIN_SUBSTITUTE_BACKOFF_SECONDS: Final = 1.0
-
-MAX_SUBSTITUTE_BACKOFF_SECONDS: Final = 16.0
-"""A substitute that the store does not serve at once is of little use."""
-
 LOST_AFTER_SECONDS: Final = 1.5
 """Several attempts have failed by then, so that neither a lost answer nor a short outage of the
 store adds calls; a change has some seconds to arrive in such a time."""
 
 
-def max_backoff_seconds(is_substitute: bool) -> float:
-    """Return the longest wait between two attempts.
-
-    :param is_substitute: whether the daemon watches in place of those that the store rejects
-    """
-    return MAX_SUBSTITUTE_BACKOFF_SECONDS if is_substitute else MAX_BACKOFF_SECONDS
-
-
 @attrs.define
 class StoreReach:
     """The kinds of objects whose listings and watches fail, and since when.
--- a/kingcuppond/configuration/watch_ranks.py
+++ b/kingcuppond/configuration/watch_ranks.py
@@ -2,10 +2,9 @@
 
 The members that rank first (rendezvous hashing) act for their data centre.  The ranking is the same
 wherever the same members are known, so it needs no election.  A member that ranks first but that
-the store rejects keeps trying.  While it rejects all of them, in all data centres, the next members
-in the ranking of the fleet watch as well; as long as one is served, what it reads reaches the
-others as rumours.  The number of these substitutes is bounded, and they try seldom, so that a store
-that is down for all is not asked by the whole fleet.
+the store rejects keeps trying.  If all of them fail at once, members that rank behind them ask the
+store, and others by chance (see ``kingcuppond.configuration.inquiries``); those next in rank act
+once the first count as dead.
 
 The watches of one kind end at different moments, spread over the time that the store holds one.
 If all connections to the store go silent at once, the first watcher whose watch is due notices it,
@@ -16,8 +15,7 @@
 With few watchers each one asks more often, so that the time between two of these moments stays
 bounded.
 
-The load is a walk over the members after a change in the directory, and one more with a ranking of
-all members while all watchers of this data centre are rejected.
+The load is a walk over the members after a change in the directory.
 """
 
 import math
@@ -31,16 +29,13 @@
 from kingcuppond.membership.messages import Member
 
 MAX_WATCHERS_PER_DATA_CENTRE: Final = 3
-"""A change still arrives at once while two watchers of a data centre are down or unreachable."""
 
-FLEET_WATCHERS: Final = 10
-"""With so many in all, each data centre needs fewer: what one hears crosses to the others."""
-
-WANTED_SUBSTITUTES: Final = 2
-"""Substitutes of the whole fleet that the store should serve while it rejects all watchers."""
+FLEET_WATCHERS: Final = 4
+"""With so many in all, each data centre needs fewer: what one hears crosses to the others, and
+others ask the store within a second if all of them fail."""
 
 MAX_SUBSTITUTES: Final = 4
-"""Most substitutes of the whole fleet, whether served or not."""
+"""Members of the whole fleet that ask the store first while no watcher is known to follow it."""
 
 MAX_WATCH_GAP_MS: Final = 2_250
 """Longest time between the ends of two watches of a kind anywhere in the fleet."""
@@ -55,7 +50,6 @@
 
     :param acting: VMs that rank first in this data centre
     :param next_in_rank: as many VMs of this data centre that rank after them
-    :param substitutes: VMs of the fleet that watch while the store rejects all that rank first
     :param phases_by_vm: when the watches of those in ``acting`` end, as a part of the time between
         two of them
     :param watchers: number of members that rank first in all data centres, at least 1
@@ -63,7 +57,6 @@
 
     acting: tuple[str, ...] = ()
     next_in_rank: tuple[str, ...] = ()
-    substitutes: tuple[str, ...] = ()
     phases_by_vm: dict[str, float] = attrs.field(factory=dict)
     watchers: int = 1
 
@@ -104,13 +97,9 @@
         for name, count in counts_by_data_centre.items()
         for rank in range(min(count, wanted))
     )
-    substitutes: list[str] = []
-    if acting and all(member.is_store_lost for member in acting):
-        substitutes = _find_substitutes(members, wanted)
     return WatchRanks(
         acting=tuple(member.vm for member in acting),
         next_in_rank=tuple(member.vm for member in following),
-        substitutes=tuple(substitutes),
         phases_by_vm={
             member.vm: turns.index((rank, data_centre)) / len(turns)
             for rank, member in enumerate(acting)
@@ -130,35 +119,20 @@
     return watchers
 
 
+def rank_substitutes(living: Iterable[Member]) -> list[str]:
+    """Return the VMs of the fleet that ask the store first if no watcher follows it."""
+    members = list(living)
+    watchers = {member.vm for member in find_watchers(members)}
+    others = [member.vm for member in _rank(members) if member.vm not in watchers]
+    return others[:MAX_SUBSTITUTES]
+
+
 def _wanted_watchers(data_centres: int) -> int:
     """Return the number of watchers wanted in each data centre."""
     share = math.ceil(FLEET_WATCHERS / max(data_centres, 1))
     return min(share, MAX_WATCHERS_PER_DATA_CENTRE)
 
 
-def _find_substitutes(members: list[Member], wanted: int) -> list[str]:
-    """Return the substitutes of the whole fleet; none if the store serves any acting member."""
-    ranked = _rank(members)
-    acting_by_data_centre: dict[str, list[Member]] = {}
-    others: list[Member] = []
-    for member in ranked:
-        acting = acting_by_data_centre.setdefault(member.data_centre, [])
-        if len(acting) == wanted:
-            others.append(member)
-            continue
-        if not member.is_store_lost:
-            return []
-        acting.append(member)
-    substitutes: list[str] = []
-    served = 0
-    for member in others[:MAX_SUBSTITUTES]:
-        if served == WANTED_SUBSTITUTES:
-            break
-        substitutes.append(member.vm)
-        served += not member.is_store_lost
-    return substitutes
-
-
 def _rank(members: Iterable[Member]) -> list[Member]:
     staying = [member for member in members if not member.is_leaving]
     return sorted(staying, key=lambda member: rendezvous_hash("watch", member.vm))
--- a/kingcuppond/events/catalogue.py
+++ b/kingcuppond/events/catalogue.py
@@ -159,6 +159,12 @@
     "warning",
     "the store does not answer this watcher; while it answers none, a few others watch too",
 )
+STORE_INQUIRY: Final = Event(
+    709,
+    "info",
+    "this daemon asks the store in wave {wave}: no watcher is known to have run for {silent_ms} ms,"
+    " to have been served for {unserved_ms} ms, or to have been answered for {unanswered_ms} ms",
+)
 WATCHER_ROLE_FILLED: Final = Event(708, "info", "the store answers this watcher again")
 PEER_MESSAGE_DROPPED: Final = Event(801, "warning", "message from a peer was dropped: {error}")
 ROLLOUT_BEGUN: Final = Event(
--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -21,12 +21,15 @@
 
 from kingcuppond.clock import Clock
 from kingcuppond.configuration.replica import Configuration, ObjectHead, VersionedObject
+from kingcuppond.digest import digest_of
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.contacts import choose_contacts
+from kingcuppond.membership.currency import DIGEST_MASK, make_currency
 from kingcuppond.membership.directory import Directory
 from kingcuppond.membership.hearing import Hearing
 from kingcuppond.membership.load_reports import LoadCollector
 from kingcuppond.membership.messages import (
+    CurrencyReport,
     IntroductionReply,
     IntroductionRequest,
     Member,
@@ -62,6 +65,10 @@
 """A daemon's own watch usually delivers an object sooner than this; then no pull is needed."""
 
 
+RUMOUR_SECONDS: Final = 0.3
+"""A change crosses the fleet as a rumour within this time, unless the rumour is lost."""
+
+
 class Gossip:
     """The gossip protocol as run by one daemon.
 
@@ -86,8 +93,20 @@
         self._transport = transport
         self._eras = eras
         self._rng = rng
+        self.currency = make_currency(
+            _source_of(directory.me), lambda: configuration.digest, clock.monotonic
+        )
         self.pinger = Pinger(
-            self.hearing, self._state, eras, transport, journal, rng, self.spread, self._sync
+            self.hearing,
+            self._state,
+            eras,
+            transport,
+            journal,
+            rng,
+            self.spread,
+            self._sync,
+            self.currency,
+            self._receive_currency,
         )
         self.load_loops: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self._queue = RumourQueue()
@@ -95,6 +114,7 @@
         self._is_era_due = False
         self._contacts_generation = -1
         self._pull_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._catch_up_tasks_by_vm: dict[str, asyncio.Task[None]] = {}
         transport.handlers_by_type[Rumours] = self._on_rumours
         transport.handlers_by_type[StateRequest] = self._on_state_request
         transport.handlers_by_type[IntroductionRequest] = self._on_introduction_request
@@ -116,8 +136,9 @@
         """Send what waits to be sent, and cancel all pings and pulls."""
         self._flush()
         self.pinger.stop()
-        for task in list(self._pull_tasks_by_vm.values()):
-            task.cancel()
+        for tasks_by_vm in (self._pull_tasks_by_vm, self._catch_up_tasks_by_vm):
+            for task in list(tasks_by_vm.values()):
+                task.cancel()
 
     def spread(self, news: Rumours, sender: str = "") -> None:
         """Send changes to all contacts soon, except to the daemon that they came from."""
@@ -292,12 +313,32 @@
             # A state exchange also tells whether the objects are the whole configuration.
             await self._sync(member.peer_address, parts=(OBJECTS_PART,))
             return
+        await self._fetch_objects(member)
+
+    async def _fetch_objects(self, member: Member) -> bool:
+        """Fetch the objects that another daemon has newer; return whether it answered."""
         request = ObjectsRequest(self._state.object_heads())
         reply = await self._transport.ask(
             member.peer_address, request, ObjectsReply, SYNC_TIMEOUT_SECONDS
         )
         if reply.is_ok():
             self.spread_objects(list(reply.ok.objects))
+        return reply.is_ok()
+
+    def _receive_currency(self, vm: str, report: CurrencyReport | None) -> None:
+        currency = self.currency
+        if report is None or not currency.is_news(report) or not self._configuration.is_complete:
+            return
+        if currency.has_objects_of(report):
+            currency.take_over(report)
+        elif currency.follows.silent_seconds() > RUMOUR_SECONDS:
+            # The rumour of a change would have arrived by now.
+            start_once(self._catch_up_tasks_by_vm, vm, lambda: self._catch_up_with(vm, report))
+
+    async def _catch_up_with(self, vm: str, report: CurrencyReport) -> None:
+        member = self.directory.members_by_vm.get(vm)
+        if member is not None and await self._fetch_objects(member):
+            self.currency.take_over(report)
 
     async def _keep_house(self) -> None:
         while True:
@@ -315,3 +356,8 @@
             # The new contact has not received the earlier announcements of this daemon.
             news = Rumours(members=(directory.me,), era=self._eras.era)
             self._transport.tell(member.peer_address, news)
+
+
+def _source_of(member: Member) -> int:
+    """Return what identifies a process among those that count, which is never 0."""
+    return digest_of(member.vm, member.incarnation) & DIGEST_MASK or 1
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -1,6 +1,7 @@
 """Messages about members between daemons, and the rumours that carry state."""
 
 from enum import StrEnum
+from typing import NamedTuple
 
 import attrs
 
@@ -86,6 +87,34 @@
         return bool(self.members or self.heads or self.suspicions or self.notes)
 
 
+class SourceCount(NamedTuple):
+    """The newest count of a watcher, and how long ago it was counted.
+
+    A tuple, as is the report, so that names don't add to each ping.
+
+    :param source: identifies the watcher's process, 0 if no count is known
+    """
+
+    source: int
+    number: int
+    age_ms: int
+
+
+class CurrencyReport(NamedTuple):
+    """How current the sender's configuration is.
+
+    :param objects: a part of the digest of the sender's configuration
+    :param beats: of a watcher that runs
+    :param follows: of a watcher that the store serves
+    :param answers: of the store to a watcher
+    """
+
+    objects: int
+    beats: SourceCount
+    follows: SourceCount
+    answers: SourceCount
+
+
 @attrs.frozen
 class Ping:
     """A liveness check of a daemon.
@@ -95,12 +124,14 @@
         members that the sender has heard, directly or through other daemons
     :param era: the newest era of the store that the sender has heard of
     :param load: summaries of load, only where the settings ask for them
+    :param currency: ``None`` if the sender knows of no watcher, or is of an earlier version
     """
 
     digest: int
     heard_ms: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
     load: LoadNews | None = None
+    currency: CurrencyReport | None = None
 
 
 @attrs.frozen
@@ -112,6 +143,7 @@
     :param is_complete: whether the replying daemon has the whole configuration
     :param era: as in the ping
     :param load: as in the ping
+    :param currency: as in the ping
     """
 
     digest: int
@@ -120,6 +152,7 @@
     digests_by_part: dict[str, int] = attrs.field(factory=dict)
     era: int = 0
     load: LoadNews | None = None
+    currency: CurrencyReport | None = None
 
 
 @attrs.frozen
--- a/kingcuppond/membership/pinging.py
+++ b/kingcuppond/membership/pinging.py
@@ -1,8 +1,8 @@
 """Failure detection by pings.
 
 One task per contact pings it.  A contact that misses two pings in a row is suspected.  A ping and
-its reply also carry the digests that reveal lost rumours, when each data centre was last heard, and
-summaries of its load.
+its reply also carry the digests that reveal lost rumours, when each data centre was last heard, how
+current the configuration is, and summaries of load.
 """
 
 import asyncio
@@ -15,8 +15,9 @@
 from kingcuppond.events import catalogue
 from kingcuppond.events.journal import Journal
 from kingcuppond.membership.contacts import Contacts
+from kingcuppond.membership.currency import Currency
 from kingcuppond.membership.hearing import Hearing
-from kingcuppond.membership.messages import Member, Ping, Pong, Rumours, Suspicion
+from kingcuppond.membership.messages import CurrencyReport, Member, Ping, Pong, Rumours, Suspicion
 from kingcuppond.membership.state import COMPLETING_PARTS, SharedState
 from kingcuppond.membership.summaries import LoadNews, SummaryTable
 from kingcuppond.membership.tasks import start_once
@@ -47,6 +48,8 @@
 
     :param rng: source of the jitter of timers and of the choice of members to ping
     :param spread: sends changes to all contacts soon
+    :param currency: how current this daemon's configuration is
+    :param receive_currency: takes the report of another daemon
     :param contacts: the current contacts of this daemon
     :param summaries: summaries of load that pings carry, ``None`` where the settings ask for none
     """
@@ -59,6 +62,8 @@
     rng: Random
     spread: Callable[[Rumours], None]
     sync: Sync
+    currency: Currency
+    receive_currency: Callable[[str, CurrencyReport | None], None]
     contacts: Contacts = attrs.field(factory=Contacts)
     summaries: SummaryTable | None = None
     _ping_tasks_by_vm: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
@@ -90,7 +95,13 @@
     async def ping(self, member: Member) -> Pong | None:
         """Ping a member; return its reply, or ``None`` if there was none in time."""
         load = self._load_news(member.data_centre)
-        ping = Ping(self.state.digest, self.hearing.ages_ms(), self.eras.era, load)
+        ping = Ping(
+            self.state.digest,
+            self.hearing.ages_ms(),
+            self.eras.era,
+            load,
+            self.currency.make_report(),
+        )
         started = self._now()
         reply = await self.transport.ask(member.peer_address, ping, Pong, PING_TIMEOUT_SECONDS)
         self._record_round_trip(member, started, reply.is_ok())
@@ -99,6 +110,7 @@
         self._merge_load(member.vm, reply.ok.load)
         self.hearing.record_message(member.vm, reply.ok.heard_ms)
         self.eras.observe(reply.ok.era)
+        self.receive_currency(member.vm, reply.ok.currency)
         return reply.ok
 
     async def revive_dead(self) -> None:
@@ -120,6 +132,7 @@
         self.hearing.record_message(sender, ping.heard_ms)
         self._merge_load(sender, ping.load)
         self.eras.observe(ping.era)
+        self.receive_currency(sender, ping.currency)
         suspicion = directory.suspicion_of(sender)
         if suspicion is not None:
             # The sender is alive; it can only end the suspicion by refuting it.
@@ -132,7 +145,15 @@
         # A daemon in another data centre gets what this one knows with the pings that go there.
         is_near = member is not None and member.data_centre == directory.me.data_centre
         load = self._load_news(directory.me.data_centre) if is_near else None
-        return Pong(digest, self.hearing.ages_ms(), is_complete, parts, self.eras.era, load)
+        return Pong(
+            digest,
+            self.hearing.ages_ms(),
+            is_complete,
+            parts,
+            self.eras.era,
+            load,
+            self.currency.make_report(),
+        )
 
     def _load_news(self, receiver_data_centre: str) -> LoadNews | None:
         if self.summaries is None:
--- a/tests/configuration/test_restored_fleet.py
+++ b/tests/configuration/test_restored_fleet.py
@@ -18,6 +18,7 @@
 from kingcuppond.configuration.replica import Configuration, VersionedObject
 from kingcuppond.configuration.watcher import Watcher
 from kingcuppond.events.journal import Journal
+from kingcuppond.membership.currency import Currency, make_currency
 from kingcuppond.store.era import EraTracker, era_of, make_version, revision_of
 from kingcuppond.store.interface import (
     ListedObject,
@@ -136,6 +137,7 @@
     """Merges objects; the test carries them to other daemons."""
 
     configuration: Configuration
+    currency: Currency = attrs.field(factory=lambda: make_currency(1, lambda: 0, lambda: 0.0))
 
     @property
     def hearing(self) -> "ModelGossip":
--- a/tests/configuration/test_watcher.py
+++ b/tests/configuration/test_watcher.py
@@ -22,6 +22,7 @@
     Watcher,
 )
 from kingcuppond.events.journal import Journal
+from kingcuppond.membership.currency import Currency, make_currency
 from kingcuppond.membership.messages import Member
 from kingcuppond.store.era import make_version
 from kingcuppond.store.interface import StoredObject, StoreError, WatchResult
@@ -38,6 +39,7 @@
     """Merges objects without announcing them."""
 
     configuration: Configuration
+    currency: Currency = attrs.field(factory=lambda: make_currency(1, lambda: 0, lambda: 0.0))
 
     @property
     def hearing(self) -> "FakeGossip":
