Claims: an idempotency key belongs to the organisation that sent it

Cause: a key was claimed by class and text; the organisation was part neither of the claim nor of the compared request.

Change: the digest of an organisation's key has the organisation appended. It begins with the earlier digest, so that it stays in the same shard, and claims without an organisation, of earlier daemons or configurations, still hold the key; their answers are given to nobody. Where there are no organisations the digest is as before.

--- a/kingcuppond/claims/coordinator.py
+++ b/kingcuppond/claims/coordinator.py
@@ -17,6 +17,7 @@
 import attrs
 from expression import Result
 
+from kingcuppond.claims.keys import is_of_organisation, stem_of
 from kingcuppond.claims.log import MAX_APPENDED_RECORDS, ShardLog
 from kingcuppond.claims.messages import (
     ClaimRecord,
@@ -309,6 +310,11 @@
             for pending in group
             if pending.is_renewal and pending.record is not None
         }
+        claimed_by_stem = {
+            stem_of(key): record
+            for key, record in claimed_by_key.items()
+            if is_of_organisation(key)
+        }
         for pending in group:
             record = pending.record
             if record is None or record.is_release or pending.is_renewal:
@@ -319,7 +325,7 @@
             if not shard.is_confirmed:
                 _reply_all([pending], UNAVAILABLE)
                 continue
-            holder = log.holder(record) or claimed_by_key.get(record.key)
+            holder = log.holder(record) or _find_rival(record.key, claimed_by_key, claimed_by_stem)
             if holder is not None and holder.attempt != record.attempt:
                 _reply_all([pending], ClaimReply(Verdict.HELD, holder))
                 continue
@@ -329,6 +335,8 @@
             if not is_written and record not in records:
                 records.append(record)
                 claimed_by_key[record.key] = record
+                if is_of_organisation(record.key):
+                    claimed_by_stem[stem_of(record.key)] = record
         return accepted, records
 
     async def _wait_before_retry(self, result: Result[None, StoreError]) -> None:
@@ -343,6 +351,20 @@
             await shard.log.drop_expired(self._clock.fleet_ms())
 
 
+def _find_rival(
+    key: bytes,
+    claimed_by_key: dict[bytes, ClaimRecord],
+    claimed_by_stem: dict[bytes, ClaimRecord],
+) -> ClaimRecord | None:
+    """Return a claim of a group that may be one of the same key.
+
+    :param claimed_by_stem: claims of organisations' keys
+    """
+    if is_of_organisation(key):
+        return claimed_by_key.get(key) or claimed_by_key.get(stem_of(key))
+    return claimed_by_key.get(key) or claimed_by_stem.get(key)
+
+
 def _partition(
     log: ShardLog, pending: list[_PendingRecord]
 ) -> tuple[list[_PendingRecord], list[_PendingRecord]]:
--- a/kingcuppond/claims/guard.py
+++ b/kingcuppond/claims/guard.py
@@ -22,6 +22,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from kingcuppond.claims.keys import key_digest
 from kingcuppond.claims.messages import (
     AttemptQuery,
     AttemptState,
@@ -38,18 +39,11 @@
 from kingcuppond.store.era import EraTracker
 
 MAX_CLAIM_ROUNDS: Final = 4
-KEY_DIGEST_BYTES: Final = 16
 CONTENT_DIGEST_BYTES: Final = 12
 
 RunCall = Callable[[Call], Awaitable[Result[Answer, Failure]]]
 
 
-def key_digest(class_name: str, key: str) -> bytes:
-    """Return the digest of a class name and a caller's idempotency key."""
-    text = f"{class_name}\0{key}".encode("utf-8", "surrogateescape")
-    return blake2b(text, digest_size=KEY_DIGEST_BYTES).digest()
-
-
 def content_digest(call: Call) -> str:
     """Return the digest of a call's method, target and the part of its body that is in memory."""
     digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
@@ -95,7 +89,7 @@
         If this is cancelled before the call is sent to a server, the attempt never runs, and its
         state is ``NOT_RUN``.  After a later cancellation the state is ``UNKNOWN``.
         """
-        digest = key_digest(call.class_name, key)
+        digest = key_digest(call.class_name, key, call.organisation)
         content = content_digest(call)
         for _ in range(MAX_CLAIM_ROUNDS):
             record = ClaimRecord(digest, content, call.id, self._clock.fleet_ms())
@@ -122,10 +116,16 @@
                 )
             self._attempts.remove(call.id)
             self._journal.record(
-                catalogue.CLAIM_REFUSED, key=digest.hex(), attempt=reply.holder.attempt
+                catalogue.CLAIM_REFUSED,
+                key=digest.hex(),
+                attempt=reply.holder.attempt,
+                organisation=call.organisation,
             )
             call.delivery.attempts.add(reply.holder.attempt)
-            result = await self._resolve_held_key(call, content, reply.holder)
+            if reply.holder.key == digest:
+                result = await self._resolve_held_key(call, content, reply.holder)
+            else:
+                result = await self._resolve_unowned_key(call, reply.holder)
             if result is not None:
                 return result
             call.delivery.attempts.discard(reply.holder.attempt)
@@ -136,7 +136,12 @@
 
     async def _run_granted(self, call: Call, record: ClaimRecord) -> Result[Answer, Failure]:
         self._attempts.record_grant(record)
-        self._journal.record(catalogue.CLAIM_GRANTED, key=record.key.hex(), attempt=call.id)
+        self._journal.record(
+            catalogue.CLAIM_GRANTED,
+            key=record.key.hex(),
+            attempt=call.id,
+            organisation=call.organisation,
+        )
         try:
             result = await self._run(call)
         except BaseException:
@@ -206,6 +211,21 @@
             Unknown(Reason.KEY_RAN, "a request with this idempotency key has run or may have run")
         )
 
+    async def _resolve_unowned_key(
+        self, call: Call, holder: ClaimRecord
+    ) -> Result[Answer, Failure] | None:
+        """Return the result of a call whose key is held, perhaps by another organisation's request.
+
+        The claim doesn't tell whose it is, so that its answer is not returned.
+        """
+        # Only the answer to the same content is sent, and no request has this one.
+        reply = await self._peers.query(AttemptQuery(holder.attempt, "", ""), call.deadline)
+        if reply.state is AttemptState.NOT_RUN:
+            await self._release(holder)
+            return None
+        detail = "a request with this idempotency key may have run before keys had organisations"
+        return Error(Unknown(Reason.KEY_RAN, detail))
+
     async def _release(self, record: ClaimRecord) -> None:
         release = attrs.evolve(record, is_release=True, at_ms=self._clock.fleet_ms())
         reply = await self._peers.submit(release, self._clock.monotonic() + REPLY_TIMEOUT_SECONDS)
--- a/kingcuppond/claims/log.py
+++ b/kingcuppond/claims/log.py
@@ -25,6 +25,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from kingcuppond.claims.keys import is_of_organisation, stem_of
 from kingcuppond.claims.messages import ClaimRecord
 from kingcuppond.claims.segments import Segment, SegmentId, read_segments
 from kingcuppond.store.era import era_of
@@ -63,6 +64,7 @@
     era: int = 0
     claims_by_key: dict[bytes, tuple[ClaimRecord, ...]] = attrs.field(factory=dict)
     lost_claims: list[ClaimRecord] = attrs.field(factory=list)
+    _keys_by_stem: dict[bytes, set[bytes]] = attrs.field(factory=dict)
     _has_read_all: bool = False
     _segment: Segment = attrs.field(factory=lambda: _first_segment(0))
     _last_record_ms_by_id: dict[SegmentId, int] = attrs.field(factory=dict)
@@ -149,6 +151,14 @@
     def holder(self, record: ClaimRecord) -> ClaimRecord | None:
         """Return the claim of another attempt that holds the key of a record, if any."""
         claims = self.claims_by_key.get(record.key, ())
+        own = next((claim for claim in claims if claim.attempt != record.attempt), None)
+        return own or self._holder_of_unknown_organisation(record)
+
+    def _holder_of_unknown_organisation(self, record: ClaimRecord) -> ClaimRecord | None:
+        """Return a claim that may be one of the same key, if either does not tell whose it is."""
+        stem = stem_of(record.key)
+        rivals = {stem} if is_of_organisation(record.key) else self._keys_by_stem.get(stem, set())
+        claims = (claim for key in rivals for claim in self.claims_by_key.get(key, ()))
         return next((claim for claim in claims if claim.attempt != record.attempt), None)
 
     def is_redundant(self, record: ClaimRecord) -> bool:
@@ -176,6 +186,7 @@
             self.lost_claims = known + self.lost_claims
         self.era = era
         self.claims_by_key = {}
+        self._keys_by_stem = {}
         self._segment = _first_segment(era)
         self._last_record_ms_by_id = {}
         self._unsettled_attempts = set()
@@ -232,8 +243,13 @@
         remaining = tuple(claims)
         if remaining:
             self.claims_by_key[key] = remaining
-        else:
-            self.claims_by_key.pop(key, None)
+            if is_of_organisation(key):
+                self._keys_by_stem.setdefault(stem_of(key), set()).add(key)
+        elif self.claims_by_key.pop(key, None) is not None and is_of_organisation(key):
+            keys = self._keys_by_stem[stem_of(key)]
+            keys.discard(key)
+            if not keys:
+                del self._keys_by_stem[stem_of(key)]
 
 
 def _first_segment(era: int) -> Segment:
--- a/kingcuppond/claims/messages.py
+++ b/kingcuppond/claims/messages.py
@@ -14,7 +14,7 @@
 class ClaimRecord:
     """A record of a shard's claim log.
 
-    :param key: digest of the class name and the idempotency key
+    :param key: digest of the class name, the idempotency key and its organisation
     :param content: digest of the request's method, its target and the part of its body that is held
         in memory
     :param attempt: id of the attempt that claims the key
--- a/tests/claims/fleet.py
+++ b/tests/claims/fleet.py
@@ -185,7 +185,7 @@
             task.cancel()
         self.coordinator.stop()
 
-    def call(self, key: str) -> "asyncio.Task[Result[Answer, Failure]]":
+    def call(self, key: str, organisation: str = "") -> "asyncio.Task[Result[Answer, Failure]]":
         """Start a call with a key."""
         deadline = asyncio.get_running_loop().time() + CALL_SECONDS
         call = Call(
@@ -201,6 +201,7 @@
             0,
             True,
             "f",
+            organisation=organisation,
         )
         return self._create_task(self.guard.run_once(call, key))
 
--- a/tests/claims/test_restored_store.py
+++ b/tests/claims/test_restored_store.py
@@ -17,7 +17,7 @@
     MAX_COMMIT_ATTEMPTS,
     ClaimCoordinator,
 )
-from kingcuppond.claims.guard import key_digest
+from kingcuppond.claims.keys import key_digest
 from kingcuppond.claims.log import ShardLog
 from kingcuppond.claims.messages import ClaimRecord, RenewalReply, RenewalRequest, Verdict
 from kingcuppond.claims.segments import SegmentId
