Requests: the target is sent to the server as it was received

Cause: the URL was made by parsing address and target together, which drops an empty query and a fragment.

Change: the target is taken as the path of the URL as it stands.

Evidence: 5 of the 10 new cases of tests/routing/test_exchange.py failed before.

--- a/kingcuppond/routing/exchange.py
+++ b/kingcuppond/routing/exchange.py
@@ -159,7 +159,7 @@
         async with deadline_timeout, continue_timeout:
             response = await session.request(
                 method,
-                URL(f"http://{address}{target}", encoded=True),
+                _make_url(address, target),
                 headers=headers,
                 data=_body_data(body, body_state, continue_timeout, on_send),
                 allow_redirects=False,
@@ -191,6 +191,15 @@
         raise
 
 
+def _make_url(address: str, target: str) -> URL:
+    """Return a URL whose request line has exactly this target.
+
+    Parsing it would drop an empty query, and what looks like a fragment.
+    """
+    host, port = split_address(address)
+    return URL.build(scheme="http", host=host, port=port, path=target, encoded=True)
+
+
 async def is_not_listening(address: str) -> bool:
     """Return whether nothing listens at an address any more, by probing it with new connections.
 
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -154,3 +154,39 @@
 async def test_final_answer_instead_of_100_continue_is_returned() -> None:
     async with serving(FRAMED.replace(b"200 OK", b"503 No"), "stay") as address:
         assert await send_body(address) == b"hello"
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/a",
+        "/a?",
+        "/a?b",
+        "/a?b=1&c=%2F+",
+        "/a#",
+        "/a#b?c",
+        "/a?b#c",
+        "//a//b",
+        "/a%23%3f?",
+        "/a;b=c?d?",
+    ],
+)
+async def test_the_target_is_sent_as_it_is(target: str) -> None:
+    """An empty query and a raw number sign were dropped on the way to the server."""
+    received: list[str] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            received.append(head.split(b" ")[1].decode())
+            writer.write(FRAMED)
+
+    session = open_session()
+    try:
+        async with listening(serve) as address:
+            result = await exchange(
+                session, address, "GET", target, CIMultiDict(), Body(), time.monotonic() + 1.0
+            )
+            assert result.is_ok()
+    finally:
+        await session.close()
+    assert received == [target]
