Servers: one that starts again with an earlier clock is heard

Cause: an announcement of an earlier start counted as late for good, and was acknowledged all the same.

Evidence: the new tests fail without the change.

--- a/kingcuppond/gate/gate.py
+++ b/kingcuppond/gate/gate.py
@@ -184,14 +184,16 @@
             )
         return None
 
-    def handle_announcement(self, announcement: Announcement) -> None:
-        """Apply an announcement of the server, unless it is stale."""
-        before = self.incarnations.current
-        if not self.incarnations.accept(announcement):
+    def handle_announcement(self, announcement: Announcement) -> bool:
+        """Apply an announcement of the server, unless it is stale.
+
+        :return: false if it may be that of another incarnation, and so binds nobody
+        """
+        before, old = self.incarnations.current, self.directory.me.state
+        if not self.incarnations.accept(announcement, old is ServerState.ABSENT):
             self.journal.record(catalogue.ANNOUNCEMENT_STALE, instance=announcement.instance)
-            return
+            return not self.incarnations.is_earlier(announcement)
         self.last_heard_at = self.clock.monotonic()
-        old = self.directory.me.state
         is_new = (
             announcement.address != self.address
             or self.incarnations.current != before
@@ -215,6 +217,7 @@
             self._run_in_background(self.observer.refresh())
         if new is not old or is_new:
             self._set_state(new)
+        return True
 
     def _version_of(self, announcement: Announcement) -> str:
         return announcement.version if self.states_version else ""
@@ -236,10 +239,8 @@
 
     def expire_silent_server(self) -> None:
         """Mark a server as absent that has sent no announcement or load within the timeout."""
-        if self.directory.me.state is ServerState.ABSENT:
-            return
         if self.clock.monotonic() - self.last_heard_at > self.server_timeout_seconds:
-            self._mark_server_absent()
+            self._mark_server_gone()
 
     def on_configuration_change(self) -> None:
         """Apply a change of the configuration."""
@@ -349,8 +350,7 @@
         """Apply the self-report that the server sent with an answer."""
         current = self.incarnations.current.id
         if self_report.instance and current and self_report.instance != current:
-            if self.directory.me.state is not ServerState.ABSENT:
-                self._mark_server_absent()
+            self._mark_server_gone()
             return
         if self_report.load is not None:
             self.last_heard_at = self.clock.monotonic()
@@ -380,10 +380,8 @@
         self.admission.process_queue()
 
     def _mark_server_gone(self) -> None:
-        if self.directory.me.state is not ServerState.ABSENT:
-            self._mark_server_absent()
-
-    def _mark_server_absent(self) -> None:
+        if self.directory.me.state is ServerState.ABSENT:
+            return
         self.journal.record(catalogue.SERVER_SILENT, address=self.address)
         self.directory.publish_own_change(state=ServerState.ABSENT)
         self.limit.reset()
--- a/kingcuppond/gate/server_port.py
+++ b/kingcuppond/gate/server_port.py
@@ -53,7 +53,9 @@
             return announcements.refusal_response(parsed.error)
         message = parsed.ok
         if isinstance(message, Announcement):
-            self.gate.handle_announcement(message)
+            if not self.gate.handle_announcement(message):
+                # Acknowledging it would promise that the server is sent nothing more.
+                return _refuse(Reason.NOT_READY, "a later start of the server has been announced")
             if message.state == DRAINING:
                 await self._record_departure(Incarnation(message.instance, message.born_ms))
         else:
--- a/tests/gate/test_incarnation.py
+++ b/tests/gate/test_incarnation.py
@@ -3,7 +3,8 @@
 import pytest
 
 from kingcuppond.gate.announcements import Announcement
-from kingcuppond.gate.incarnation import Incarnation, IncarnationTracker
+from kingcuppond.gate.incarnation import SILENT_SECONDS, Incarnation, IncarnationTracker
+from tests.conftest import FakeTime
 
 
 def make_announcement(instance: str, born_ms: int, sequence: int) -> Announcement:
@@ -58,3 +59,26 @@
     tracker = IncarnationTracker()
     plain = Announcement("shop", "10.0.0.1:80", "warm")
     assert all(tracker.accept(plain) for _ in range(3))
+
+
+def test_a_clock_that_was_set_back_does_not_hide_a_new_incarnation(fake_time: FakeTime) -> None:
+    """A server that started while the clock was ahead, and again later, was ignored for good."""
+    tracker = IncarnationTracker(now=fake_time.read)
+    tracker.accept(make_announcement("a", 2500, 1))
+    assert not tracker.accept(make_announcement("a", 100, 1)), "it may be late"
+    assert tracker.accept(make_announcement("a", 100, 1), is_gone=True)
+    assert tracker.accept(make_announcement("a", 100, 2))
+    assert tracker.accept(make_announcement("a", 2600, 1))
+    fake_time.advance(SILENT_SECONDS + 0.1)
+    assert tracker.accept(make_announcement("a", 200, 1))
+    assert tracker.current == Incarnation("a", 200)
+
+
+def test_a_late_announcement_is_ignored_while_the_current_one_is_heard(
+    fake_time: FakeTime,
+) -> None:
+    tracker = IncarnationTracker(now=fake_time.read)
+    for sequence in range(1, 10):
+        assert tracker.accept(make_announcement("b", 200, sequence))
+        fake_time.advance(SILENT_SECONDS / 2)
+        assert not tracker.accept(make_announcement("a", 100, 90 + sequence))
--- a/tests/gate/test_server_port.py
+++ b/tests/gate/test_server_port.py
@@ -1,14 +1,15 @@
 """Messages of the server are read whole, however they arrive."""
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
 import pytest
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from kingcuppond.gate import announcements
-from kingcuppond.gate.announcements import ConfiguredServer, ServerMessage
+from kingcuppond.gate.announcements import Announcement, ConfiguredServer, ServerMessage
 from kingcuppond.gate.server_port import ServerPort
 from kingcuppond.ingress.http_server import listen, make_server
 from kingcuppond.outcomes import NotRun, Reason
@@ -70,3 +71,18 @@
     assert (await asyncio.wait_for(reader.read(), 5.0)).startswith(b"HTTP/1.1 400")
     writer.close()
     await runner.cleanup()
+
+
+async def test_an_announcement_that_is_ignored_is_not_acknowledged() -> None:
+    """A server whose clock was set back reported that it drains, and got requests all the same."""
+    message = Announcement("shop", "10.0.0.1:80", "draining", instance="i", born_ms=1)
+    gate: Any = SimpleNamespace(handle_announcement=lambda _message: False)
+    port = ServerPort(
+        gate, UNUSED, lambda *_request: Ok(message), ConfiguredServer("shop", "10.0.0.1:80")
+    )
+    runner = (await listen(make_server(port.handle), "127.0.0.1:0")).ok
+    reader, writer = await asyncio.open_connection(*runner.addresses[0])
+    writer.write(b"PUT /instances/i HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}")
+    assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(b"HTTP/1.1 503")
+    writer.close()
+    await runner.cleanup()
