Organisations: keys are withheld before the version that brings them

A request that came within milliseconds of the acknowledgement of a version with organisations reached a server with its key.

Cause: the header was left out only once a daemon had that version.

Change: it is left out too where the settings bound removed keys.

Evidence: the new test of tests/ingress/test_organisations.py failed before. Not played with processes.

--- a/kingcuppond/ingress/requests.py
+++ b/kingcuppond/ingress/requests.py
@@ -94,7 +94,7 @@
         service=choose_service(class_of_work),
         method=request.method,
         target=request.raw_path,
-        headers=_forwarded_headers(request, dialect, organisations.needs_keys),
+        headers=_forwarded_headers(request, dialect, organisations.withholds_keys),
         body=body.ok,
         deadline=deadline,
         depth=options.depth + 1,
@@ -144,11 +144,11 @@
 
 
 def _forwarded_headers(
-    request: web.BaseRequest, dialect: Dialect, has_keys: bool
+    request: web.BaseRequest, dialect: Dialect, withholds_keys: bool
 ) -> tuple[tuple[str, str], ...]:
     connection = request.headers.get("Connection", "")
     excluded_headers = dialect.private_headers | RELAY_HEADERS
-    if has_keys:
+    if withholds_keys:
         excluded_headers |= {dialect.organisation_key_header}
     return end_to_end(request.headers.items(), connection, excluded_headers)
 
--- a/kingcuppond/organisations/guard.py
+++ b/kingcuppond/organisations/guard.py
@@ -43,6 +43,15 @@
         """Whether the configuration has organisations, so that requests carry keys."""
         return self._keyring is not None
 
+    @property
+    def withholds_keys(self) -> bool:
+        """Whether servers don't get the key of a request.
+
+        Where the settings have a bound on removed keys, there may be organisations in a version of
+        the configuration that has not arrived yet.
+        """
+        return self.needs_keys or self.policy.revoke_seconds > 0.0
+
     def identify(
         self, keys: Sequence[str], class_of_work: ClassOfWork
     ) -> Result[Organisation | None, NotRun]:
--- a/tests/ingress/test_organisations.py
+++ b/tests/ingress/test_organisations.py
@@ -26,10 +26,16 @@
 
 
 async def read(
-    journal: Journal, path: str, headers: dict[str, str], table: OrganisationTable | None = TABLE
+    journal: Journal,
+    path: str,
+    headers: dict[str, str],
+    table: OrganisationTable | None = TABLE,
+    policy: KeyPolicy | None = None,
 ) -> Result[CallerRequest, Failure]:
     configuration = Configuration(journal)
-    guard = make_organisation_guard(configuration, KeyPolicy(), lambda: False, lambda: 0.0)
+    guard = make_organisation_guard(
+        configuration, policy or KeyPolicy(), lambda: False, lambda: 0.0
+    )
     configuration.organisations = table
     for item in (READ, OPEN):
         configuration.merge([VersionedObject(f"class/{item.name}", 1, encode(item))])
@@ -75,6 +81,16 @@
     assert call.organisation == ""
 
 
+async def test_a_key_is_withheld_before_the_version_with_the_organisations_arrives(
+    journal: Journal,
+) -> None:
+    """A server got the key of a request that came just after the version was acknowledged."""
+    policy = KeyPolicy(revoke_seconds=5.0)
+    call = (await read(journal, "/read", {"Api-Key": "k1"}, None, policy)).ok.call
+    assert call.headers == ()
+    assert call.organisation == ""
+
+
 def test_the_server_is_told_the_organisation() -> None:
     header = "X-Kingcuppond-Tenant"
     request = ServerRequest(250, 1, 1, "shop", "i-1", "urgent")
