Inquiries: a long outage does not delay the next one

After an outage of the store of 40 s a fleet whose watchers were killed just then had a new configuration later than 2 s: the waves had become rare, and the next one was due up to 16 s later.

Change: the waves begin again after any calm, and when the watchers fall silent besides. Of two members that follow the store and hear only each other, the one with the larger id goes on; both could stop within a beat, and the store was asked by several again.

Evidence: tests/configuration/test_inquiries.py, the outage: one of two cases failed before, at a limit of 2 s. Found by reading the change again; the second by the test of those that stop, once the first had changed its draws.

--- a/kingcuppond/configuration/inquiries.py
+++ b/kingcuppond/configuration/inquiries.py
@@ -98,6 +98,7 @@
     _next_wave_at: float = 0.0
     _next_asking_at: float = 0.0
     _late_since: float | None = None
+    _was_silent: bool = False
     _unreachable: set[str] = attrs.field(factory=set)
     _tasks: set["asyncio.Task[None]"] = attrs.field(factory=set)
 
@@ -138,10 +139,15 @@
                 self._ask_if_needed(now)
             else:
                 self._could_ask_since = None
+                self._begin_again()
 
     def _end_if_followed(self, now: float) -> None:
-        others_silent_seconds = self.currency.follows.silent_seconds(self.currency.source)
-        if now > self._follows_until and others_silent_seconds < LATE_SECONDS:
+        follows, own = self.currency.follows, self.currency.source
+        ends_at = self._follows_until
+        if follows.newest_source(excluded=own) < own:
+            # Of two that hear only each other, one goes on.
+            ends_at += MIN_FOLLOWING_SECONDS
+        if now > ends_at and follows.silent_seconds(excluded=own) < LATE_SECONDS:
             self.end()
 
     def _ask_if_needed(self, now: float) -> None:
@@ -153,22 +159,29 @@
             for counters in (self.currency.beats, self.currency.follows, self.currency.answers)
         )
         if unserved < LATE_SECONDS and unanswered < UNANSWERED_SECONDS:
-            self._wave = 0
-            self._late_since = None
-            self._unreachable.clear()
+            self._begin_again()
             return
         if self._late_since is None:
             self._late_since = now
-        is_stale = (
-            silent >= STALE_SECONDS
-            or unserved >= UNSERVED_SECONDS
-            or unanswered >= UNANSWERED_SECONDS
-        )
+        is_silent = silent >= STALE_SECONDS
+        if is_silent and not self._was_silent:
+            # The waves may have become rare while the store served none of the watchers.
+            self._wave, self._next_wave_at = 0, now
+        self._was_silent = is_silent
+        is_stale = is_silent or unserved >= UNSERVED_SECONDS or unanswered >= UNANSWERED_SECONDS
         if now >= self._next_asking_at:
             self._ask_others(now, is_stale)
         if is_stale and now >= self._next_wave_at:
             self._begin_wave(now)
 
+    def _begin_again(self) -> None:
+        """Forget how often others and the store were asked."""
+        self._late_since = None
+        self._was_silent = False
+        self._wave = 0
+        self._next_wave_at = self._next_asking_at = 0.0
+        self._unreachable.clear()
+
     def _ask_others(self, now: float, is_stale: bool) -> None:
         """Ask members, often at first and then less and less often.
 
--- a/kingcuppond/membership/currency.py
+++ b/kingcuppond/membership/currency.py
@@ -81,6 +81,15 @@
         age_ms = round((self.now() - counter.counted_at) * 1000)
         return SourceCount(self._newest, counter.number, min(max(age_ms, 0), MAX_AGE_MS))
 
+    def newest_source(self, excluded: int) -> int:
+        """Return the source, other than the excluded one, that has counted last."""
+        others = (source for source in self._counters_by_source if source != excluded)
+        return max(
+            others,
+            key=lambda source: self._counters_by_source[source].counted_at,
+            default=NOTHING.source,
+        )
+
     def silent_seconds(self, excluded: int = NOTHING.source) -> float:
         """Return the seconds since anything was counted, or since this process began to listen.
 
--- a/tests/configuration/test_inquiries.py
+++ b/tests/configuration/test_inquiries.py
@@ -140,6 +140,28 @@
         names |= watched
 
 
+@pytest.mark.parametrize("calm_seconds", [0.0, 3.0])
+def test_a_long_outage_does_not_delay_the_next_inquiry(calm_seconds: float) -> None:
+    """The waves had become rare, and the next one came up to 16 s later."""
+
+    async def scenario(network: Network) -> None:
+        store = SimulatedStore()
+        users = await start(network, store, 30, 3)
+        for user in users:
+            user.client.reject("refused")
+        await asyncio.sleep(40.0)
+        for user in users:
+            user.client.admit()
+        await asyncio.sleep(calm_seconds)
+        watchers = [user for user in users if user.watcher.should_watch()]
+        kill(network, watchers)
+        await asyncio.sleep(0.1)
+        others = [user for user in users if user not in watchers]
+        await seconds_until_in_force(others, store, "budget/a", CONFIG_DEADLINE_SECONDS)
+
+    run_simulated(scenario)
+
+
 def test_two_halves_of_a_fleet_both_follow_the_store() -> None:
     async def scenario(network: Network) -> None:
         store = SimulatedStore()
