Trials: a body of unknown length takes only the room that it needs

Change: room is taken as the bytes arrive; a body whose stated length does not fit is still refused before it is read. A call of which only the start is known is not put on trial before the gate has compared the whole.

--- a/kingcuppond/ingress/port.py
+++ b/kingcuppond/ingress/port.py
@@ -30,6 +30,7 @@
 from kingcuppond.membership.directory import Directory
 from kingcuppond.organisations.guard import OrganisationGuard
 from kingcuppond.outcomes import Failure, NotRun, Reason
+from kingcuppond.quarantine.fingerprints import is_partial
 from kingcuppond.quarantine.messages import QuarantineLevel
 from kingcuppond.quarantine.suspects import SuspectTable
 from kingcuppond.quotas.guard import QuotaGuard
@@ -192,7 +193,8 @@
         if level is QuarantineLevel.HELD:
             detail = f"request {call.fingerprint} made servers fail and is temporarily quarantined"
             return Result.Error(NotRun(Reason.HARMFUL, detail))
-        if level is QuarantineLevel.SUSPECTED:
+        # Of a partial fingerprint only the gate can tell whether the request itself is suspected.
+        if level is QuarantineLevel.SUSPECTED and not is_partial(call.fingerprint):
             call = attrs.evolve(call, is_on_trial=True)
         organisation = caller_request.organisation
         if not (call.at_most_once and caller_request.key):
--- a/kingcuppond/routing/call.py
+++ b/kingcuppond/routing/call.py
@@ -74,18 +74,19 @@
         """Read a short body into memory, so that the call starts only when its body is complete."""
         if self.rest is None or self.length is None or self.length > BODY_MEMORY_BYTES:
             return
-        await self.buffer_whole(BODY_MEMORY_BYTES)
+        await self.buffer_whole(lambda _size: True)
 
-    async def buffer_whole(self, max_bytes: int) -> None:
+    async def buffer_whole(self, take_room: Callable[[int], bool]) -> None:
         """Read the whole body into memory.
 
-        :raises StreamTooLongError: it is longer than ``max_bytes``
+        :param take_room: returns whether there is room for so many more bytes
+        :raises StreamTooLongError: there is no room for all of it
         """
         self.is_stream_started = True
         chunks = [self.buffered]
         async for chunk in self._read_rest():
-            if self.read_bytes > max_bytes:
-                raise StreamTooLongError(f"the body is longer than {max_bytes} bytes")
+            if not take_room(len(chunk)):
+                raise StreamTooLongError("there is no room for the whole body")
             chunks.append(chunk)
         self.buffered, self.rest = b"".join(chunks), None
 
