--- a/kingcuppond/membership/gossip.py
+++ b/kingcuppond/membership/gossip.py
@@ -64,7 +64,6 @@
 PULL_DELAY_SECONDS: Final = 0.1
 """A daemon's own watch usually delivers an object sooner than this; then no pull is needed."""
 
-
 RUMOUR_SECONDS: Final = 0.3
 """A change crosses the fleet as a rumour within this time, unless the rumour is lost."""
 
--- a/kingcuppond/membership/hearing.py
+++ b/kingcuppond/membership/hearing.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from typing import Final
 
 import attrs
@@ -21,15 +20,11 @@
 
 @attrs.define
 class Hearing:
-    """The newest sign of life of each data centre, as monotonic times in seconds.
-
-    :param heard_at_by_vm: when a message of each member arrived here last
-    """
+    """The newest sign of life of each data centre, as monotonic times in seconds."""
 
     directory: Directory
     clock: Clock
     heard_at_by_data_centre: dict[str, float] = attrs.field(factory=dict)
-    heard_at_by_vm: dict[str, float] = attrs.field(factory=dict)
 
     def record_message(self, sender: str, ages_ms: dict[str, int] | None = None) -> None:
         """Record a message.
@@ -42,7 +37,6 @@
         member = self.directory.members_by_vm.get(sender)
         if member is not None:
             self.heard_at_by_data_centre[member.data_centre] = now
-            self.heard_at_by_vm[sender] = now
         for data_centre, age_ms in (ages_ms or {}).items():
             if data_centre == self.directory.me.data_centre:
                 # Others may have heard this daemon itself.
@@ -61,11 +55,6 @@
         }
         return {self.directory.me.data_centre: 0, **ages}
 
-    def seconds_since_heard(self, vms: Iterable[str]) -> float:
-        """Return the seconds since a message of any of some members arrived here."""
-        heard_at = max((self.heard_at_by_vm.get(vm, -math.inf) for vm in vms), default=-math.inf)
-        return self.clock.monotonic() - heard_at
-
     def longest_silence_seconds(self) -> float:
         """Return the seconds since the data centre that has been silent longest was heard.
 
--- a/kingcuppond/membership/messages.py
+++ b/kingcuppond/membership/messages.py
@@ -32,6 +32,8 @@
     :param server_version: version of the server's program, empty if it states none or the
         deployment has no roll-outs
     :param store_era: newest era of the store in whose log all claims of the daemon are known to be
+    :param is_store_lost: it ranks first among the watchers, and the store does not answer it;
+        daemons of an earlier version then watch in its place
     """
 
     vm: str
