--- a/kingcuppond/configuration/inquiries.py
+++ b/kingcuppond/configuration/inquiries.py
@@ -8,7 +8,9 @@
 for some seconds and counts as a watcher meanwhile, so that one answer calms all; it goes on as long
 as it hears no other watcher.
 
-Load: in calm, a comparison a few times per second.  While the store answers nobody, a number of
+Load: in calm, a comparison a few times per second.  In a large fleet counts arrive late at some
+members, each of which pings another one, after a walk over all living members, a few times per
+second at most.  The first wave ranks all members once.  While the store answers nobody, a number of
 calls that does not depend on the size of the fleet: some tens in the first second, then about
 ``LATER_ASKERS`` in each wave, at intervals that double up to ``MAX_WAVE_SECONDS``.
 """
